--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The core module.
+ */
+package io.mulberrylift.core;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon module.
+ */
+package io.mulberrylift.daemon;
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The testkit module.
+ */
+package io.mulberrylift.testkit;
