--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
@@ -0,0 +1,84 @@
+package io.mulberrylift.core.configuration;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Checks the content of a configuration. A pure function: equal content gives equal
+ * problems on every instance.
+ */
+public final class ConfigurationChecks {
+
+	private static final int MAX_PRIORITY = 9;
+
+	private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
+
+	private ConfigurationChecks() {
+	}
+
+	/**
+	 * Finds all problems of a configuration.
+	 * @param configuration the content, not null
+	 * @return the problems, empty when the content is valid
+	 */
+	public static List<ConfigurationProblem> problems(FleetConfiguration configuration) {
+		List<ConfigurationProblem> problems = new ArrayList<>();
+		checkWitnessZones(configuration, problems);
+		configuration.profiles().forEach((name, profile) -> checkProfile("profiles." + name, profile, problems));
+		configuration.workspaces()
+			.forEach((name, workspace) -> checkWorkspace("workspaces." + name, workspace, problems));
+		configuration.models().forEach((name, model) -> checkModel("models." + name, model, problems));
+		checkNotEmpty("profiles", configuration.profiles(), problems);
+		checkNotEmpty("workspaces", configuration.workspaces(), problems);
+		return List.copyOf(problems);
+	}
+
+	private static void checkWitnessZones(FleetConfiguration configuration, List<ConfigurationProblem> problems) {
+		int count = configuration.witnessZones().size();
+		boolean distinct = configuration.witnessZones().stream().distinct().count() == count;
+		if (count % 2 == 0 || !distinct) {
+			problems.add(new ConfigurationProblem("witnessZones", configuration.witnessZones().toString(),
+					"an odd number of different zones", "Name one, three or five zones."));
+		}
+	}
+
+	private static void checkNotEmpty(String key, Map<String, ?> values, List<ConfigurationProblem> problems) {
+		if (values.isEmpty()) {
+			problems.add(new ConfigurationProblem(key, "empty", "at least one entry", "Add an entry."));
+		}
+	}
+
+	private static void checkProfile(String key, ProfileSettings profile, List<ConfigurationProblem> problems) {
+		checkRange(key + ".priority", profile.priority(), 0, MAX_PRIORITY, problems);
+		checkRange(key + ".maxTimeoutMillis", profile.maxTimeoutMillis(), 1, MAX_TIMEOUT_MILLIS, problems);
+		checkRange(key + ".defaultTimeoutMillis", profile.defaultTimeoutMillis(), 1, profile.maxTimeoutMillis(),
+				problems);
+		if (profile.repeatable() && profile.keyRequired()) {
+			problems.add(new ConfigurationProblem(key + ".keyRequired", "true", "false when repeatable is true",
+					"Set repeatable or keyRequired to false."));
+		}
+	}
+
+	private static void checkWorkspace(String key, WorkspaceSettings workspace, List<ConfigurationProblem> problems) {
+		if (!(workspace.weight() > 0) || Double.isInfinite(workspace.weight())) {
+			problems.add(new ConfigurationProblem(key + ".weight", String.valueOf(workspace.weight()),
+					"a positive number", "Set a positive weight."));
+		}
+		checkRange(key + ".maxTokensPerSecond", workspace.maxTokensPerSecond(), 0, Long.MAX_VALUE, problems);
+	}
+
+	private static void checkModel(String key, ModelSettings model, List<ConfigurationProblem> problems) {
+		checkRange(key + ".maxPromptTokens", model.maxPromptTokens(), 1, Integer.MAX_VALUE, problems);
+		checkRange(key + ".maxOutputTokens", model.maxOutputTokens(), 1, Integer.MAX_VALUE, problems);
+	}
+
+	private static void checkRange(String key, long value, long least, long greatest,
+			List<ConfigurationProblem> problems) {
+		if (value < least || value > greatest) {
+			problems.add(new ConfigurationProblem(key, String.valueOf(value), least + " to " + greatest,
+					"Set a value in this range."));
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
@@ -0,0 +1,27 @@
+package io.mulberrylift.core.configuration;
+
+/**
+ * How endpoints are chosen.
+ *
+ * @param policy name of the routing policy
+ * @param crossZonePenaltyMillis predicted gain in milliseconds from which another zone's
+ * endpoint is preferred
+ * @param longPromptTokens length from which a prompt counts as long, in tokens
+ * @param maxQueuedRequests most requests waiting in one instance
+ */
+public record RoutingSettings(String policy, long crossZonePenaltyMillis, int longPromptTokens, int maxQueuedRequests) {
+
+	/** Values used when the document names none. */
+	public static final RoutingSettings DEFAULTS = new RoutingSettings(null, 0, 0, 0);
+
+	/**
+	 * Creates the settings. Absent values, null or 0, take their defaults.
+	 */
+	public RoutingSettings {
+		policy = (policy != null) ? policy : "slack";
+		crossZonePenaltyMillis = (crossZonePenaltyMillis != 0) ? crossZonePenaltyMillis : 10;
+		longPromptTokens = (longPromptTokens != 0) ? longPromptTokens : 32_000;
+		maxQueuedRequests = (maxQueuedRequests != 0) ? maxQueuedRequests : 2_000;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ServiceSettings.java
@@ -0,0 +1,29 @@
+package io.mulberrylift.core.configuration;
+
+import java.util.List;
+
+/**
+ * A plain service.
+ *
+ * @param repeatablePaths path prefixes whose calls may run more than once; all other
+ * calls run at most once
+ */
+public record ServiceSettings(List<String> repeatablePaths) {
+
+	/**
+	 * Creates the settings. A missing list becomes empty.
+	 */
+	public ServiceSettings {
+		repeatablePaths = (repeatablePaths != null) ? List.copyOf(repeatablePaths) : List.of();
+	}
+
+	/**
+	 * Returns whether a call to the path may run more than once.
+	 * @param path the path below the service's name, without leading slash
+	 * @return true if so
+	 */
+	public boolean repeatable(String path) {
+		return this.repeatablePaths.stream().anyMatch(path::startsWith);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/WorkspaceSettings.java
@@ -0,0 +1,21 @@
+package io.mulberrylift.core.configuration;
+
+/**
+ * A workspace.
+ *
+ * @param weight share of the fleet under contention relative to other workspaces
+ * @param maxTokensPerSecond limit of prompt and output tokens per second over the whole
+ * fleet, 0 for none
+ * @param credentialSha256 lower-case hex SHA-256 of the caller credential, empty for none
+ */
+public record WorkspaceSettings(double weight, long maxTokensPerSecond, String credentialSha256) {
+
+	/**
+	 * Creates the settings. Absent values take their defaults.
+	 */
+	public WorkspaceSettings {
+		weight = (weight != 0) ? weight : 1;
+		credentialSha256 = (credentialSha256 != null) ? credentialSha256 : "";
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/event/RequestEvent.java
@@ -0,0 +1,29 @@
+package io.mulberrylift.core.event;
+
+import io.mulberrylift.core.model.RequestSpec;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Events of callers' requests.
+ */
+public sealed interface RequestEvent extends Event {
+
+	/**
+	 * A caller sent a request whose body is complete.
+	 *
+	 * @param at when it was observed
+	 * @param spec the request
+	 */
+	record Arrived(Moment at, RequestSpec spec) implements RequestEvent {
+	}
+
+	/**
+	 * The caller closed its connection before the answer was complete.
+	 *
+	 * @param at when it was observed
+	 * @param requestId the request
+	 */
+	record CallerGone(Moment at, long requestId) implements RequestEvent {
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/EndpointId.java
@@ -0,0 +1,34 @@
+package io.mulberrylift.core.model;
+
+/**
+ * Identifies an endpoint: a model engine runner or a plain service runner.
+ *
+ * <p>
+ * Immutable and safe for use by several threads.
+ * </p>
+ *
+ * @param value the published name, not blank
+ */
+public record EndpointId(String value) implements Comparable<EndpointId> {
+
+	/**
+	 * Creates the identity.
+	 * @throws IllegalArgumentException if the value is null or blank
+	 */
+	public EndpointId {
+		if (value == null || value.isBlank()) {
+			throw new IllegalArgumentException("EndpointId must not be blank");
+		}
+	}
+
+	@Override
+	public int compareTo(EndpointId other) {
+		return this.value.compareTo(other.value);
+	}
+
+	@Override
+	public String toString() {
+		return this.value;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Value types shared by all parts: identities, requests, refusals and the published list.
+ */
+package io.mulberrylift.core.model;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages that instances exchange with each other.
+ */
+package io.mulberrylift.core.peer;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/loop/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The event loop that owns the reducer.
+ */
+package io.mulberrylift.daemon.loop;
