--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -0,0 +1,253 @@
+package io.mulberrylift.core;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+import io.mulberrylift.core.configuration.ConfigurationPart;
+import io.mulberrylift.core.effect.ControlEffect;
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effect;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.event.ControlEvent;
+import io.mulberrylift.core.event.EndpointEvent;
+import io.mulberrylift.core.event.Event;
+import io.mulberrylift.core.event.PeerEvent;
+import io.mulberrylift.core.event.PlatformEvent;
+import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.fleet.InstanceIdentity;
+import io.mulberrylift.core.fleet.ListPolling;
+import io.mulberrylift.core.fleet.LoadPolling;
+import io.mulberrylift.core.request.RequestPart;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * The one state machine of an instance: takes events one at a time and returns effects as
+ * data.
+ *
+ * <p>
+ * Not safe for use by several threads; one event loop owns it. It has no clock, thread,
+ * socket, logger or source of randomness of its own: equal events in equal order give
+ * equal effects.
+ * </p>
+ */
+public final class Reducer {
+
+	private static final long TICK_INTERVAL_MILLIS = 100;
+
+	private final FleetState fleet;
+
+	private final ReducerParts parts;
+
+	private final ConfigurationPart configuration;
+
+	private final ListPolling listPolling;
+
+	private final LoadPolling loadPolling;
+
+	private final RequestPart requests;
+
+	private final Effects effects = new Effects();
+
+	private boolean shuttingDown;
+
+	private boolean exited;
+
+	/**
+	 * Creates the state of a process that has just started.
+	 * @param self the process, not null
+	 * @param seed seed of all jitter and sampling
+	 */
+	public Reducer(InstanceIdentity self, long seed) {
+		this.fleet = new FleetState(Objects.requireNonNull(self, "self"));
+		this.parts = ReducerParts.create(this.fleet, seed);
+		this.configuration = this.parts.configuration();
+		this.listPolling = new ListPolling(this.fleet);
+		this.loadPolling = new LoadPolling(this.fleet);
+		this.requests = this.parts.requests();
+	}
+
+	/**
+	 * Takes one event.
+	 * @param event the event, not null; its moment must not lie before the last one's
+	 * @return the effects to carry out, in order, empty when there are none
+	 */
+	public List<Effect> reduce(Event event) {
+		if (event instanceof RequestEvent requestEvent) {
+			reduceRequest(requestEvent);
+		}
+		else if (event instanceof AttemptEvent attemptEvent) {
+			reduceAttempt(attemptEvent);
+		}
+		else if (event instanceof EndpointEvent endpointEvent) {
+			reduceEndpoint(endpointEvent);
+		}
+		else if (event instanceof PlatformEvent platformEvent) {
+			reducePlatform(platformEvent);
+		}
+		else if (event instanceof PeerEvent peerEvent) {
+			reducePeer(peerEvent);
+		}
+		else if (event instanceof ControlEvent controlEvent) {
+			reduceControl(controlEvent);
+		}
+		settle(event.at());
+		return this.effects.take();
+	}
+
+	/**
+	 * Takes the position of a stream without allocating.
+	 * @param attemptId the attempt
+	 * @param acceptedTokens output tokens that the caller's sink has accepted
+	 */
+	public void advance(long attemptId, int acceptedTokens) {
+		this.requests.advanced(attemptId, acceptedTokens);
+	}
+
+	private void reduceRequest(RequestEvent event) {
+		if (event instanceof RequestEvent.Arrived arrived) {
+			this.requests.arrived(arrived, this.effects);
+		}
+		else if (event instanceof RequestEvent.CallerGone gone) {
+			this.requests.callerGone(gone, this.effects);
+		}
+	}
+
+	private void reduceAttempt(AttemptEvent event) {
+		if (event instanceof AttemptEvent.Started started) {
+			this.requests.started(started);
+		}
+		else if (event instanceof AttemptEvent.Finished finished) {
+			this.requests.finished(finished, this.effects);
+		}
+		else if (event instanceof AttemptEvent.Failed failed) {
+			this.requests.failed(failed, this.effects);
+		}
+	}
+
+	private void reduceEndpoint(EndpointEvent event) {
+		if (event instanceof EndpointEvent.LoadReported reported) {
+			if (this.loadPolling.reported(reported)) {
+				this.parts.crashGuard().endpointLost(reported.endpoint(), event.at(), this.effects);
+			}
+			this.parts.scheduler().reported(reported);
+		}
+		else if (event instanceof EndpointEvent.Unreachable unreachable) {
+			this.loadPolling.unreachable(unreachable);
+			if (unreachable.refused()) {
+				this.parts.crashGuard().endpointLost(unreachable.endpoint(), event.at(), this.effects);
+			}
+		}
+		else if (event instanceof EndpointEvent.CacheChanged changed) {
+			this.parts.scheduler().cacheChanged(changed);
+		}
+		else {
+			this.parts.memory().handle(event, this.effects);
+		}
+	}
+
+	private void reducePlatform(PlatformEvent event) {
+		if (event instanceof PlatformEvent.ListRead read) {
+			this.listPolling.read(read);
+		}
+		else if (event instanceof PlatformEvent.ConfigurationRead read) {
+			this.configuration.read(read.check(), event.at(), this.effects);
+		}
+		else if (event instanceof PlatformEvent.ConfigurationUnchanged) {
+			this.configuration.unchanged(event.at());
+		}
+		else if (event instanceof PlatformEvent.ReadFailed failed) {
+			readFailed(failed);
+		}
+	}
+
+	private void readFailed(PlatformEvent.ReadFailed event) {
+		if (event.source() == PlatformEvent.Source.LIST) {
+			this.listPolling.failed();
+		}
+		else {
+			this.configuration.failed(event.at());
+		}
+	}
+
+	private void reducePeer(PeerEvent event) {
+		if (event instanceof PeerEvent.ConfigurationReceived received) {
+			this.configuration.take(received.check(), this.effects);
+		}
+	}
+
+	private void reduceControl(ControlEvent event) {
+		if (event instanceof ControlEvent.ShutdownRequested && !this.shuttingDown) {
+			this.shuttingDown = true;
+			this.requests.shutDown();
+			this.effects.info(Part.REQUEST, "shutdown began with " + this.requests.inProgress() + " in progress");
+		}
+	}
+
+	private void settle(Moment now) {
+		this.requests.expire(now, this.effects);
+		this.listPolling.tick(now, this.effects);
+		this.configuration.tick(now, this.effects);
+		this.loadPolling.tick(now, this.effects);
+		this.parts.memory().tick(now, this.effects);
+		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
+		this.requests.assign(now, this.effects);
+		this.parts.memory().takeOutcomes().forEach((outcome) -> this.requests.reserved(outcome, now, this.effects));
+		exitWhenIdle();
+	}
+
+	private void exitWhenIdle() {
+		boolean idle = this.requests.inProgress() == 0 && this.parts.memory().isEmpty();
+		if (this.shuttingDown && idle && !this.exited) {
+			this.exited = true;
+			this.effects.add(new ControlEffect.Exit());
+		}
+	}
+
+	/**
+	 * Returns when a tick is due without other events.
+	 * @param now the current time
+	 * @return the monotonic time in milliseconds, at most 100 ms away
+	 */
+	public long nextWakeMonotonicMillis(Moment now) {
+		long wake = Math.min(this.requests.nextWakeMonotonicMillis(), this.parts.scheduler().nextWakeMonotonicMillis());
+		return Math.min(wake, now.monotonicMillis() + TICK_INTERVAL_MILLIS);
+	}
+
+	/**
+	 * Returns whether requests can be served: configuration and list are known and no
+	 * shutdown is under way.
+	 * @return true if so
+	 */
+	public boolean isReady() {
+		return !this.shuttingDown && this.fleet.configuration().isPresent() && this.fleet.list().version() > 0;
+	}
+
+	/**
+	 * Returns the shared state for reading.
+	 * @return the fleet as this instance knows it
+	 */
+	public FleetState fleet() {
+		return this.fleet;
+	}
+
+	/**
+	 * Returns the state of every part for an operator.
+	 * @return a tree of maps, lists and plain values
+	 */
+	public Map<String, Object> describe() {
+		Map<String, Object> state = new TreeMap<>();
+		state.put("instance", this.fleet.self().toString());
+		state.put("ready", isReady());
+		state.put("requests", this.requests.describe());
+		state.put("scheduling", this.parts.scheduler().describe());
+		state.put("memory", this.parts.memory().describe());
+		state.put("configuration", this.configuration.describe());
+		state.put("listVersion", this.fleet.list().version());
+		return state;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationPart.java
@@ -0,0 +1,161 @@
+package io.mulberrylift.core.configuration;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.PlatformEffect;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Keeps the newest accepted configuration in force.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. The version in force never
+ * decreases; a rejected document leaves the last accepted one in force. At most one watch
+ * is under way.
+ * </p>
+ */
+public final class ConfigurationPart {
+
+	private static final long WATCH_MILLIS = 5_000;
+
+	private static final long FIRST_RETRY_MILLIS = 200;
+
+	private static final long MAX_RETRY_MILLIS = 2_000;
+
+	private final FleetState fleet;
+
+	private PublishedDocument accepted;
+
+	private ConfigurationCheck.Rejected rejected;
+
+	private long highestSeenVersion;
+
+	private boolean watching;
+
+	private long nextWatchMonotonicMillis = Long.MIN_VALUE;
+
+	private long retryMillis = FIRST_RETRY_MILLIS;
+
+	/**
+	 * Creates the part.
+	 * @param fleet the shared state
+	 */
+	public ConfigurationPart(FleetState fleet) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+	}
+
+	/**
+	 * Starts a watch when none is under way and one is due.
+	 * @param now the current time
+	 * @param effects takes the watch
+	 */
+	public void tick(Moment now, Effects effects) {
+		if (this.watching || now.monotonicMillis() < this.nextWatchMonotonicMillis) {
+			return;
+		}
+		this.watching = true;
+		long waitMillis = (this.highestSeenVersion == 0) ? 0 : WATCH_MILLIS;
+		effects.add(new PlatformEffect.WatchConfiguration(this.highestSeenVersion, waitMillis));
+	}
+
+	/**
+	 * Takes a document from the configuration service.
+	 * @param check the verdict on the document
+	 * @param now the current time
+	 * @param effects takes the effects
+	 */
+	public void read(ConfigurationCheck check, Moment now, Effects effects) {
+		watchEnded(now);
+		take(check, effects);
+	}
+
+	/**
+	 * Takes a document from any source.
+	 * @param check the verdict on the document
+	 * @param effects takes the effects
+	 * @return whether a newer configuration came into force
+	 */
+	public boolean take(ConfigurationCheck check, Effects effects) {
+		long version = check.document().version();
+		if (version <= this.highestSeenVersion) {
+			return false;
+		}
+		this.highestSeenVersion = version;
+		if (check instanceof ConfigurationCheck.Rejected rejection) {
+			this.rejected = rejection;
+			effects.warn(Part.CONFIGURATION, "version " + version + " is rejected and version "
+					+ this.fleet.configurationVersion() + " stays in force: " + rejection.problems().get(0));
+			effects.count(Part.CONFIGURATION, "rejected");
+			return false;
+		}
+		ConfigurationCheck.Accepted acceptance = (ConfigurationCheck.Accepted) check;
+		this.accepted = acceptance.document();
+		this.fleet.configure(version, acceptance.configuration());
+		effects.info(Part.CONFIGURATION, "version " + version + " is in force");
+		effects.count(Part.CONFIGURATION, "accepted");
+		return true;
+	}
+
+	/**
+	 * Takes a watch that ended without news.
+	 * @param now the current time
+	 */
+	public void unchanged(Moment now) {
+		watchEnded(now);
+	}
+
+	private void watchEnded(Moment now) {
+		this.watching = false;
+		this.retryMillis = FIRST_RETRY_MILLIS;
+		this.nextWatchMonotonicMillis = now.monotonicMillis();
+	}
+
+	/**
+	 * Takes a failed watch. The next one waits longer with each failure.
+	 * @param now the current time
+	 */
+	public void failed(Moment now) {
+		this.watching = false;
+		this.nextWatchMonotonicMillis = now.monotonicMillis() + this.retryMillis;
+		this.retryMillis = Math.min(this.retryMillis * 2, MAX_RETRY_MILLIS);
+	}
+
+	/**
+	 * Returns the document in force.
+	 * @return the document, empty before the first was accepted
+	 */
+	public Optional<PublishedDocument> accepted() {
+		return Optional.ofNullable(this.accepted);
+	}
+
+	/**
+	 * Returns the last rejected document with its problems.
+	 * @return the verdict, empty when none was rejected
+	 */
+	public Optional<ConfigurationCheck.Rejected> rejected() {
+		return Optional.ofNullable(this.rejected);
+	}
+
+	/**
+	 * Returns the state for an operator.
+	 * @return versions and problems
+	 */
+	public Map<String, Object> describe() {
+		Map<String, Object> state = new TreeMap<>();
+		state.put("versionInForce", this.fleet.configurationVersion());
+		state.put("highestSeenVersion", this.highestSeenVersion);
+		state.put("watching", this.watching);
+		rejected().ifPresent((rejection) -> {
+			state.put("rejectedVersion", rejection.document().version());
+			state.put("problems", rejection.problems().stream().map(ConfigurationProblem::toString).toList());
+		});
+		return state;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/fleet/LoadPolling.java
@@ -0,0 +1,77 @@
+package io.mulberrylift.core.fleet;
+
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.EndpointEffect;
+import io.mulberrylift.core.event.EndpointEvent;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Reads the load of every listed endpoint at a steady rate, with at most one read of an
+ * endpoint under way.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer.
+ * </p>
+ */
+public final class LoadPolling {
+
+	private static final long OWN_ZONE_INTERVAL_MILLIS = 500;
+
+	private static final long OTHER_ZONE_INTERVAL_MILLIS = 1_000;
+
+	private final FleetState fleet;
+
+	/**
+	 * Creates the part.
+	 * @param fleet the shared state
+	 */
+	public LoadPolling(FleetState fleet) {
+		this.fleet = fleet;
+	}
+
+	/**
+	 * Starts the reads that are due.
+	 * @param now the current time
+	 * @param effects takes the reads
+	 */
+	public void tick(Moment now, Effects effects) {
+		for (EndpointState endpoint : this.fleet.endpoints()) {
+			if (endpoint.loadReadDue(now.monotonicMillis())) {
+				endpoint.loadReadSent(now.monotonicMillis() + intervalMillis(endpoint));
+				effects.add(new EndpointEffect.ReadLoad(endpoint.id()));
+			}
+		}
+	}
+
+	private long intervalMillis(EndpointState endpoint) {
+		boolean ownZone = endpoint.description().zone().equals(this.fleet.self().zone());
+		return ownZone ? OWN_ZONE_INTERVAL_MILLIS : OTHER_ZONE_INTERVAL_MILLIS;
+	}
+
+	/**
+	 * Takes a load report.
+	 * @param event the report
+	 * @return whether the endpoint's process restarted since its last report
+	 */
+	public boolean reported(EndpointEvent.LoadReported event) {
+		return this.fleet.endpoint(event.endpoint()).map((endpoint) -> {
+			endpoint.loadReadEnded();
+			return endpoint.report(event.report(), event.at().monotonicMillis());
+		}).orElse(false);
+	}
+
+	/**
+	 * Takes a failed read. An endpoint whose machine refuses connections gets no work but
+	 * for trials.
+	 * @param event the failure
+	 */
+	public void unreachable(EndpointEvent.Unreachable event) {
+		this.fleet.endpoint(event.endpoint()).ifPresent((endpoint) -> {
+			endpoint.loadReadEnded();
+			if (event.refused() && endpoint.circuitBreaker().isClosed()) {
+				endpoint.circuitBreaker().unreachable(event.at().monotonicMillis());
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/hash/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Hash functions that every instance computes alike.
+ */
+package io.mulberrylift.core.hash;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that crash endpoints.
+ */
+package io.mulberrylift.core.isolation;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/memory/HoldCensus.java
@@ -0,0 +1,117 @@
+package io.mulberrylift.core.memory;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.EndpointEffect;
+import io.mulberrylift.core.event.EndpointEvent;
+import io.mulberrylift.core.fleet.EndpointState;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.hash.Rendezvous;
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.model.HoldDescription;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.WorkKind;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Reads the holds of engines and releases those whose owner is gone.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. Each engine is watched by
+ * one instance of its zone, chosen by rendezvous hash. A hold counts as abandoned when
+ * its owner is absent from the instance list in two successive readings that lie
+ * {@value #ABSENCE_MILLIS} ms apart or more. Releasing a hold of a live owner would cut
+ * its request off, so a hold of a listed owner is never touched; the engine's own expiry
+ * ends it.
+ * </p>
+ */
+final class HoldCensus {
+
+	private static final long INTERVAL_MILLIS = 2_000;
+
+	private static final long ABSENCE_MILLIS = 6_000;
+
+	private final FleetState fleet;
+
+	private final Map<HoldKey, Long> ownerAbsentSinceMonotonicMillis = new HashMap<>();
+
+	private final Map<EndpointId, Integer> listedHolds = new HashMap<>();
+
+	private long nextMonotonicMillis = Long.MIN_VALUE;
+
+	HoldCensus(FleetState fleet) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+	}
+
+	void tick(Moment now, Effects effects) {
+		if (now.monotonicMillis() < this.nextMonotonicMillis) {
+			return;
+		}
+		this.nextMonotonicMillis = now.monotonicMillis() + INTERVAL_MILLIS;
+		this.listedHolds.keySet().removeIf((engine) -> this.fleet.endpoint(engine).isEmpty());
+		this.ownerAbsentSinceMonotonicMillis.keySet().removeIf((key) -> this.fleet.endpoint(key.engine()).isEmpty());
+		for (EndpointState endpoint : this.fleet.endpoints()) {
+			if (endpoint.description().kind() == WorkKind.MODEL && watches(endpoint)) {
+				effects.add(new EndpointEffect.ListHolds(endpoint.id()));
+			}
+		}
+	}
+
+	private boolean watches(EndpointState endpoint) {
+		Optional<InstanceId> watcher = this.fleet.list()
+			.instances()
+			.stream()
+			.filter((instance) -> !instance.leaving())
+			.filter((instance) -> instance.zone().equals(endpoint.description().zone()))
+			.map(InstanceDescription::id)
+			.max(Comparator.comparingLong((id) -> Rendezvous.score(id.value(), endpoint.id().value())));
+		return watcher.isPresent() && watcher.get().equals(this.fleet.self().id());
+	}
+
+	void listed(EndpointEvent.HoldsListed event, Effects effects) {
+		this.listedHolds.put(event.endpoint(), event.holds().size());
+		Map<HoldKey, Long> stillAbsent = new HashMap<>();
+		for (HoldDescription hold : event.holds()) {
+			if (!ownerLives(hold)) {
+				HoldKey key = new HoldKey(event.endpoint(), hold.owner(), hold.ownerIncarnation(), hold.holdId());
+				long since = this.ownerAbsentSinceMonotonicMillis.getOrDefault(key, event.at().monotonicMillis());
+				stillAbsent.put(key, since);
+				releaseWhenAbandoned(event, hold, since, effects);
+			}
+		}
+		this.ownerAbsentSinceMonotonicMillis.keySet().removeIf((key) -> key.engine().equals(event.endpoint()));
+		this.ownerAbsentSinceMonotonicMillis.putAll(stillAbsent);
+	}
+
+	private void releaseWhenAbandoned(EndpointEvent.HoldsListed event, HoldDescription hold, long sinceMonotonicMillis,
+			Effects effects) {
+		if (event.at().monotonicMillis() - sinceMonotonicMillis >= ABSENCE_MILLIS) {
+			effects.info(Part.MEMORY, "hold " + hold.holdId() + " of absent " + hold.owner() + " on " + event.endpoint()
+					+ " is released");
+			effects.count(Part.MEMORY, "hold.abandoned");
+			effects.add(new EndpointEffect.ReleaseHold(event.endpoint(), hold));
+		}
+	}
+
+	private boolean ownerLives(HoldDescription hold) {
+		if (hold.owner().equals(this.fleet.self().id())) {
+			return hold.ownerIncarnation() == this.fleet.self().incarnation();
+		}
+		return this.fleet.list().instances().stream().anyMatch((instance) -> instance.id().equals(hold.owner()));
+	}
+
+	Object describe() {
+		return new HashMap<>(this.listedHolds);
+	}
+
+	private record HoldKey(EndpointId engine, InstanceId owner, long ownerIncarnation, long holdId) {
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/memory/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reservations of engine memory and their release.
+ */
+package io.mulberrylift.core.memory;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -0,0 +1,486 @@
+package io.mulberrylift.core.request;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.mulberrylift.core.configuration.FleetConfiguration;
+import io.mulberrylift.core.configuration.ProfileSettings;
+import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.RequestEffect;
+import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.core.fleet.EndpointState;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.isolation.CrashGuard;
+import io.mulberrylift.core.isolation.CrashVerdict;
+import io.mulberrylift.core.memory.ReservationOutcome;
+import io.mulberrylift.core.memory.Reservations;
+import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.model.RequestSpec;
+import io.mulberrylift.core.scheduling.Assignment;
+import io.mulberrylift.core.scheduling.AttemptReport;
+import io.mulberrylift.core.scheduling.Scheduler;
+import io.mulberrylift.core.time.Moment;
+import io.mulberrylift.core.witness.ClaimOutcome;
+import io.mulberrylift.core.witness.Claims;
+
+/**
+ * Takes each request from its arrival to its one final answer.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. Invariants: every request in
+ * the table has a timer; a request runs in at most one attempt at a time; a request that
+ * must not run twice gets no second attempt once an attempt may have run; "not run" is
+ * said only when no attempt may have run and no earlier send of the key can have.
+ * </p>
+ */
+public final class RequestPart {
+
+	/** Time before the deadline at which a request is ended, in milliseconds. */
+	public static final long DEADLINE_MARGIN_MILLIS = 20;
+
+	private static final long MARGIN_DIVISOR = 10;
+
+	private static final long DISPATCH_LEASE_MILLIS = 2_000;
+
+	private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
+	private final FleetState fleet;
+
+	private final Scheduler scheduler;
+
+	private final Claims claims;
+
+	private final Reservations reservations;
+
+	private final CrashGuard crashGuard;
+
+	private final RetryPolicy retryPolicy;
+
+	private final RequestTable table = new RequestTable();
+
+	private long nextAttemptId = 1;
+
+	private boolean shuttingDown;
+
+	/**
+	 * Creates the part.
+	 * @param fleet the shared state
+	 * @param scheduler decides admission, order and place
+	 * @param claims claims keys
+	 * @param reservations reserves memory
+	 * @param crashGuard isolates requests that crash endpoints
+	 * @param retryPolicy decides on further attempts
+	 */
+	public RequestPart(FleetState fleet, Scheduler scheduler, Claims claims, Reservations reservations,
+			CrashGuard crashGuard, RetryPolicy retryPolicy) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+		this.scheduler = Objects.requireNonNull(scheduler, "scheduler");
+		this.claims = Objects.requireNonNull(claims, "claims");
+		this.reservations = Objects.requireNonNull(reservations, "reservations");
+		this.crashGuard = Objects.requireNonNull(crashGuard, "crashGuard");
+		this.retryPolicy = Objects.requireNonNull(retryPolicy, "retryPolicy");
+	}
+
+	/**
+	 * Takes a new request.
+	 * @param event the arrival
+	 * @param effects takes the effects
+	 */
+	public void arrived(RequestEvent.Arrived event, Effects effects) {
+		RequestSpec spec = event.spec();
+		Optional<FleetConfiguration> configuration = this.fleet.configuration();
+		if (configuration.isEmpty()) {
+			refuseUnentered(spec, RefusalReason.NOT_READY, "No configuration has been read yet", effects);
+			return;
+		}
+		ProfileSettings profile = configuration.get().profiles().get(spec.profile());
+		if (profile == null) {
+			refuseUnentered(spec, RefusalReason.UNKNOWN_PROFILE, "Profile " + spec.profile(), effects);
+			return;
+		}
+		double weight = weight(configuration.get(), spec);
+		RequestEntry entry = new RequestEntry(spec, profile, weight, event.at().monotonicMillis());
+		this.table.add(entry, entry.deadlineMonotonicMillis - marginMillis(spec));
+		effects.count(Part.REQUEST, "arrived");
+		if (this.shuttingDown) {
+			end(entry, refusal(entry, RefusalReason.SHUTTING_DOWN, ""), event.at(), effects);
+			return;
+		}
+		begin(entry, event.at(), effects);
+	}
+
+	private void begin(RequestEntry entry, Moment now, Effects effects) {
+		if (entry.needsClaim()) {
+			entry.phase = RequestPhase.CLAIMING;
+			this.claims.claim(entry.spec, entry.deadlineMonotonicMillis - marginMillis(entry.spec), now, effects);
+			return;
+		}
+		admit(entry, now, effects);
+	}
+
+	private void admit(RequestEntry entry, Moment now, Effects effects) {
+		CrashVerdict verdict = this.crashGuard.verdict(entry.spec.fingerprint());
+		if (verdict == CrashVerdict.CONVICTED) {
+			end(entry, convicted(entry), now, effects);
+			return;
+		}
+		entry.suspected = verdict == CrashVerdict.SUSPECTED;
+		Optional<Refusal> refusal = this.scheduler.admit(entry.pending(now.monotonicMillis()), now);
+		if (refusal.isPresent()) {
+			end(entry, withOutcome(refusal.get(), entry), now, effects);
+			return;
+		}
+		entry.phase = RequestPhase.QUEUED;
+		effects.count(Part.REQUEST, "admitted");
+	}
+
+	/**
+	 * Takes the news that a caller closed its connection. A request that must not run
+	 * twice goes on, so that a later send with its key gets the answer.
+	 * @param event the news
+	 * @param effects takes the effects
+	 */
+	public void callerGone(RequestEvent.CallerGone event, Effects effects) {
+		this.table.find(event.requestId()).ifPresent((entry) -> {
+			entry.callerGone = true;
+			effects.count(Part.REQUEST, "caller.gone");
+			boolean mayHaveRun = entry.possiblyRan || entry.phase == RequestPhase.RUNNING;
+			if (!(entry.claimed && mayHaveRun)) {
+				end(entry, refusal(entry, RefusalReason.CALLER_GONE, ""), event.at(), effects);
+			}
+		});
+	}
+
+	/**
+	 * Takes the first token of an attempt.
+	 * @param event the first token
+	 */
+	public void started(AttemptEvent.Started event) {
+		this.table.findByAttempt(event.attemptId()).ifPresent((entry) -> {
+			entry.firstTokenMillis = event.at().monotonicMillis() - entry.dispatchedMonotonicMillis;
+			this.scheduler.started(entry.requestId(), event.at());
+		});
+	}
+
+	/**
+	 * Takes the position of a stream. Allocates nothing.
+	 * @param attemptId the attempt
+	 * @param acceptedTokens output tokens that the caller's sink has accepted
+	 */
+	public void advanced(long attemptId, int acceptedTokens) {
+		RequestEntry entry = this.table.byAttemptOrNull(attemptId);
+		if (entry != null && acceptedTokens > entry.deliveredTokens) {
+			entry.deliveredTokens = acceptedTokens;
+		}
+	}
+
+	/**
+	 * Takes a whole answer.
+	 * @param event the end of the attempt
+	 * @param effects takes the effects
+	 */
+	public void finished(AttemptEvent.Finished event, Effects effects) {
+		this.table.findByAttempt(event.attemptId()).ifPresent((entry) -> {
+			attemptEnded(entry, true, event.promptTokens(), event.cachedTokens(), event.outputTokens(), event.at());
+			endpoint(entry).ifPresent((endpoint) -> endpoint.circuitBreaker().succeeded());
+			this.crashGuard.attemptEnded(entry.attemptId, false, event.at(), effects);
+			if (entry.claimed) {
+				this.claims.settle(entry.requestId(), event.answer(), event.at(), effects);
+			}
+			leave(entry, event.at(), effects);
+			effects.count(Part.REQUEST, "completed");
+			effects.add(new RequestEffect.Complete(entry.requestId()));
+		});
+	}
+
+	/**
+	 * Takes a failed attempt and tries again where that is allowed and useful.
+	 * @param event the failure
+	 * @param effects takes the effects
+	 */
+	public void failed(AttemptEvent.Failed event, Effects effects) {
+		this.table.findByAttempt(event.attemptId()).ifPresent((entry) -> {
+			advanced(event.attemptId(), event.deliveredTokens());
+			attemptEnded(entry, false, 0, 0, entry.deliveredTokens, event.at());
+			judgeEndpoint(entry, event);
+			boolean connectionLost = event.failure() == AttemptFailure.CONNECTION_LOST;
+			this.crashGuard.attemptEnded(entry.attemptId, connectionLost, event.at(), effects);
+			entry.possiblyRan |= event.failure().possiblyRan();
+			this.reservations.free(entry.requestId(), event.at(), effects);
+			effects.count(Part.REQUEST, "attempt.failed");
+			retryOrEnd(entry, event, effects);
+		});
+	}
+
+	private void judgeEndpoint(RequestEntry entry, AttemptEvent.Failed event) {
+		endpoint(entry).ifPresent((endpoint) -> {
+			switch (event.failure()) {
+				case DRAINING -> {
+					endpoint.drain();
+					endpoint.circuitBreaker().abandoned();
+				}
+				case TURNED_AWAY, REJECTED -> endpoint.circuitBreaker().abandoned();
+				default -> endpoint.circuitBreaker().failed(event.at().monotonicMillis());
+			}
+		});
+	}
+
+	private void retryOrEnd(RequestEntry entry, AttemptEvent.Failed event, Effects effects) {
+		Moment now = event.at();
+		if (this.crashGuard.verdict(entry.spec.fingerprint()) == CrashVerdict.CONVICTED) {
+			end(entry, convicted(entry), now, effects);
+			return;
+		}
+		Optional<Long> delayMillis = this.retryPolicy.delayBeforeRetry(entry, event,
+				this.fleet.configuration().orElseThrow().retry());
+		if (delayMillis.isEmpty()) {
+			end(entry, RequestRefusals.afterFailure(entry, event, DEFAULT_RETRY_AFTER_MILLIS), now, effects);
+			return;
+		}
+		effects.count(Part.REQUEST, "retried");
+		entry.excluded.add(entry.endpoint);
+		entry.suspected = this.crashGuard.verdict(entry.spec.fingerprint()) == CrashVerdict.SUSPECTED;
+		entry.phase = RequestPhase.QUEUED;
+		this.scheduler.requeue(entry.pending(now.monotonicMillis() + delayMillis.get()), now);
+	}
+
+	/**
+	 * Ends requests whose time is over.
+	 * @param now the current time
+	 * @param effects takes the effects
+	 */
+	public void expire(Moment now, Effects effects) {
+		for (RequestEntry entry : this.table.takeExpired(now.monotonicMillis())) {
+			Outcome outcome = (entry.possiblyRan || entry.phase == RequestPhase.RUNNING) ? Outcome.EXPIRED
+					: entry.outcomeWithoutAttempt();
+			effects.count(Part.REQUEST, "expired");
+			end(entry,
+					Refusal.retryable(outcome, RefusalReason.DEADLINE_PASSED,
+							"The deadline of " + entry.spec.timeoutMillis() + " ms passed", DEFAULT_RETRY_AFTER_MILLIS),
+					now, effects);
+		}
+	}
+
+	/**
+	 * Takes the outcome of a claim.
+	 * @param outcome the outcome
+	 * @param now the current time
+	 * @param effects takes the effects
+	 */
+	public void claimed(ClaimOutcome outcome, Moment now, Effects effects) {
+		RequestEntry entry = this.table.find(outcome.requestId()).orElse(null);
+		if (entry == null || entry.phase != RequestPhase.CLAIMING) {
+			return;
+		}
+		if (outcome instanceof ClaimOutcome.Granted) {
+			entry.claimed = true;
+			admit(entry, now, effects);
+		}
+		else if (outcome instanceof ClaimOutcome.Answered answered) {
+			this.table.remove(entry);
+			effects.count(Part.REQUEST, "replayed");
+			effects.add(new RequestEffect.Replay(entry.requestId(), answered.answer()));
+		}
+		else if (outcome instanceof ClaimOutcome.Denied denied) {
+			this.table.remove(entry);
+			refuse(entry.requestId(), denied.refusal(), effects);
+		}
+	}
+
+	/**
+	 * Takes the outcome of a reservation.
+	 * @param outcome the outcome
+	 * @param now the current time
+	 * @param effects takes the effects
+	 */
+	public void reserved(ReservationOutcome outcome, Moment now, Effects effects) {
+		RequestEntry entry = this.table.find(outcome.requestId()).orElse(null);
+		if (entry == null || entry.phase != RequestPhase.RESERVING) {
+			this.reservations.free(outcome.requestId(), now, effects);
+			return;
+		}
+		if (outcome instanceof ReservationOutcome.Reserved reserved) {
+			entry.holds = reserved.holds();
+			dispatch(entry, now, effects);
+		}
+		else {
+			this.scheduler.ended(report(entry, false, 0, 0, 0, now), now);
+			entry.phase = RequestPhase.QUEUED;
+			long notBefore = now.monotonicMillis()
+					+ this.retryPolicy.reservationDelayMillis(this.fleet.configuration().orElseThrow().retry());
+			this.scheduler.requeue(entry.pending(notBefore), now);
+		}
+	}
+
+	/**
+	 * Runs the requests that the scheduler has assigned.
+	 * @param now the current time
+	 * @param effects takes the effects
+	 */
+	public void assign(Moment now, Effects effects) {
+		for (Assignment assignment : this.scheduler.assign(now)) {
+			RequestEntry entry = this.table.find(assignment.requestId()).orElseThrow();
+			entry.assignment = assignment;
+			entry.endpoint = assignment.endpoint();
+			entry.dispatchedMonotonicMillis = now.monotonicMillis();
+			if (assignment.members().isEmpty()) {
+				entry.holds = List.of();
+				dispatch(entry, now, effects);
+			}
+			else {
+				entry.phase = RequestPhase.RESERVING;
+				this.reservations.reserve(assignment, entry.deadlineMonotonicMillis, now, effects);
+			}
+		}
+	}
+
+	private void dispatch(RequestEntry entry, Moment now, Effects effects) {
+		entry.phase = RequestPhase.RUNNING;
+		entry.attemptId = this.nextAttemptId++;
+		entry.attemptsMade++;
+		entry.dispatchedMonotonicMillis = now.monotonicMillis();
+		entry.firstTokenMillis = -1;
+		this.table.attemptStarted(entry);
+		this.retryPolicy.attemptStarted(entry, this.fleet.configuration().orElseThrow().retry());
+		endpoint(entry).ifPresent(EndpointState::attemptStarted);
+		this.crashGuard.attemptStarted(entry.attemptId, entry.spec.fingerprint(), entry.endpoint);
+		long leftMillis = entry.deadlineMonotonicMillis - now.monotonicMillis();
+		long notAfter = now.monotonicMillis() + Math.min(leftMillis, DISPATCH_LEASE_MILLIS);
+		effects.count(Part.REQUEST, "dispatched");
+		effects.add(new AttemptEffect.Dispatch(entry.attemptId, entry.requestId(), entry.endpoint,
+				entry.assignment.priority(), leftMillis, entry.deliveredTokens, notAfter, entry.holds));
+	}
+
+	private void attemptEnded(RequestEntry entry, boolean whole, int promptTokens, int cachedTokens, int outputTokens,
+			Moment now) {
+		this.table.attemptEnded(entry);
+		endpoint(entry).ifPresent(EndpointState::attemptEnded);
+		this.scheduler.ended(report(entry, whole, promptTokens, cachedTokens, outputTokens, now), now);
+	}
+
+	private AttemptReport report(RequestEntry entry, boolean whole, int promptTokens, int cachedTokens,
+			int outputTokens, Moment now) {
+		return new AttemptReport(entry.requestId(), entry.endpoint, whole, promptTokens, cachedTokens, outputTokens,
+				entry.firstTokenMillis, now.monotonicMillis() - entry.dispatchedMonotonicMillis);
+	}
+
+	private void end(RequestEntry entry, Refusal refusal, Moment now, Effects effects) {
+		boolean running = entry.phase == RequestPhase.RUNNING && this.table.byAttemptOrNull(entry.attemptId) != null;
+		if (running) {
+			entry.possiblyRan = true;
+			attemptEnded(entry, false, 0, 0, entry.deliveredTokens, now);
+			endpoint(entry).ifPresent((endpoint) -> endpoint.circuitBreaker().abandoned());
+			this.crashGuard.attemptEnded(entry.attemptId, false, now, effects);
+			effects.add(new AttemptEffect.Cancel(entry.attemptId, entry.endpoint));
+		}
+		else if (entry.phase == RequestPhase.RESERVING) {
+			this.scheduler.ended(report(entry, false, 0, 0, 0, now), now);
+		}
+		this.scheduler.remove(entry.requestId());
+		endClaim(entry, now, effects);
+		leave(entry, now, effects);
+		refuse(entry.requestId(), refusal, effects);
+	}
+
+	private void endClaim(RequestEntry entry, Moment now, Effects effects) {
+		if (entry.claimed && entry.possiblyRan) {
+			this.claims.settle(entry.requestId(), Optional.empty(), now, effects);
+		}
+		else if (entry.needsClaim()) {
+			this.claims.release(entry.requestId(), effects);
+		}
+	}
+
+	private void leave(RequestEntry entry, Moment now, Effects effects) {
+		this.table.remove(entry);
+		this.reservations.free(entry.requestId(), now, effects);
+	}
+
+	private void refuse(long requestId, Refusal refusal, Effects effects) {
+		effects.count(Part.REQUEST, "refused." + refusal.reason().label());
+		effects.add(new RequestEffect.Refuse(requestId, refusal));
+	}
+
+	private void refuseUnentered(RequestSpec spec, RefusalReason reason, String detail, Effects effects) {
+		boolean earlierSendPossible = !spec.repeatable() && spec.key().isPresent();
+		Outcome outcome = earlierSendPossible ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+		refuse(spec.requestId(), Refusal.retryable(outcome, reason, detail, DEFAULT_RETRY_AFTER_MILLIS), effects);
+	}
+
+	private Refusal convicted(RequestEntry entry) {
+		return Refusal.of(Outcome.FAILED, RefusalReason.CRASHES_ENDPOINTS,
+				"Two endpoints were lost while they ran this request");
+	}
+
+	private Refusal refusal(RequestEntry entry, RefusalReason reason, String detail) {
+		Outcome outcome = (entry.phase == RequestPhase.RUNNING) ? Outcome.UNKNOWN : entry.outcomeWithoutAttempt();
+		return Refusal.retryable(outcome, reason, detail, DEFAULT_RETRY_AFTER_MILLIS);
+	}
+
+	private Refusal withOutcome(Refusal refusal, RequestEntry entry) {
+		return new Refusal(entry.outcomeWithoutAttempt(), refusal.reason(), refusal.detail(),
+				refusal.retryAfterMillis());
+	}
+
+	private Optional<EndpointState> endpoint(RequestEntry entry) {
+		return this.fleet.endpoint(entry.endpoint);
+	}
+
+	private static double weight(FleetConfiguration configuration, RequestSpec spec) {
+		return Optional.ofNullable(configuration.workspaces().get(spec.workspace().value()))
+			.map((workspace) -> workspace.weight())
+			.orElse(1.0);
+	}
+
+	private static long marginMillis(RequestSpec spec) {
+		return Math.min(DEADLINE_MARGIN_MILLIS, spec.timeoutMillis() / MARGIN_DIVISOR);
+	}
+
+	/**
+	 * Refuses all further requests; those in progress go on.
+	 */
+	public void shutDown() {
+		this.shuttingDown = true;
+	}
+
+	/**
+	 * Returns how many requests are in progress.
+	 * @return the number of requests without a final answer
+	 */
+	public int inProgress() {
+		return this.table.size();
+	}
+
+	/**
+	 * Returns when {@link #expire(Moment, Effects)} is due next.
+	 * @return the monotonic time in milliseconds, {@link Long#MAX_VALUE} for never
+	 */
+	public long nextWakeMonotonicMillis() {
+		return this.table.nextTimerMonotonicMillis();
+	}
+
+	/**
+	 * Returns the state for an operator.
+	 * @return numbers of requests by phase and the retry balance
+	 */
+	public Map<String, Object> describe() {
+		Map<String, Object> state = new TreeMap<>();
+		for (RequestPhase phase : RequestPhase.values()) {
+			long count = this.table.entries().stream().filter((entry) -> entry.phase == phase).count();
+			state.put(phase.name().toLowerCase(java.util.Locale.ROOT), count);
+		}
+		state.put("shuttingDown", this.shuttingDown);
+		state.put("retryBalance", this.retryPolicy.balance());
+		return state;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The life of a request from arrival to its one final answer.
+ */
+package io.mulberrylift.core.request;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Retry budget, backoff and circuit breaking.
+ */
+package io.mulberrylift.core.retry;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Admission, queueing and choice of endpoints.
+ */
+package io.mulberrylift.core.scheduling;
