--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/ReducerTests.java
@@ -0,0 +1,184 @@
+package io.mulberrylift.core;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.effect.ControlEffect;
+import io.mulberrylift.core.effect.Effect;
+import io.mulberrylift.core.effect.RequestEffect;
+import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.event.ControlEvent;
+import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.model.RequestSpec;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link Reducer}: the life of single requests.
+ */
+class ReducerTests {
+
+	private final FleetFixture fixture = new FleetFixture(FleetFixture.engine("engine-1", 400_000),
+			FleetFixture.engine("engine-2", 400_000));
+
+	@Test
+	void wholeAnswerCompletesTheRequestOnce() {
+		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
+		finish(dispatch.attemptId());
+		finish(dispatch.attemptId());
+		assertThat(this.fixture.take(RequestEffect.class)).containsExactly(new RequestEffect.Complete(1));
+	}
+
+	@Test
+	void requestEndsAtItsDeadlineWhenTheEngineStaysSilent() {
+		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
+		this.fixture.pass(4_979);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		assertThat(this.fixture.take(RequestEffect.class)).isEmpty();
+		this.fixture.pass(1);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		assertThat(refusal().outcome()).isEqualTo(Outcome.EXPIRED);
+		assertThat(this.fixture.take(AttemptEffect.Cancel.class))
+			.containsExactly(new AttemptEffect.Cancel(dispatch.attemptId(), dispatch.endpoint()));
+	}
+
+	@Test
+	void lateAnswerAfterTheDeadlineReachesNobody() {
+		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
+		this.fixture.pass(5_000);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		this.fixture.take(RequestEffect.class);
+		finish(dispatch.attemptId());
+		assertThat(this.fixture.take(RequestEffect.class)).isEmpty();
+	}
+
+	@Test
+	void repeatableRequestResumesOnAnotherEngineWithoutGap() {
+		AttemptEffect.Dispatch first = dispatch(FleetFixture.brief(1, 1_000));
+		fail(first.attemptId(), AttemptFailure.CONNECTION_LOST, 17);
+		this.fixture.pass(100);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		AttemptEffect.Dispatch second = this.fixture.take(AttemptEffect.Dispatch.class).get(0);
+		assertThat(second.endpoint()).isNotEqualTo(first.endpoint());
+		assertThat(second.resumeOffsetTokens()).isEqualTo(17);
+	}
+
+	@Test
+	void nonRepeatableRequestIsNotTriedAgainOnceItMayHaveRun() {
+		AttemptEffect.Dispatch first = dispatch(FleetFixture.alert(1, Optional.empty()));
+		fail(first.attemptId(), AttemptFailure.CONNECTION_LOST, 0);
+		this.fixture.pass(2_000);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		assertThat(this.fixture.take(AttemptEffect.Dispatch.class)).isEmpty();
+		assertThat(refusal().outcome()).isEqualTo(Outcome.UNKNOWN);
+	}
+
+	@Test
+	void nonRepeatableRequestIsTriedAgainWhenNothingWasSent() {
+		AttemptEffect.Dispatch first = dispatch(FleetFixture.alert(1, Optional.empty()));
+		fail(first.attemptId(), AttemptFailure.NOT_SENT, 0);
+		this.fixture.pass(100);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		assertThat(this.fixture.take(AttemptEffect.Dispatch.class)).hasSize(1);
+	}
+
+	@Test
+	void notRunIsNotSaidAfterAnAttemptThatMayHaveRun() {
+		AttemptEffect.Dispatch first = dispatch(FleetFixture.brief(1, 1_000));
+		fail(first.attemptId(), AttemptFailure.CONNECTION_LOST, 0);
+		this.fixture.list(2, FleetFixture.leavingEngine("engine-1"), FleetFixture.leavingEngine("engine-2"));
+		this.fixture.pass(5_000);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		assertThat(refusal().outcome()).isEqualTo(Outcome.EXPIRED);
+	}
+
+	@Test
+	void leavingEngineGetsNoNewWork() {
+		this.fixture.list(2, FleetFixture.leavingEngine("engine-1"), FleetFixture.engine("engine-2", 400_000));
+		for (long requestId = 1; requestId <= 10; requestId++) {
+			assertThat(dispatch(FleetFixture.brief(requestId, 1_000)).endpoint().value()).isEqualTo("engine-2");
+		}
+	}
+
+	@Test
+	void drainingAnswerStopsNewWorkBeforeTheListSaysSo() {
+		AttemptEffect.Dispatch first = dispatch(FleetFixture.brief(1, 1_000));
+		fail(first.attemptId(), AttemptFailure.DRAINING, 0);
+		for (long requestId = 2; requestId <= 6; requestId++) {
+			assertThat(dispatch(FleetFixture.brief(requestId, 1_000)).endpoint()).isNotEqualTo(first.endpoint());
+		}
+	}
+
+	@Test
+	void shutdownFinishesWhatIsInProgressAndRefusesTheRest() {
+		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
+		this.fixture.send(new ControlEvent.ShutdownRequested(this.fixture.now()));
+		assertThat(this.fixture.take(ControlEffect.Exit.class)).isEmpty();
+		this.fixture.send(new RequestEvent.Arrived(this.fixture.now(), FleetFixture.brief(2, 1_000)));
+		assertThat(refusal().reason()).isEqualTo(RefusalReason.SHUTTING_DOWN);
+		finish(dispatch.attemptId());
+		assertThat(this.fixture.take(RequestEffect.Complete.class)).hasSize(1);
+		assertThat(exits()).hasSize(1);
+	}
+
+	@Test
+	void callerGoneCancelsTheAttempt() {
+		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
+		this.fixture.send(new RequestEvent.CallerGone(this.fixture.now(), 1));
+		assertThat(this.fixture.take(AttemptEffect.Cancel.class)).extracting(AttemptEffect.Cancel::attemptId)
+			.containsExactly(dispatch.attemptId());
+	}
+
+	@Test
+	void equalEventsGiveEqualEffects() {
+		assertThat(transcript()).isEqualTo(transcript());
+	}
+
+	private static List<Effect> transcript() {
+		FleetFixture fixture = new FleetFixture(FleetFixture.engine("engine-1", 400_000),
+				FleetFixture.engine("engine-2", 400_000));
+		for (long requestId = 1; requestId <= 50; requestId++) {
+			fixture.send(new RequestEvent.Arrived(fixture.now(), FleetFixture.brief(requestId, 1_000)));
+			fixture.send(new AttemptEvent.Failed(fixture.now(), requestId, AttemptFailure.TURNED_AWAY, 0,
+					OptionalLong.empty(), ""));
+			fixture.pass(7);
+		}
+		return fixture.take(Effect.class);
+	}
+
+	private List<ControlEffect.Exit> exits() {
+		this.fixture.pass(5_000);
+		this.fixture.send(new ControlEvent.Tick(this.fixture.now()));
+		return this.fixture.take(ControlEffect.Exit.class);
+	}
+
+	private AttemptEffect.Dispatch dispatch(RequestSpec spec) {
+		this.fixture.send(new RequestEvent.Arrived(this.fixture.now(), spec));
+		List<AttemptEffect.Dispatch> dispatches = this.fixture.take(AttemptEffect.Dispatch.class);
+		assertThat(dispatches).hasSize(1);
+		return dispatches.get(0);
+	}
+
+	private void finish(long attemptId) {
+		this.fixture.send(new AttemptEvent.Finished(this.fixture.now(), attemptId, 1_000, 0, 100, Optional.empty()));
+	}
+
+	private void fail(long attemptId, AttemptFailure failure, int deliveredTokens) {
+		this.fixture.send(new AttemptEvent.Failed(this.fixture.now(), attemptId, failure, deliveredTokens,
+				OptionalLong.empty(), ""));
+	}
+
+	private Refusal refusal() {
+		List<RequestEffect> ends = this.fixture.take(RequestEffect.class);
+		assertThat(ends).hasSize(1);
+		return ((RequestEffect.Refuse) ends.get(0)).refusal();
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/loop/EventLoop.java
@@ -0,0 +1,145 @@
+package io.mulberrylift.daemon.loop;
+
+import java.util.Objects;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import io.mulberrylift.core.Reducer;
+import io.mulberrylift.core.effect.Effect;
+import io.mulberrylift.core.event.ControlEvent;
+import io.mulberrylift.core.event.Event;
+import io.mulberrylift.core.time.Moment;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs the reducer on one thread: takes queued events in order, sends ticks when they are
+ * due and carries out the effects.
+ *
+ * <p>
+ * Safe for use by several threads. Only the loop's own thread touches the reducer. An
+ * exception in one event or effect is logged and does not stop the loop.
+ * </p>
+ */
+public final class EventLoop implements EventSink, AutoCloseable {
+
+	private static final Logger logger = LoggerFactory.getLogger(EventLoop.class);
+
+	private static final long JOIN_MILLIS = 2_000;
+
+	private final BlockingQueue<Consumer<EventLoop>> tasks = new LinkedBlockingQueue<>();
+
+	private final MomentClock clock;
+
+	private final Reducer reducer;
+
+	private final Thread thread;
+
+	private volatile EffectHandler<Effect> handler;
+
+	private volatile boolean stopped;
+
+	/**
+	 * Creates a loop that is not running yet.
+	 * @param reducer the reducer, touched by no one else from now on
+	 * @param clock the clock
+	 */
+	public EventLoop(Reducer reducer, MomentClock clock) {
+		this.reducer = Objects.requireNonNull(reducer, "reducer");
+		this.clock = Objects.requireNonNull(clock, "clock");
+		this.thread = new Thread(this::run, "mulberrylift-loop");
+	}
+
+	/**
+	 * Starts the loop.
+	 * @param effectHandler carries out effects on the loop's thread
+	 */
+	public void start(EffectHandler<Effect> effectHandler) {
+		this.handler = Objects.requireNonNull(effectHandler, "effectHandler");
+		this.thread.start();
+	}
+
+	@Override
+	public void submit(Function<Moment, Event> event) {
+		this.tasks.add((loop) -> loop.reduce(event.apply(loop.clock.now())));
+	}
+
+	/**
+	 * Reads from the reducer on the loop's thread.
+	 * @param <T> the type of the result
+	 * @param query reads a result that does not refer to the reducer's mutable state
+	 * @return the result, completed exceptionally when the query throws
+	 */
+	public <T> CompletableFuture<T> query(Function<Reducer, T> query) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		this.tasks.add((loop) -> result.completeAsync(() -> query.apply(loop.reducer), Runnable::run));
+		return result;
+	}
+
+	private void run() {
+		long wakeMonotonicMillis = this.clock.monotonicMillis();
+		while (!this.stopped) {
+			try {
+				Consumer<EventLoop> task = takeUntil(wakeMonotonicMillis);
+				if (task != null) {
+					task.accept(this);
+				}
+				Moment now = this.clock.now();
+				if (now.monotonicMillis() >= wakeMonotonicMillis) {
+					reduce(new ControlEvent.Tick(now));
+				}
+				wakeMonotonicMillis = this.reducer.nextWakeMonotonicMillis(now);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+			catch (RuntimeException ex) {
+				logger.error("loop: an event could not be reduced; report this fault", ex);
+			}
+		}
+	}
+
+	private Consumer<EventLoop> takeUntil(long wakeMonotonicMillis) throws InterruptedException {
+		long waitMillis = wakeMonotonicMillis - this.clock.monotonicMillis();
+		if (waitMillis <= 0) {
+			return this.tasks.poll();
+		}
+		return this.tasks.poll(waitMillis, TimeUnit.MILLISECONDS);
+	}
+
+	private void reduce(Event event) {
+		for (Effect effect : this.reducer.reduce(event)) {
+			carryOut(effect);
+		}
+	}
+
+	private void carryOut(Effect effect) {
+		try {
+			this.handler.handle(effect);
+		}
+		catch (RuntimeException ex) {
+			logger.error("loop: effect {} failed; report this fault", effect.getClass().getSimpleName(), ex);
+		}
+	}
+
+	/**
+	 * Stops the loop. Events that are still queued are dropped.
+	 */
+	@Override
+	public void close() {
+		this.stopped = true;
+		this.thread.interrupt();
+		try {
+			this.thread.join(JOIN_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
