Order models and adapters from one commander per engine

Cause: engines must follow the configuration although several instances may give orders. Weighed: numbers counted up by each commander (needs shared memory across commanders); numbers taken from the configuration version, chosen: the wanted state follows from the version alone, so a higher number always stands for a newer wish.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -21,6 +21,7 @@
 import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.fleet.ListPolling;
 import io.mulberrylift.core.fleet.LoadPolling;
+import io.mulberrylift.core.orders.OrdersPart;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.time.Moment;
 
@@ -50,6 +51,8 @@
 
 	private final RequestPart requests;
 
+	private final OrdersPart orders;
+
 	private final Effects effects = new Effects();
 
 	private boolean shuttingDown;
@@ -68,6 +71,7 @@
 		this.listPolling = new ListPolling(this.fleet);
 		this.loadPolling = new LoadPolling(this.fleet);
 		this.requests = this.parts.requests();
+		this.orders = new OrdersPart(this.fleet);
 	}
 
 	/**
@@ -144,6 +148,9 @@
 		else if (event instanceof EndpointEvent.CacheChanged changed) {
 			this.parts.scheduler().cacheChanged(changed);
 		}
+		else if (event instanceof EndpointEvent.OrderAnswered answered) {
+			this.orders.answered(answered, this.effects);
+		}
 		else {
 			this.parts.memory().handle(event, this.effects);
 		}
@@ -193,6 +200,7 @@
 		this.configuration.tick(now, this.effects);
 		this.loadPolling.tick(now, this.effects);
 		this.parts.memory().tick(now, this.effects);
+		this.orders.tick(now, this.effects);
 		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
 		this.requests.assign(now, this.effects);
 		this.parts.memory().takeOutcomes().forEach((outcome) -> this.requests.reserved(outcome, now, this.effects));
@@ -245,6 +253,7 @@
 		state.put("requests", this.requests.describe());
 		state.put("scheduling", this.parts.scheduler().describe());
 		state.put("memory", this.parts.memory().describe());
+		state.put("orders", this.orders.describe());
 		state.put("configuration", this.configuration.describe());
 		state.put("listVersion", this.fleet.list().version());
 		return state;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
@@ -29,6 +29,7 @@
 		configuration.workspaces()
 			.forEach((name, workspace) -> checkWorkspace("workspaces." + name, workspace, problems));
 		configuration.models().forEach((name, model) -> checkModel("models." + name, model, problems));
+		checkOrders(configuration.orders(), problems);
 		checkNotEmpty("profiles", configuration.profiles(), problems);
 		checkNotEmpty("workspaces", configuration.workspaces(), problems);
 		return List.copyOf(problems);
@@ -73,6 +74,13 @@
 		checkRange(key + ".maxOutputTokens", model.maxOutputTokens(), 1, Integer.MAX_VALUE, problems);
 	}
 
+	private static void checkOrders(OrderSettings orders, List<ConfigurationProblem> problems) {
+		if (!(orders.maxLoadsPerMinute() > 0) || Double.isInfinite(orders.maxLoadsPerMinute())) {
+			problems.add(new ConfigurationProblem("orders.maxLoadsPerMinute",
+					String.valueOf(orders.maxLoadsPerMinute()), "a positive number", "Set a positive rate."));
+		}
+	}
+
 	private static void checkRange(String key, long value, long least, long greatest,
 			List<ConfigurationProblem> problems) {
 		if (value < least || value > greatest) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/FleetConfiguration.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/FleetConfiguration.java
@@ -21,11 +21,12 @@
  * @param routing how endpoints are chosen
  * @param promise how long and how much is remembered of non-idempotent requests
  * @param retry limits on repeated tries
+ * @param orders how engines are brought to the wanted state
  */
 public record FleetConfiguration(List<ZoneId> witnessZones, Map<String, ModelSettings> models,
 		Map<String, ServiceSettings> services, Map<String, ProfileSettings> profiles,
 		Map<String, WorkspaceSettings> workspaces, RoutingSettings routing, PromiseSettings promise,
-		RetrySettings retry) {
+		RetrySettings retry, OrderSettings orders) {
 
 	/**
 	 * Creates the configuration. Missing collections become empty and missing groups take
@@ -40,6 +41,7 @@
 		routing = (routing != null) ? routing : RoutingSettings.DEFAULTS;
 		promise = (promise != null) ? promise : PromiseSettings.DEFAULTS;
 		retry = (retry != null) ? retry : RetrySettings.DEFAULTS;
+		orders = (orders != null) ? orders : OrderSettings.DEFAULTS;
 	}
 
 }
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/OrdersPart.java
@@ -0,0 +1,165 @@
+package io.mulberrylift.core.orders;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.mulberrylift.core.configuration.FleetConfiguration;
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.EndpointEffect;
+import io.mulberrylift.core.event.EndpointEvent;
+import io.mulberrylift.core.fleet.EndpointState;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.hash.Rendezvous;
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.model.EngineOrder;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.LoadReport;
+import io.mulberrylift.core.model.WorkKind;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Brings engines to the state that the configuration wants.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. Each engine has one
+ * commander, chosen by rendezvous hash among the listed instances of its zone. The
+ * fencing number of an order is the version of the configuration from which it follows: a
+ * commander that woke late with an older configuration is refused by engines that check,
+ * and on engines that do not check the current commander sees the difference in the next
+ * load report and orders again. Two commanders with the same version give equal orders.
+ * Loads are paced so that all commanders together keep the weight store's rate.
+ * </p>
+ */
+public final class OrdersPart {
+
+	private static final long INTERVAL_MILLIS = 1_000;
+
+	private static final long ANSWER_TIMEOUT_MILLIS = 30_000;
+
+	private static final long MILLIS_PER_MINUTE = 60_000;
+
+	private final FleetState fleet;
+
+	private final Map<EndpointId, PendingOrder> pending = new HashMap<>();
+
+	private long nextMonotonicMillis = Long.MIN_VALUE;
+
+	private long nextLoadMonotonicMillis = Long.MIN_VALUE;
+
+	private long highestFencingNumberSeen;
+
+	/**
+	 * Creates the part.
+	 * @param fleet the shared state
+	 */
+	public OrdersPart(FleetState fleet) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+	}
+
+	/**
+	 * Sends the orders that are due.
+	 * @param now the current time
+	 * @param effects takes the orders
+	 */
+	public void tick(Moment now, Effects effects) {
+		if (now.monotonicMillis() < this.nextMonotonicMillis) {
+			return;
+		}
+		this.nextMonotonicMillis = now.monotonicMillis() + INTERVAL_MILLIS;
+		this.pending.values().removeIf((order) -> order.timeoutMonotonicMillis() <= now.monotonicMillis());
+		Optional<FleetConfiguration> configuration = this.fleet.configuration();
+		if (configuration.isPresent() && !isBehind()) {
+			this.fleet.endpoints()
+				.stream()
+				.filter(this::isCommanded)
+				.forEach((engine) -> order(engine, configuration.get(), now, effects));
+		}
+	}
+
+	/**
+	 * Returns whether an engine has seen a newer configuration than this instance.
+	 * @return true while this instance must not give orders
+	 */
+	private boolean isBehind() {
+		return this.highestFencingNumberSeen > this.fleet.configurationVersion();
+	}
+
+	private boolean isCommanded(EndpointState engine) {
+		return engine.description().kind() == WorkKind.MODEL && !engine.leaving() && engine.lastReport().isPresent()
+				&& !this.pending.containsKey(engine.id())
+				&& commander(engine).map(this.fleet.self().id()::equals).orElse(false);
+	}
+
+	private Optional<InstanceId> commander(EndpointState engine) {
+		return this.fleet.list()
+			.instances()
+			.stream()
+			.filter((instance) -> !instance.leaving())
+			.filter((instance) -> instance.zone().equals(engine.description().zone()))
+			.map(InstanceDescription::id)
+			.max(Comparator.comparingLong((id) -> Rendezvous.score(id.value(), engine.id().value())));
+	}
+
+	private void order(EndpointState engine, FleetConfiguration configuration, Moment now, Effects effects) {
+		LoadReport report = engine.lastReport().orElseThrow();
+		List<EngineOrder> orders = WantedState.missing(engine.description(), report.loadedModels(), configuration,
+				this.fleet.configurationVersion());
+		if (orders.isEmpty() || now.monotonicMillis() < this.nextLoadMonotonicMillis) {
+			return;
+		}
+		this.nextLoadMonotonicMillis = now.monotonicMillis() + loadIntervalMillis(configuration);
+		EngineOrder order = orders.get(0);
+		this.pending.put(engine.id(), new PendingOrder(order, now.monotonicMillis() + ANSWER_TIMEOUT_MILLIS));
+		effects.info(Part.ORDERS,
+				order.kind() + " " + order.subject() + " version " + order.version() + " is sent to " + engine.id());
+		effects.count(Part.ORDERS, "sent");
+		effects.add(new EndpointEffect.SendOrder(engine.id(), order));
+	}
+
+	private long loadIntervalMillis(FleetConfiguration configuration) {
+		int commanders = Math.max(1, this.fleet.list().instances().size());
+		return (long) Math.ceil(commanders * MILLIS_PER_MINUTE / configuration.orders().maxLoadsPerMinute());
+	}
+
+	/**
+	 * Takes an engine's answer to an order.
+	 * @param event the answer
+	 * @param effects takes the effects
+	 */
+	public void answered(EndpointEvent.OrderAnswered event, Effects effects) {
+		this.highestFencingNumberSeen = Math.max(this.highestFencingNumberSeen, event.highestFencingNumber());
+		PendingOrder sent = this.pending.get(event.endpoint());
+		if (sent != null && sent.order().equals(event.order())) {
+			this.pending.remove(event.endpoint());
+		}
+		effects.count(Part.ORDERS, event.obeyed() ? "obeyed" : "refused");
+		if (!event.obeyed()) {
+			effects.warn(Part.ORDERS, event.endpoint() + " refused an order with number "
+					+ event.order().fencingNumber() + " and knows " + event.highestFencingNumber());
+		}
+	}
+
+	/**
+	 * Returns the state for an operator.
+	 * @return orders without an answer and the highest fencing number seen
+	 */
+	public Map<String, Object> describe() {
+		Map<String, Object> state = new TreeMap<>();
+		Map<String, String> unanswered = new TreeMap<>();
+		this.pending.forEach((engine, order) -> unanswered.put(engine.value(), order.order().toString()));
+		state.put("unanswered", unanswered);
+		state.put("highestFencingNumberSeen", this.highestFencingNumberSeen);
+		return state;
+	}
+
+	private record PendingOrder(EngineOrder order, long timeoutMonotonicMillis) {
+	}
+
+}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/FleetFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/FleetFixture.java
@@ -68,7 +68,7 @@
 				Map.of("notify", new ServiceSettings(List.of())),
 				Map.of("brief", new ProfileSettings(5, 5_000, 60_000, true, false, 0), "alert",
 						new ProfileSettings(9, 5_000, 60_000, false, false, 0)),
-				Map.of("council", new WorkspaceSettings(1, 0, "")), null, null, null);
+				Map.of("council", new WorkspaceSettings(1, 0, "")), null, null, null, null);
 	}
 
 	/**
