--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks of the reducer, run by a command of their own.
+ */
+package io.mulberrylift.core.bench;
