Add the callers' HTTP interface over exchanges

Callers' calls are read and answered by asynchronous servlet I/O, so that no thread waits for a slow sender or reader. Jersey's AsyncResponse was ruled out for these paths: it takes a whole entity or a blocking stream and gives no write listener. RefusalReason gains BODY_TIMEOUT (408). Not yet tested over a real port; the tests follow.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/model/RefusalReason.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/RefusalReason.java
@@ -21,6 +21,9 @@
 	/** The model or service is not configured. */
 	UNKNOWN_TARGET(404, "Use a configured model or service or ask an operator to publish it."),
 
+	/** The body did not arrive in time. */
+	BODY_TIMEOUT(408, "Send the whole body within the allowed time."),
+
 	/** The body is larger than allowed. */
 	BODY_TOO_LARGE(413, "Send a smaller body."),
 
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP interface towards operators.
+ */
+package io.mulberrylift.daemon.admin;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/AbstractExchange.java
@@ -0,0 +1,120 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RequestSpec;
+import io.mulberrylift.daemon.exchange.AnswerSink;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import io.mulberrylift.daemon.exchange.ModelCall;
+import io.mulberrylift.daemon.exchange.ServiceCall;
+
+/**
+ * What the exchanges of both kinds of work have in common.
+ *
+ * <p>
+ * Safe for use by several threads: all state is guarded by the exchange's own monitor.
+ * Once ended, an exchange sends nothing more.
+ * </p>
+ */
+abstract class AbstractExchange implements CallerExchange, AnswerSink {
+
+	private final RequestSpec spec;
+
+	private final ResponseStream stream;
+
+	private boolean ended;
+
+	/**
+	 * Creates the exchange.
+	 * @param spec what the reducer knows of the request
+	 * @param stream where the response goes
+	 */
+	AbstractExchange(RequestSpec spec, ResponseStream stream) {
+		this.spec = spec;
+		this.stream = stream;
+	}
+
+	@Override
+	public RequestSpec spec() {
+		return this.spec;
+	}
+
+	@Override
+	public Optional<ModelCall> modelCall() {
+		return Optional.empty();
+	}
+
+	@Override
+	public Optional<ServiceCall> serviceCall() {
+		return Optional.empty();
+	}
+
+	@Override
+	public AnswerSink sink() {
+		return this;
+	}
+
+	@Override
+	public void whenWritable(Runnable action) {
+		this.stream.whenWritable(action);
+	}
+
+	@Override
+	public synchronized void refuse(Refusal refusal) {
+		if (!end()) {
+			return;
+		}
+		ProblemDocument problem = ProblemDocument.of(refusal);
+		if (this.stream.begun()) {
+			this.stream.send(CompletionWriter.errorEvent(problem));
+			this.stream.finish();
+		}
+		else {
+			sendWhole(problem.status(), problem.headers(), CallerJson.write(problem));
+		}
+	}
+
+	/**
+	 * Returns where the response goes.
+	 * @return the stream
+	 */
+	ResponseStream stream() {
+		return this.stream;
+	}
+
+	/**
+	 * Returns whether the exchange has ended or its caller is gone.
+	 * @return true if nothing more can be sent
+	 */
+	boolean closed() {
+		return this.ended || this.stream.failed();
+	}
+
+	/**
+	 * Marks the exchange as ended.
+	 * @return false when it had ended before
+	 */
+	boolean end() {
+		boolean first = !this.ended;
+		this.ended = true;
+		return first;
+	}
+
+	/**
+	 * Sends a whole response.
+	 * @param status the HTTP status
+	 * @param headers the headers without the length
+	 * @param body the body
+	 */
+	void sendWhole(int status, Map<String, List<String>> headers, byte[] body) {
+		this.stream.begin(status, headers);
+		if (body.length > 0) {
+			this.stream.send(body);
+		}
+		this.stream.finish();
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerJson.java
@@ -0,0 +1,46 @@
+package io.mulberrylift.daemon.caller;
+
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+/**
+ * Reads and writes the JSON bodies of callers.
+ *
+ * <p>
+ * Safe for use by several threads.
+ * </p>
+ */
+final class CallerJson {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder().addModule(new Jdk8Module()).build();
+
+	private CallerJson() {
+	}
+
+	/**
+	 * Returns the mapper.
+	 * @return the mapper, must not be reconfigured
+	 */
+	static ObjectMapper mapper() {
+		return MAPPER;
+	}
+
+	/**
+	 * Writes a value.
+	 * @param value the value
+	 * @return its JSON text in UTF-8
+	 */
+	static byte[] write(Object value) {
+		try {
+			return MAPPER.writeValueAsBytes(value);
+		}
+		catch (JsonProcessingException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerRoute.java
@@ -0,0 +1,81 @@
+package io.mulberrylift.daemon.caller;
+
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+
+/**
+ * What callers can call.
+ */
+enum CallerRoute {
+
+	/** A text completion. */
+	COMPLETION {
+
+		@Override
+		CheckResult<CallerExchange> start(CallerGateway gateway, CallerRequest request, ResponseStream stream) {
+			return model(CompletionFormat.COMPLETION, gateway, request, stream);
+		}
+
+	},
+
+	/** A chat completion. */
+	CHAT {
+
+		@Override
+		CheckResult<CallerExchange> start(CallerGateway gateway, CallerRequest request, ResponseStream stream) {
+			return model(CompletionFormat.CHAT, gateway, request, stream);
+		}
+
+	},
+
+	/** A plain service. */
+	SERVICE {
+
+		@Override
+		CheckResult<CallerExchange> start(CallerGateway gateway, CallerRequest request, ResponseStream stream) {
+			return ServicePath.parse(request.path(), request.query())
+				.map((path) -> gateway.callService(path, request, stream))
+				.orElseGet(() -> CheckResult.refused(RefusalReason.BAD_REQUEST,
+						"The path must name a service and must have no empty or dot segments, encoded separators or "
+								+ "parameters"));
+		}
+
+	};
+
+	/** Path of text completions. */
+	static final String COMPLETION_PATH = "/v1/completions";
+
+	/** Path of chat completions. */
+	static final String CHAT_PATH = "/v1/chat/completions";
+
+	/**
+	 * Returns the route of a path.
+	 * @param path the raw path, one that the servlet is mapped to
+	 * @return the route
+	 */
+	static CallerRoute of(String path) {
+		if (path.startsWith(ServicePath.PREFIX)) {
+			return SERVICE;
+		}
+		return (path.equals(CHAT_PATH)) ? CHAT : COMPLETION;
+	}
+
+	/**
+	 * Checks a request and makes its exchange.
+	 * @param gateway checks requests
+	 * @param request the request
+	 * @param stream where the response goes
+	 * @return the exchange, or why the request is refused
+	 */
+	abstract CheckResult<CallerExchange> start(CallerGateway gateway, CallerRequest request, ResponseStream stream);
+
+	private static CheckResult<CallerExchange> model(CompletionFormat format, CallerGateway gateway,
+			CallerRequest request, ResponseStream stream) {
+		if (!"POST".equals(request.method())) {
+			return CheckResult.refused(RefusalReason.BAD_REQUEST,
+					"The method is " + request.method() + "; allowed: POST");
+		}
+		return gateway.complete(format, request, stream);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerServlet.java
@@ -0,0 +1,86 @@
+package io.mulberrylift.daemon.caller;
+
+import java.io.IOException;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ScheduledExecutorService;
+
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import jakarta.servlet.AsyncContext;
+import jakarta.servlet.http.HttpServlet;
+import jakarta.servlet.http.HttpServletRequest;
+import jakarta.servlet.http.HttpServletResponse;
+
+/**
+ * Serves completion requests and calls to plain services without blocking a thread per
+ * call.
+ *
+ * <p>
+ * Safe for use by several threads.
+ * </p>
+ */
+public final class CallerServlet extends HttpServlet {
+
+	private static final long serialVersionUID = 1L;
+
+	private static final long OVERLOADED_RETRY_MILLIS = 1_000;
+
+	private final transient CallerGateway gateway;
+
+	private final transient OpenCalls openCalls;
+
+	private final transient BodyReader.BodyLimits limits;
+
+	private final transient ScheduledExecutorService timer;
+
+	/**
+	 * Creates the servlet.
+	 * @param gateway checks requests and hands them to the reducer
+	 * @param openCalls counts the calls
+	 * @param maxBodyBytes largest accepted body in bytes
+	 * @param bodyTimeoutMillis time within which a whole body must arrive, in
+	 * milliseconds
+	 * @param timer runs timeouts of bodies
+	 */
+	public CallerServlet(CallerGateway gateway, OpenCalls openCalls, int maxBodyBytes, long bodyTimeoutMillis,
+			ScheduledExecutorService timer) {
+		this.gateway = gateway;
+		this.openCalls = openCalls;
+		this.limits = new BodyReader.BodyLimits(maxBodyBytes, bodyTimeoutMillis);
+		this.timer = timer;
+	}
+
+	@Override
+	protected void service(HttpServletRequest request, HttpServletResponse response) throws IOException {
+		AsyncContext context = request.startAsync();
+		context.setTimeout(0);
+		CallerRequest head = head(request);
+		Optional<OpenCalls.Permit> permit = this.openCalls.tryEnter();
+		OpenCall call = new OpenCall(head, context, this.gateway, permit);
+		if (permit.isEmpty()) {
+			call.refused(Refusal.retryable(Outcome.NOT_RUN, RefusalReason.OVERLOADED,
+					"The number of open requests is at its limit", OVERLOADED_RETRY_MILLIS));
+		}
+		else if (request.getContentLengthLong() > this.limits.maxBodyBytes()) {
+			call.refused(Refusal.of(Outcome.NOT_RUN, RefusalReason.BODY_TOO_LARGE, "The body has "
+					+ request.getContentLengthLong() + " bytes; allowed: at most " + this.limits.maxBodyBytes()));
+		}
+		else {
+			new BodyReader(request.getInputStream(), this.limits, permit.get(), call).start(this.timer);
+		}
+	}
+
+	private static CallerRequest head(HttpServletRequest request) {
+		Map<String, List<String>> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+		Collections.list(request.getHeaderNames())
+			.forEach((name) -> headers.put(name, Collections.list(request.getHeaders(name))));
+		String query = (request.getQueryString() != null) ? request.getQueryString() : "";
+		return new CallerRequest(request.getMethod(), request.getRequestURI(), query, headers, new byte[0]);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/Envelope.java
@@ -0,0 +1,18 @@
+package io.mulberrylift.daemon.caller;
+
+import io.mulberrylift.core.configuration.ProfileSettings;
+import io.mulberrylift.core.configuration.WorkspaceSettings;
+import io.mulberrylift.core.model.WorkspaceId;
+
+/**
+ * What the headers of a valid request say.
+ *
+ * @param workspace the workspace that pays
+ * @param workspaceSettings settings of the workspace
+ * @param profile name of the profile
+ * @param profileSettings settings of the profile
+ * @param timeoutMillis time within which the request must end, in milliseconds
+ */
+record Envelope(WorkspaceId workspace, WorkspaceSettings workspaceSettings, String profile,
+		ProfileSettings profileSettings, long timeoutMillis) {
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/KeyChecks.java
@@ -0,0 +1,80 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import com.google.common.primitives.Longs;
+import io.mulberrylift.core.model.IdempotencyKey;
+import io.mulberrylift.core.model.RefusalReason;
+
+/**
+ * Checks the idempotency key of a caller's request.
+ *
+ * <p>
+ * A UUID of version 7 carries the time of its first send. Any other key needs that time
+ * in a header of its own.
+ * </p>
+ */
+final class KeyChecks {
+
+	private KeyChecks() {
+	}
+
+	/**
+	 * Checks the key.
+	 * @param request the request
+	 * @param repeatable whether the request may run more than once
+	 * @param keyRequired whether the request must carry a key
+	 * @return the key, empty when there is none or when a repeatable request's key
+	 * carries no time; or why it is not accepted
+	 */
+	static CheckResult<Optional<IdempotencyKey>> check(CallerRequest request, boolean repeatable, boolean keyRequired) {
+		Optional<String> text = request.header(CallerHeaders.KEY).map(KeyChecks::unquote);
+		if (text.isEmpty()) {
+			return (keyRequired)
+					? CheckResult.refused(RefusalReason.KEY_REQUIRED, "The header " + CallerHeaders.KEY + " is missing")
+					: CheckResult.valid(Optional.empty());
+		}
+		if (text.get().isBlank() || text.get().length() > IdempotencyKey.MAX_LENGTH_CHARS) {
+			return CheckResult.refused(RefusalReason.BAD_REQUEST, "The header " + CallerHeaders.KEY + " must have 1 to "
+					+ IdempotencyKey.MAX_LENGTH_CHARS + " characters");
+		}
+		return timed(request, text.get(), repeatable);
+	}
+
+	private static CheckResult<Optional<IdempotencyKey>> timed(CallerRequest request, String key, boolean repeatable) {
+		OptionalLong uuidMillis = UuidV7.epochMillis(key);
+		if (uuidMillis.isPresent()) {
+			return valid(key.toLowerCase(Locale.ROOT), uuidMillis.getAsLong());
+		}
+		Optional<String> header = request.header(CallerHeaders.FIRST_SENT);
+		if (header.isPresent()) {
+			return firstSent(key, header.get());
+		}
+		if (repeatable) {
+			return CheckResult.valid(Optional.empty());
+		}
+		return CheckResult.refused(RefusalReason.KEY_REQUIRED, "The key is not a UUID of version 7 and the header "
+				+ CallerHeaders.FIRST_SENT + " is missing, so its first send has no time");
+	}
+
+	private static CheckResult<Optional<IdempotencyKey>> firstSent(String key, String header) {
+		Long epochMillis = Longs.tryParse(header);
+		if (epochMillis == null || epochMillis <= 0) {
+			return CheckResult.refused(RefusalReason.BAD_REQUEST,
+					"The header " + CallerHeaders.FIRST_SENT + " is " + header + "; allowed: milliseconds since 1970");
+		}
+		return valid(key, epochMillis);
+	}
+
+	private static CheckResult<Optional<IdempotencyKey>> valid(String key, long firstSentEpochMillis) {
+		return CheckResult.valid(Optional.of(new IdempotencyKey(key, firstSentEpochMillis)));
+	}
+
+	private static String unquote(String value) {
+		boolean quoted = value.length() > 1 && value.startsWith("\"") && value.endsWith("\"");
+		return (quoted) ? value.substring(1, value.length() - 1) : value;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ModelExchange.java
@@ -0,0 +1,210 @@
+package io.mulberrylift.daemon.caller;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.model.RequestSpec;
+import io.mulberrylift.core.model.StoredAnswer;
+import io.mulberrylift.daemon.exchange.AnswerSink;
+import io.mulberrylift.daemon.exchange.ModelCall;
+import io.mulberrylift.daemon.exchange.ServiceReply;
+
+/**
+ * A completion request in progress.
+ *
+ * <p>
+ * Safe for use by several threads. A streaming caller sees every accepted token once and
+ * in order; any other caller sees the whole answer or none of it.
+ * </p>
+ */
+final class ModelExchange extends AbstractExchange {
+
+	private static final Map<String, List<String>> JSON_HEADERS = Map.of("Content-Type", List.of("application/json"));
+
+	private static final Map<String, List<String>> EVENT_HEADERS = Map.of("Content-Type",
+			List.of("text/event-stream; charset=utf-8"), "Cache-Control", List.of("no-cache"));
+
+	private final ModelCall call;
+
+	private final AnswerShape shape;
+
+	private final CompletionWriter writer;
+
+	private final Runnable onFirstToken;
+
+	private final StringBuilder text = new StringBuilder();
+
+	private int acceptedTokens;
+
+	private AnswerEnd answerEnd;
+
+	/**
+	 * Creates the exchange.
+	 * @param spec what the reducer knows of the request
+	 * @param call the body of the request
+	 * @param shape how the caller wants the answer
+	 * @param writer writes the answer
+	 * @param stream where the response goes
+	 * @param onFirstToken runs once when the first token is accepted
+	 */
+	ModelExchange(RequestSpec spec, ModelCall call, AnswerShape shape, CompletionWriter writer, ResponseStream stream,
+			Runnable onFirstToken) {
+		super(spec, stream);
+		this.call = call;
+		this.shape = shape;
+		this.writer = writer;
+		this.onFirstToken = onFirstToken;
+	}
+
+	@Override
+	public Optional<ModelCall> modelCall() {
+		return Optional.of(this.call);
+	}
+
+	@Override
+	public synchronized int acceptedTokens() {
+		return this.acceptedTokens;
+	}
+
+	@Override
+	public synchronized boolean tokens(int offset, List<String> tokens) {
+		if (offset > this.acceptedTokens) {
+			throw new IllegalStateException(
+					"Token " + offset + " leaves a gap after token " + this.acceptedTokens + "; resume the attempt");
+		}
+		int known = this.acceptedTokens - offset;
+		if (closed() || known >= tokens.size()) {
+			return true;
+		}
+		if (this.acceptedTokens == 0) {
+			this.onFirstToken.run();
+		}
+		this.acceptedTokens = offset + tokens.size();
+		return accept(String.join("", tokens.subList(known, tokens.size())));
+	}
+
+	@Override
+	public synchronized void end(String finishReason, int promptTokens, int outputTokens) {
+		this.answerEnd = new AnswerEnd(finishReason, CompletionBodies.Usage.of(promptTokens, outputTokens));
+	}
+
+	@Override
+	public void reply(ServiceReply reply) {
+		throw new IllegalStateException("A model's answer has tokens; use tokens and end");
+	}
+
+	@Override
+	public synchronized Optional<StoredAnswer> storedAnswer() {
+		if (this.answerEnd == null || this.text.length() > AnswerSink.MAX_BUFFERED_BYTES) {
+			return Optional.empty();
+		}
+		byte[] body = wholeBody();
+		return (body.length <= AnswerSink.MAX_BUFFERED_BYTES)
+				? Optional.of(new StoredAnswer(200, "application/json", body)) : Optional.empty();
+	}
+
+	@Override
+	public synchronized void complete() {
+		if (this.answerEnd == null) {
+			refuse(Refusal.of(Outcome.FAILED, RefusalReason.INTERNAL, "The answer has no end"));
+		}
+		else if (end()) {
+			sendEnd();
+		}
+	}
+
+	@Override
+	public synchronized void replay(StoredAnswer answer) {
+		if (!end()) {
+			return;
+		}
+		if (this.shape.streaming() && answer.httpStatus() == 200) {
+			replayEvents(answer);
+		}
+		else {
+			sendWhole(answer.httpStatus(), Map.of("Content-Type", List.of(answer.contentType())), answer.body());
+		}
+	}
+
+	private boolean accept(String newText) {
+		boolean stored = spec().key().isPresent() && this.text.length() <= AnswerSink.MAX_BUFFERED_BYTES;
+		if (stored || !this.shape.streaming()) {
+			this.text.append(newText);
+		}
+		if (!this.shape.streaming()) {
+			return true;
+		}
+		stream().begin(200, EVENT_HEADERS);
+		return stream().send(this.writer.chunk(newText));
+	}
+
+	private void sendEnd() {
+		if (this.shape.streaming()) {
+			sendFinish(this.answerEnd);
+		}
+		else {
+			sendWhole(200, JSON_HEADERS, wholeBody());
+		}
+	}
+
+	private void sendFinish(AnswerEnd end) {
+		stream().begin(200, EVENT_HEADERS);
+		stream().send(this.writer.finishChunk(end.finishReason()));
+		if (this.shape.includeUsage()) {
+			stream().send(this.writer.usageChunk(end.usage()));
+		}
+		stream().send(CompletionWriter.done());
+		stream().finish();
+	}
+
+	private byte[] wholeBody() {
+		return this.writer.whole(this.text.toString(), this.answerEnd.finishReason(), this.answerEnd.usage());
+	}
+
+	private void replayEvents(StoredAnswer answer) {
+		JsonNode body = readStored(answer);
+		JsonNode choice = body.path("choices").path(0);
+		JsonNode usage = body.path("usage");
+		stream().begin(200, EVENT_HEADERS);
+		stream().send(this.writer.chunk(this.shape.format().storedText(choice)));
+		sendFinish(new AnswerEnd(choice.path("finish_reason").asText(), CompletionBodies.Usage
+			.of(usage.path("prompt_tokens").asInt(), usage.path("completion_tokens").asInt())));
+	}
+
+	private static JsonNode readStored(StoredAnswer answer) {
+		try {
+			return CallerJson.mapper().readTree(new String(answer.body(), StandardCharsets.UTF_8));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("A stored answer is not JSON", ex);
+		}
+	}
+
+	/**
+	 * How the caller wants the answer.
+	 *
+	 * @param format the form of the answer
+	 * @param streaming whether it is sent as it is generated
+	 * @param includeUsage whether a stream carries the token counts
+	 */
+	record AnswerShape(CompletionFormat format, boolean streaming, boolean includeUsage) {
+	}
+
+	/**
+	 * How generation ended.
+	 *
+	 * @param finishReason why it ended
+	 * @param usage the token counts
+	 */
+	private record AnswerEnd(String finishReason, CompletionBodies.Usage usage) {
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/OpenCall.java
@@ -0,0 +1,101 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import jakarta.servlet.AsyncContext;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One call from its first header to its last byte.
+ *
+ * <p>
+ * Safe for use by several threads. The reducer hears of the caller's going at most once,
+ * and only after it has heard of the request.
+ * </p>
+ */
+final class OpenCall implements BodyReader.BodyReceiver {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(OpenCall.class);
+
+	private final CallerRequest head;
+
+	private final CallerGateway gateway;
+
+	private final ResponseStream stream;
+
+	private final AtomicBoolean goneReported = new AtomicBoolean();
+
+	private volatile CallerExchange exchange;
+
+	/**
+	 * Creates the call.
+	 * @param head the request without its body
+	 * @param context the started asynchronous call
+	 * @param gateway checks requests and hands them to the reducer
+	 * @param permit the call's share of the limits, empty when it is over them
+	 */
+	OpenCall(CallerRequest head, AsyncContext context, CallerGateway gateway, Optional<OpenCalls.Permit> permit) {
+		this.head = head;
+		this.gateway = gateway;
+		this.stream = new ResponseStream(context, this::lost, () -> permit.ifPresent(OpenCalls.Permit::release));
+	}
+
+	@Override
+	public void received(byte[] body) {
+		CallerRequest request = new CallerRequest(this.head.method(), this.head.path(), this.head.query(),
+				this.head.headers(), body);
+		CheckResult<CallerExchange> result = check(request);
+		if (result instanceof CheckResult.Valid<CallerExchange> valid) {
+			this.exchange = valid.value();
+			this.gateway.submit(valid.value());
+			if (this.stream.failed()) {
+				lost();
+			}
+		}
+		else if (result instanceof CheckResult.Refused<CallerExchange> refused) {
+			send(refused.refusal(), Map.of());
+		}
+	}
+
+	@Override
+	public void refused(Refusal refusal) {
+		send(refusal, Map.of("Connection", List.of("close")));
+	}
+
+	@Override
+	public void lost() {
+		this.stream.fail();
+		CallerExchange known = this.exchange;
+		if (known != null && this.goneReported.compareAndSet(false, true)) {
+			this.gateway.callerGone(known);
+		}
+	}
+
+	private CheckResult<CallerExchange> check(CallerRequest request) {
+		try {
+			return CallerRoute.of(request.path()).start(this.gateway, request, this.stream);
+		}
+		catch (RuntimeException ex) {
+			LOGGER.error("caller: request to {} could not be checked", request.path(), ex);
+			return CheckResult.refused(RefusalReason.INTERNAL, "The request could not be checked");
+		}
+	}
+
+	private void send(Refusal refusal, Map<String, List<String>> extraHeaders) {
+		this.gateway.countRefusal(refusal);
+		ProblemDocument problem = ProblemDocument.of(refusal);
+		Map<String, List<String>> headers = problem.headers();
+		headers.putAll(extraHeaders);
+		this.stream.begin(problem.status(), headers);
+		this.stream.send(CallerJson.write(problem));
+		this.stream.finish();
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/RequestEffectHandler.java
@@ -0,0 +1,55 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.Optional;
+
+import io.mulberrylift.core.effect.RequestEffect;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import io.mulberrylift.daemon.exchange.ExchangeTable;
+import io.mulberrylift.daemon.loop.EffectHandler;
+import io.mulberrylift.daemon.metrics.CallerMetrics;
+
+/**
+ * Ends callers' requests as the reducer decides.
+ *
+ * <p>
+ * Safe for use by several threads. An effect on a request that has ended does nothing.
+ * </p>
+ */
+public final class RequestEffectHandler implements EffectHandler<RequestEffect> {
+
+	private final ExchangeTable exchanges;
+
+	private final CallerMetrics metrics;
+
+	/**
+	 * Creates the handler.
+	 * @param exchanges the requests in progress
+	 * @param metrics counts answers and refusals
+	 */
+	public RequestEffectHandler(ExchangeTable exchanges, CallerMetrics metrics) {
+		this.exchanges = exchanges;
+		this.metrics = metrics;
+	}
+
+	@Override
+	public void handle(RequestEffect effect) {
+		Optional<CallerExchange> exchange = this.exchanges.remove(effect.requestId());
+		exchange.ifPresent((open) -> end(open, effect));
+	}
+
+	private void end(CallerExchange exchange, RequestEffect effect) {
+		if (effect instanceof RequestEffect.Refuse refuse) {
+			this.metrics.refused(refuse.refusal().reason());
+			exchange.refuse(refuse.refusal());
+		}
+		else if (effect instanceof RequestEffect.Replay replay) {
+			this.metrics.replayed();
+			exchange.replay(replay.answer());
+		}
+		else {
+			this.metrics.answered();
+			exchange.complete();
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ResponseStream.java
@@ -0,0 +1,286 @@
+package io.mulberrylift.daemon.caller;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.mulberrylift.daemon.exchange.AnswerSink;
+import jakarta.servlet.AsyncContext;
+import jakarta.servlet.AsyncEvent;
+import jakarta.servlet.AsyncListener;
+import jakarta.servlet.ServletOutputStream;
+import jakarta.servlet.WriteListener;
+import jakarta.servlet.http.HttpServletResponse;
+
+/**
+ * Sends one response without blocking a thread.
+ *
+ * <p>
+ * Safe for use by several threads; chunks are sent in the order of the calls. At most one
+ * thread at a time touches the container's output. Every response ends by
+ * {@link #finish()} or by a failure of the connection.
+ * </p>
+ */
+final class ResponseStream implements WriteListener, AsyncListener {
+
+	private static final int RESUME_BYTES = AnswerSink.MAX_BUFFERED_BYTES / 2;
+
+	private final AsyncContext context;
+
+	private final Runnable onFailure;
+
+	private final Runnable onCompleted;
+
+	private final Queue<byte[]> chunks = new ConcurrentLinkedQueue<>();
+
+	private final AtomicLong bufferedBytes = new AtomicLong();
+
+	private final AtomicInteger pendingPumps = new AtomicInteger();
+
+	private final AtomicBoolean begun = new AtomicBoolean();
+
+	private final AtomicBoolean completed = new AtomicBoolean();
+
+	private final AtomicBoolean failed = new AtomicBoolean();
+
+	private final List<Runnable> waiting = new ArrayList<>();
+
+	private volatile boolean writable;
+
+	private volatile boolean finished;
+
+	private ServletOutputStream output;
+
+	private long sendingBytes;
+
+	private boolean unflushed;
+
+	/**
+	 * Creates the stream.
+	 * @param context the started asynchronous call
+	 * @param onFailure runs once when the connection fails before the response was sent
+	 * @param onCompleted runs when the container has ended the call
+	 */
+	ResponseStream(AsyncContext context, Runnable onFailure, Runnable onCompleted) {
+		this.context = context;
+		this.onFailure = onFailure;
+		this.onCompleted = onCompleted;
+		context.addListener(this);
+	}
+
+	/**
+	 * Returns whether status and headers have been given.
+	 * @return true if so
+	 */
+	boolean begun() {
+		return this.begun.get();
+	}
+
+	/**
+	 * Returns whether the connection has failed.
+	 * @return true if so
+	 */
+	boolean failed() {
+		return this.failed.get();
+	}
+
+	/**
+	 * Returns how many bytes wait for the caller.
+	 * @return the number of bytes
+	 */
+	long bufferedBytes() {
+		return this.bufferedBytes.get();
+	}
+
+	/**
+	 * Gives status and headers. Only the first call has an effect.
+	 * @param status the HTTP status
+	 * @param headers the headers
+	 */
+	void begin(int status, Map<String, List<String>> headers) {
+		if (this.failed.get() || !this.begun.compareAndSet(false, true)) {
+			return;
+		}
+		try {
+			HttpServletResponse response = (HttpServletResponse) this.context.getResponse();
+			response.setStatus(status);
+			headers.forEach((name, values) -> values.forEach((value) -> response.addHeader(name, value)));
+			this.output = response.getOutputStream();
+			this.output.setWriteListener(this);
+		}
+		catch (IOException | IllegalStateException ex) {
+			fail();
+		}
+	}
+
+	/**
+	 * Sends a chunk after all earlier ones.
+	 * @param chunk the bytes
+	 * @return whether more may be sent now
+	 */
+	boolean send(byte[] chunk) {
+		if (this.failed.get()) {
+			return true;
+		}
+		this.bufferedBytes.addAndGet(chunk.length);
+		this.chunks.add(chunk);
+		pump();
+		return this.failed.get() || this.bufferedBytes.get() <= AnswerSink.MAX_BUFFERED_BYTES;
+	}
+
+	/**
+	 * Ends the response after all chunks.
+	 */
+	void finish() {
+		this.finished = true;
+		pump();
+	}
+
+	/**
+	 * Runs an action once, as soon as more may be sent or the connection has failed.
+	 * @param action the action
+	 */
+	void whenWritable(Runnable action) {
+		synchronized (this.waiting) {
+			this.waiting.add(action);
+		}
+		runWaiting();
+	}
+
+	@Override
+	public void onWritePossible() {
+		this.writable = true;
+		pump();
+	}
+
+	@Override
+	public void onError(Throwable problem) {
+		fail();
+	}
+
+	@Override
+	public void onComplete(AsyncEvent event) {
+		this.completed.set(true);
+		this.onCompleted.run();
+	}
+
+	@Override
+	public void onTimeout(AsyncEvent event) {
+		fail();
+	}
+
+	@Override
+	public void onError(AsyncEvent event) {
+		fail();
+	}
+
+	@Override
+	public void onStartAsync(AsyncEvent event) {
+		// A call is started only once.
+	}
+
+	/**
+	 * Gives the connection up.
+	 */
+	void fail() {
+		if (!this.failed.compareAndSet(false, true)) {
+			return;
+		}
+		this.chunks.clear();
+		if (!this.finished) {
+			this.onFailure.run();
+		}
+		complete();
+		runWaiting();
+	}
+
+	private void complete() {
+		if (!this.completed.compareAndSet(false, true)) {
+			return;
+		}
+		try {
+			this.context.complete();
+		}
+		catch (IllegalStateException ex) {
+			// The container has ended the call already.
+			this.chunks.clear();
+		}
+	}
+
+	private void pump() {
+		if (this.pendingPumps.getAndIncrement() != 0) {
+			return;
+		}
+		int handled = 1;
+		do {
+			drain();
+			handled = this.pendingPumps.addAndGet(-handled);
+		}
+		while (handled != 0);
+		runWaiting();
+	}
+
+	private void drain() {
+		try {
+			while (mayWrite()) {
+				releaseSent();
+				if (!writeNext()) {
+					return;
+				}
+			}
+		}
+		catch (IOException | IllegalStateException ex) {
+			fail();
+		}
+	}
+
+	private boolean mayWrite() {
+		return this.writable && !this.failed.get() && !this.completed.get() && this.output.isReady();
+	}
+
+	private void releaseSent() {
+		this.bufferedBytes.addAndGet(-this.sendingBytes);
+		this.sendingBytes = 0;
+	}
+
+	private boolean writeNext() throws IOException {
+		boolean last = this.finished;
+		byte[] chunk = this.chunks.poll();
+		if (chunk != null) {
+			this.sendingBytes = chunk.length;
+			this.unflushed = true;
+			this.output.write(chunk);
+			return true;
+		}
+		if (last) {
+			complete();
+			return false;
+		}
+		if (this.unflushed) {
+			this.unflushed = false;
+			this.output.flush();
+			return true;
+		}
+		return false;
+	}
+
+	private void runWaiting() {
+		boolean ready = this.failed.get() || this.bufferedBytes.get() <= RESUME_BYTES;
+		if (!ready) {
+			return;
+		}
+		List<Runnable> actions;
+		synchronized (this.waiting) {
+			actions = List.copyOf(this.waiting);
+			this.waiting.clear();
+		}
+		actions.forEach(Runnable::run);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ServicePath.java
@@ -0,0 +1,63 @@
+package io.mulberrylift.daemon.caller;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * The target of a call to a plain service.
+ *
+ * @param service name of the service
+ * @param path raw path below the service's name, without leading slash
+ * @param query the raw query, empty for none
+ */
+record ServicePath(String service, String path, String query) {
+
+	/** Path below which services are called. */
+	static final String PREFIX = "/v1/services/";
+
+	/**
+	 * Reads a raw path. Paths that a service could read as another path (with dot
+	 * segments, empty segments, encoded separators or parameters) are not accepted, since
+	 * a path decides whether its call may run more than once.
+	 * @param rawPath the raw path, starting with {@link #PREFIX}
+	 * @param query the raw query, empty for none
+	 * @return the target, empty when the path is not accepted
+	 */
+	static Optional<ServicePath> parse(String rawPath, String query) {
+		String rest = rawPath.substring(PREFIX.length());
+		int slash = rest.indexOf('/');
+		String service = (slash < 0) ? rest : rest.substring(0, slash);
+		String path = (slash < 0) ? "" : rest.substring(slash + 1);
+		if (service.isEmpty() || !safe(service) || !(path.isEmpty() || safe(path))) {
+			return Optional.empty();
+		}
+		return Optional.of(new ServicePath(service, path, query));
+	}
+
+	/**
+	 * Returns what is sent to the service.
+	 * @return path and query
+	 */
+	String pathAndQuery() {
+		return (this.query.isEmpty()) ? this.path : this.path + "?" + this.query;
+	}
+
+	private static boolean safe(String rawPath) {
+		String stripped = (rawPath.endsWith("/")) ? rawPath.substring(0, rawPath.length() - 1) : rawPath;
+		return Arrays.stream(stripped.split("/", -1)).allMatch(ServicePath::safeSegment);
+	}
+
+	private static boolean safeSegment(String rawSegment) {
+		try {
+			String segment = URLDecoder.decode(rawSegment.replace("+", "%2B"), StandardCharsets.UTF_8);
+			boolean special = segment.isEmpty() || segment.equals(".") || segment.equals("..");
+			return !special && segment.chars().noneMatch((c) -> c == '/' || c == '\\' || c == ';' || c == '%');
+		}
+		catch (IllegalArgumentException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/UuidV7.java
@@ -0,0 +1,41 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.OptionalLong;
+import java.util.UUID;
+
+/**
+ * Reads the time of time-ordered UUIDs.
+ */
+final class UuidV7 {
+
+	private static final int TEXT_LENGTH_CHARS = 36;
+
+	private static final int VERSION = 7;
+
+	private static final int VARIANT = 2;
+
+	private static final int TIME_SHIFT_BITS = 16;
+
+	private UuidV7() {
+	}
+
+	/**
+	 * Returns when the key was created.
+	 * @param key the key in any case
+	 * @return milliseconds since the epoch, empty when the key is not a UUID of version 7
+	 */
+	static OptionalLong epochMillis(String key) {
+		if (key.length() != TEXT_LENGTH_CHARS) {
+			return OptionalLong.empty();
+		}
+		try {
+			UUID uuid = UUID.fromString(key);
+			boolean timed = uuid.version() == VERSION && uuid.variant() == VARIANT;
+			return (timed) ? OptionalLong.of(uuid.getMostSignificantBits() >>> TIME_SHIFT_BITS) : OptionalLong.empty();
+		}
+		catch (IllegalArgumentException ex) {
+			return OptionalLong.empty();
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The HTTP interface towards callers.
+ */
+package io.mulberrylift.daemon.caller;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package io.mulberrylift.daemon.cli;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Log output.
+ */
+package io.mulberrylift.daemon.logging;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Counters and histograms of one instance.
+ */
+package io.mulberrylift.daemon.metrics;
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/JsonRecordReader.java
@@ -0,0 +1,116 @@
+package io.mulberrylift.daemon.settings;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Function;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.mulberrylift.core.configuration.ConfigurationProblem;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.ZoneId;
+
+/**
+ * Reads JSON with comments into records. A pure function of the text.
+ */
+final class JsonRecordReader {
+
+	private static final ObjectMapper MAPPER = JsonMapper.builder()
+		.enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+		.enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+		.enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.addModule(new Jdk8Module())
+		.addModule(names())
+		.build();
+
+	private JsonRecordReader() {
+	}
+
+	/**
+	 * Reads a document.
+	 * @param <T> type of the record
+	 * @param text the document
+	 * @param recordType the record that it is read into
+	 * @param contentChecks finds what is wrong with a document of the right structure
+	 * @return the record, or all that is wrong
+	 */
+	static <T> SettingsCheck<T> read(String text, Class<T> recordType,
+			Function<T, List<ConfigurationProblem>> contentChecks) {
+		try {
+			JsonNode root = MAPPER.readTree(text);
+			JsonLocations locations = locations(text);
+			List<ConfigurationProblem> problems = new StructureChecks(locations).problems(root, recordType);
+			return (problems.isEmpty()) ? bind(root, recordType, locations, contentChecks)
+					: new SettingsCheck.Invalid<>(problems);
+		}
+		catch (JsonProcessingException ex) {
+			return broken(ex);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("Reading text gave an input error", ex);
+		}
+	}
+
+	private static <T> SettingsCheck<T> bind(JsonNode root, Class<T> recordType, JsonLocations locations,
+			Function<T, List<ConfigurationProblem>> contentChecks) throws JsonProcessingException {
+		T value = MAPPER.treeToValue(root, recordType);
+		List<ConfigurationProblem> problems = contentChecks.apply(value)
+			.stream()
+			.map((problem) -> new ConfigurationProblem(problem.key(),
+					problem.value() + locations.describe(problem.key()), problem.allowed(), problem.remedy()))
+			.toList();
+		return (problems.isEmpty()) ? new SettingsCheck.Valid<>(value) : new SettingsCheck.Invalid<>(problems);
+	}
+
+	private static JsonLocations locations(String text) throws IOException {
+		try (JsonParser parser = MAPPER.createParser(text)) {
+			return JsonLocations.read(parser);
+		}
+	}
+
+	private static <T> SettingsCheck<T> broken(JsonProcessingException ex) {
+		String place = (ex.getLocation() != null) ? JsonLocations.describe(ex.getLocation()) : "";
+		return new SettingsCheck.Invalid<>(
+				List.of(new ConfigurationProblem("document", "not valid" + place + " (" + ex.getOriginalMessage() + ")",
+						"JSON with comments", "Correct the text at this place.")));
+	}
+
+	private static SimpleModule names() {
+		SimpleModule module = new SimpleModule();
+		module.addDeserializer(ZoneId.class, new NameDeserializer<>(ZoneId::new));
+		module.addDeserializer(InstanceId.class, new NameDeserializer<>(InstanceId::new));
+		return module;
+	}
+
+	/**
+	 * Reads a name from a string.
+	 *
+	 * @param <T> type of the name
+	 */
+	private static final class NameDeserializer<T> extends JsonDeserializer<T> {
+
+		private final Function<String, T> factory;
+
+		NameDeserializer(Function<String, T> factory) {
+			this.factory = factory;
+		}
+
+		@Override
+		public T deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+			return this.factory.apply(parser.getValueAsString());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of one instance and the published configuration as text.
+ */
+package io.mulberrylift.daemon.settings;
