--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/platform/PlatformDocuments.java
@@ -0,0 +1,86 @@
+package io.mulberrylift.daemon.platform;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.mulberrylift.core.configuration.PublishedDocument;
+import io.mulberrylift.core.model.EndpointDescription;
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.model.FleetList;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.WorkKind;
+import io.mulberrylift.core.model.ZoneId;
+
+/**
+ * Reads the platform's documents.
+ *
+ * <p>
+ * Safe for use by several threads. Unknown members are ignored; a missing required member
+ * makes the whole document unreadable.
+ * </p>
+ */
+final class PlatformDocuments {
+
+	private static final JsonMapper MAPPER = JsonMapper.builder()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+		.build();
+
+	private PlatformDocuments() {
+	}
+
+	static FleetList list(byte[] body) throws IOException {
+		ListDocument document = MAPPER.readValue(body, ListDocument.class);
+		if (document.instances() == null || document.endpoints() == null) {
+			throw new IOException("Instance list lacks instances or endpoints; check the platform's list service");
+		}
+		try {
+			return new FleetList(document.version(), document.publishedAtEpochMillis(),
+					document.instances().stream().map(Instance::describe).toList(),
+					document.endpoints().stream().map(Endpoint::describe).toList());
+		}
+		catch (IllegalArgumentException | NullPointerException ex) {
+			throw new IOException("Instance list has a faulty entry; correct it at the platform: " + ex.getMessage(),
+					ex);
+		}
+	}
+
+	static PublishedDocument configuration(byte[] body) throws IOException {
+		ConfigurationDocument document = MAPPER.readValue(body, ConfigurationDocument.class);
+		if (document.document() == null) {
+			throw new IOException("Configuration answer lacks the document; check the configuration service");
+		}
+		return new PublishedDocument(document.version(), document.document());
+	}
+
+	private record ConfigurationDocument(long version, String document) {
+	}
+
+	private record ListDocument(long version, long publishedAtEpochMillis, List<Instance> instances,
+			List<Endpoint> endpoints) {
+	}
+
+	private record Instance(String id, String zone, String address, boolean leaving, long listedSinceEpochMillis) {
+
+		InstanceDescription describe() {
+			return new InstanceDescription(new InstanceId(this.id), new ZoneId(this.zone), this.address, this.leaving,
+					this.listedSinceEpochMillis);
+		}
+
+	}
+
+	private record Endpoint(String id, WorkKind kind, String zone, String address, Set<String> targets,
+			long memoryTokens, boolean checksFencing, boolean leaving) {
+
+		EndpointDescription describe() {
+			return new EndpointDescription(new EndpointId(this.id), this.kind, new ZoneId(this.zone), this.address,
+					this.targets, this.memoryTokens, this.checksFencing, this.leaving);
+		}
+
+	}
+
+}
