Add the client for model engines and plain services

Tries need the truth about whether a byte may have left. HttpClient calls the request producer before it leases a connection, so a check there would be early; a gate is put around the client's runtime instead, between connection and first byte.

--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/EndpointHandler.java
@@ -0,0 +1,86 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.util.Optional;
+
+import io.mulberrylift.core.effect.EndpointEffect;
+import io.mulberrylift.core.model.EndpointDescription;
+import io.mulberrylift.daemon.loop.EffectHandler;
+import io.mulberrylift.daemon.loop.EventSink;
+import io.mulberrylift.daemon.outbound.OutboundHttpClient;
+
+/**
+ * Asks endpoints for load and holds and gives them orders.
+ *
+ * <p>
+ * Effects are handled on the loop's thread; reactor threads do the rest. Every effect but
+ * a doubled {@link EndpointEffect.ReadLoad} and a failing
+ * {@link EndpointEffect.ListHolds} or {@link EndpointEffect.SendOrder} leads to one
+ * event.
+ * </p>
+ */
+public final class EndpointHandler implements EffectHandler<EndpointEffect> {
+
+	private final EndpointDirectory directory;
+
+	private final LoadReader loadReader;
+
+	private final HoldClient holdClient;
+
+	private final OrderClient orderClient;
+
+	/**
+	 * Creates the handler.
+	 * @param directory the published endpoints
+	 * @param client carries the calls
+	 * @param events takes the results
+	 */
+	public EndpointHandler(EndpointDirectory directory, OutboundHttpClient client, EventSink events) {
+		this.directory = directory;
+		this.loadReader = new LoadReader(client, events);
+		this.holdClient = new HoldClient(client, events);
+		this.orderClient = new OrderClient(client, events);
+	}
+
+	@Override
+	public void handle(EndpointEffect effect) {
+		Optional<EndpointDescription> endpoint = this.directory.find(effect.endpoint());
+		if (endpoint.isPresent()) {
+			handle(endpoint.get(), effect);
+		}
+		else {
+			unlisted(effect);
+		}
+	}
+
+	private void handle(EndpointDescription endpoint, EndpointEffect effect) {
+		if (effect instanceof EndpointEffect.ReadLoad) {
+			this.loadReader.read(endpoint);
+		}
+		else if (effect instanceof EndpointEffect.AcquireHold acquire) {
+			this.holdClient.acquire(endpoint, acquire.hold());
+		}
+		else if (effect instanceof EndpointEffect.ReleaseHold release) {
+			this.holdClient.release(endpoint, release.hold());
+		}
+		else if (effect instanceof EndpointEffect.ListHolds) {
+			this.holdClient.list(endpoint);
+		}
+		else if (effect instanceof EndpointEffect.SendOrder order) {
+			this.orderClient.send(endpoint, order.order());
+		}
+	}
+
+	private void unlisted(EndpointEffect effect) {
+		this.loadReader.forgetUnlisted(this.directory);
+		if (effect instanceof EndpointEffect.ReadLoad) {
+			this.loadReader.unreachable(effect.endpoint(), false);
+		}
+		else if (effect instanceof EndpointEffect.AcquireHold acquire) {
+			this.holdClient.unanswered(effect.endpoint(), acquire.hold());
+		}
+		else if (effect instanceof EndpointEffect.ReleaseHold release) {
+			this.holdClient.unanswered(effect.endpoint(), release.hold());
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LineSplitter.java
@@ -0,0 +1,92 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Cuts a stream of bytes into lines.
+ *
+ * <p>
+ * Not safe for use by several threads. Holds the bytes that have been added and not been
+ * taken as lines.
+ * </p>
+ */
+final class LineSplitter {
+
+	private static final int INITIAL_CAPACITY_BYTES = 8 * 1_024;
+
+	private final int maxLineBytes;
+
+	private byte[] buffer = new byte[INITIAL_CAPACITY_BYTES];
+
+	private int start;
+
+	private int scanned;
+
+	private int end;
+
+	LineSplitter(int maxLineBytes) {
+		this.maxLineBytes = maxLineBytes;
+	}
+
+	void add(byte[] bytes) {
+		makeRoom(bytes.length);
+		System.arraycopy(bytes, 0, this.buffer, this.end, bytes.length);
+		this.end += bytes.length;
+	}
+
+	private void makeRoom(int sizeBytes) {
+		if (this.buffer.length - this.end >= sizeBytes) {
+			return;
+		}
+		int held = this.end - this.start;
+		byte[] target = this.buffer;
+		if (target.length - held < sizeBytes) {
+			target = new byte[Math.max(2 * this.buffer.length, held + sizeBytes)];
+		}
+		System.arraycopy(this.buffer, this.start, target, 0, held);
+		this.buffer = target;
+		this.scanned -= this.start;
+		this.start = 0;
+		this.end = held;
+	}
+
+	/**
+	 * Takes the next line.
+	 * @return the line without its end, valid until the next call of
+	 * {@link #add(byte[])}; empty when no whole line is held
+	 * @throws MalformedAnswerException if a line is too long
+	 */
+	Optional<ByteBuffer> next() throws MalformedAnswerException {
+		while (this.scanned < this.end) {
+			if (this.buffer[this.scanned++] == '\n') {
+				ByteBuffer line = ByteBuffer.wrap(this.buffer, this.start, this.scanned - 1 - this.start);
+				this.start = this.scanned;
+				checkLength(line.remaining());
+				return Optional.of(line);
+			}
+		}
+		checkLength(this.end - this.start);
+		return Optional.empty();
+	}
+
+	private void checkLength(int lengthBytes) throws MalformedAnswerException {
+		if (lengthBytes > this.maxLineBytes) {
+			throw new MalformedAnswerException("line is longer than " + this.maxLineBytes + " bytes");
+		}
+	}
+
+	boolean holdsMoreThan(int sizeBytes) {
+		return this.end - this.start > sizeBytes;
+	}
+
+	/**
+	 * Returns the bytes that have not been taken as lines.
+	 * @return a copy, empty for none
+	 */
+	byte[] remaining() {
+		return Arrays.copyOfRange(this.buffer, this.start, this.end);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/RunningAttempt.java
@@ -0,0 +1,205 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.OptionalLong;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.daemon.exchange.AnswerSink;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import io.mulberrylift.daemon.outbound.ReplyTooLargeException;
+import io.mulberrylift.daemon.outbound.SendGate;
+
+/**
+ * One try in progress.
+ *
+ * <p>
+ * Safe for use by several threads. Exactly one event ends it, or none when it is
+ * cancelled. Nothing is written to the caller's sink once {@link #cancel()} has returned.
+ * </p>
+ */
+abstract class RunningAttempt {
+
+	private final AttemptEffect.Dispatch dispatch;
+
+	private final CallerExchange exchange;
+
+	private final AttemptServices services;
+
+	private final Runnable onOver;
+
+	private final SendGate gate;
+
+	private final AtomicBoolean over = new AtomicBoolean();
+
+	private final Object writeLock = new Object();
+
+	private boolean cancelled;
+
+	private volatile Future<?> call;
+
+	RunningAttempt(AttemptEffect.Dispatch dispatch, CallerExchange exchange, AttemptServices services,
+			Runnable onOver) {
+		this.dispatch = dispatch;
+		this.exchange = exchange;
+		this.services = services;
+		this.onOver = onOver;
+		this.gate = new SendGate(services.monotonicMillis(), dispatch.notAfterMonotonicMillis());
+	}
+
+	/**
+	 * Starts the call to the endpoint. Must not block.
+	 * @param address host and port of the endpoint
+	 * @return the call
+	 * @throws RuntimeException if the request cannot be made; no byte has left then
+	 */
+	abstract Future<?> call(String address);
+
+	/**
+	 * Frees what the endpoint may still use for the try, after bytes may have left.
+	 */
+	abstract void cleanUpEndpoint();
+
+	final void start(String address) {
+		try {
+			this.call = call(address);
+		}
+		catch (RuntimeException ex) {
+			transportFailed(ex);
+		}
+		if (this.over.get()) {
+			closeConnection();
+		}
+	}
+
+	/**
+	 * Stops the try. No event follows.
+	 */
+	final void cancel() {
+		synchronized (this.writeLock) {
+			this.cancelled = true;
+		}
+		if (!this.over.compareAndSet(false, true)) {
+			return;
+		}
+		this.onOver.run();
+		boolean mayHaveLeft = this.gate.close();
+		closeConnection();
+		if (mayHaveLeft) {
+			cleanUpEndpoint();
+		}
+	}
+
+	/**
+	 * Writes to the caller's sink unless the try was cancelled.
+	 * @param write writes to the sink
+	 */
+	final void write(SinkWrite write) {
+		synchronized (this.writeLock) {
+			if (!this.cancelled) {
+				write.to(this.exchange.sink());
+			}
+		}
+	}
+
+	final void started() {
+		if (!this.over.get()) {
+			this.services.events().submit((at) -> new AttemptEvent.Started(at, this.dispatch.attemptId()));
+		}
+	}
+
+	final void finished(int promptTokens, int cachedTokens, int outputTokens) {
+		if (!this.over.compareAndSet(false, true)) {
+			return;
+		}
+		this.onOver.run();
+		var answer = this.exchange.storedAnswer();
+		this.services.events()
+			.submit((at) -> new AttemptEvent.Finished(at, this.dispatch.attemptId(), promptTokens, cachedTokens,
+					outputTokens, answer));
+	}
+
+	final void failed(AttemptFailure failure, OptionalLong retryAfterMillis, String detail) {
+		if (!this.over.compareAndSet(false, true)) {
+			return;
+		}
+		this.onOver.run();
+		if (failure.possiblyRan()) {
+			closeConnection();
+			cleanUpEndpoint();
+		}
+		int delivered = this.exchange.sink().acceptedTokens();
+		this.services.events()
+			.submit((at) -> new AttemptEvent.Failed(at, this.dispatch.attemptId(), failure, delivered, retryAfterMillis,
+					detail));
+	}
+
+	/**
+	 * Ends the try after a failure of its connection or of the request itself.
+	 * @param cause the failure
+	 */
+	final void transportFailed(Exception cause) {
+		String detail = (cause.getMessage() != null) ? cause.getMessage() : cause.getClass().getSimpleName();
+		boolean mayHaveLeft = this.gate.close();
+		failed((mayHaveLeft) ? classify(cause) : AttemptFailure.NOT_SENT, OptionalLong.empty(), detail);
+	}
+
+	private static AttemptFailure classify(Exception cause) {
+		if (cause instanceof SocketTimeoutException) {
+			return AttemptFailure.SILENT;
+		}
+		if (cause instanceof MalformedAnswerException) {
+			return AttemptFailure.TRUNCATED;
+		}
+		if (cause instanceof ReplyTooLargeException || !(cause instanceof IOException)) {
+			return AttemptFailure.ENDPOINT_ERROR;
+		}
+		return AttemptFailure.CONNECTION_LOST;
+	}
+
+	private void closeConnection() {
+		Future<?> current = this.call;
+		if (current != null) {
+			current.cancel(true);
+		}
+	}
+
+	final boolean isOver() {
+		return this.over.get();
+	}
+
+	final AttemptEffect.Dispatch dispatch() {
+		return this.dispatch;
+	}
+
+	final CallerExchange exchange() {
+		return this.exchange;
+	}
+
+	final AttemptServices services() {
+		return this.services;
+	}
+
+	final SendGate gate() {
+		return this.gate;
+	}
+
+	/**
+	 * Writes to a sink.
+	 */
+	@FunctionalInterface
+	interface SinkWrite {
+
+		/**
+		 * Writes.
+		 * @param sink the sink
+		 */
+		void to(AnswerSink sink);
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/ServiceAttempt.java
@@ -0,0 +1,121 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import io.mulberrylift.daemon.exchange.ServiceCall;
+import io.mulberrylift.daemon.exchange.ServiceReply;
+import io.mulberrylift.daemon.outbound.HttpReply;
+import io.mulberrylift.daemon.outbound.OutboundHttpClient;
+import io.mulberrylift.daemon.outbound.ReplyCallback;
+import io.mulberrylift.daemon.outbound.ReplyConsumer;
+import org.apache.hc.core5.http.message.BasicHttpRequest;
+import org.apache.hc.core5.http.nio.AsyncEntityProducer;
+import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityProducer;
+import org.apache.hc.core5.http.nio.support.BasicRequestProducer;
+
+/**
+ * A try of a call to a plain service.
+ *
+ * <p>
+ * Safe for use by several threads. The answer is passed on only when it is whole.
+ * </p>
+ */
+final class ServiceAttempt extends RunningAttempt {
+
+	private static final int MAX_REPLY_BYTES = 8 * 1_024 * 1_024;
+
+	private static final int STATUS_UNAVAILABLE = 503;
+
+	private static final String NOT_RUN_HEADER = "not-run";
+
+	private static final String RETRY_AFTER_HEADER = "retry-after";
+
+	private final ServiceCall serviceCall;
+
+	private volatile boolean notRun;
+
+	private volatile OptionalLong retryAfterMillis = OptionalLong.empty();
+
+	ServiceAttempt(AttemptEffect.Dispatch dispatch, CallerExchange exchange, AttemptServices services,
+			ServiceCall serviceCall, Runnable onOver) {
+		super(dispatch, exchange, services, onOver);
+		this.serviceCall = serviceCall;
+	}
+
+	@Override
+	Future<?> call(String address) {
+		BasicHttpRequest request = new BasicHttpRequest(this.serviceCall.method(), OutboundHttpClient.host(address),
+				"/" + this.serviceCall.pathAndQuery());
+		HopHeaders.endToEnd(this.serviceCall.headers())
+			.forEach((name, values) -> values.forEach((value) -> request.addHeader(name, value)));
+		ReplyCallback<HttpReply> callback = new ReplyCallback<>(this::replied, this::lost);
+		return services().client()
+			.execute(
+					new OutboundHttpClient.Exchange<>(new BasicRequestProducer(request, body()),
+							new ReplyConsumer(MAX_REPLY_BYTES, this::headArrived)),
+					gate(), dispatch().timeoutMillis(), callback);
+	}
+
+	private AsyncEntityProducer body() {
+		byte[] bytes = this.serviceCall.body();
+		// The content type is one of the end-to-end headers.
+		return (bytes.length > 0) ? new BasicAsyncEntityProducer(bytes, null) : null;
+	}
+
+	private void headArrived(HttpReply head) {
+		if (head.status() == STATUS_UNAVAILABLE
+				&& head.header(NOT_RUN_HEADER).filter("true"::equalsIgnoreCase).isPresent()) {
+			this.retryAfterMillis = retryAfterMillis(head);
+			this.notRun = true;
+			return;
+		}
+		started();
+	}
+
+	private static OptionalLong retryAfterMillis(HttpReply head) {
+		try {
+			return head.header(RETRY_AFTER_HEADER)
+				.map((value) -> OptionalLong.of(TimeUnit.SECONDS.toMillis(Long.parseLong(value.strip()))))
+				.orElse(OptionalLong.empty());
+		}
+		catch (NumberFormatException ex) {
+			return OptionalLong.empty();
+		}
+	}
+
+	private void replied(HttpReply reply) {
+		if (this.notRun) {
+			turnedAway();
+			return;
+		}
+		Map<String, List<String>> headers = HopHeaders.endToEnd(reply.headers());
+		write((sink) -> sink.reply(new ServiceReply(reply.status(), headers, reply.body())));
+		finished(0, 0, 0);
+	}
+
+	private void lost(Exception cause) {
+		if (this.notRun) {
+			turnedAway();
+		}
+		else {
+			transportFailed(cause);
+		}
+	}
+
+	private void turnedAway() {
+		failed(AttemptFailure.TURNED_AWAY, this.retryAfterMillis, "service did not run the call");
+	}
+
+	@Override
+	void cleanUpEndpoint() {
+		// A plain service has no call to take a request back.
+	}
+
+}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/outbound/OutboundHttpClient.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/outbound/OutboundHttpClient.java
@@ -1,11 +1,13 @@
 package io.mulberrylift.daemon.outbound;
 
+import java.net.URISyntaxException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Future;
 
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.ChainElement;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
 import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManager;
@@ -13,6 +15,7 @@
 import org.apache.hc.client5.http.protocol.HttpClientContext;
 import org.apache.hc.core5.concurrent.FutureCallback;
 import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.message.BasicHeader;
@@ -60,6 +63,7 @@
 			.setDefaultHeaders(List.of(new BasicHeader(ZONE_HEADER, settings.zone().value())))
 			.setKeepAliveStrategy((response, context) -> IDLE_TIME)
 			.evictIdleConnections(IDLE_TIME)
+			.addExecInterceptorAfter(ChainElement.CONNECT.name(), SendGate.class.getSimpleName(), new SendGateHandler())
 			.disableAutomaticRetries()
 			.disableRedirectHandling()
 			.disableCookieManagement()
@@ -78,25 +82,33 @@
 	}
 
 	/**
-	 * Starts a call.
+	 * Starts a call that leaves only while a gate allows it.
 	 * @param <T> the result
-	 * @param producer sends the request
-	 * @param consumer takes the answer
+	 * @param exchange the call
+	 * @param gate asked just before the first byte leaves
 	 * @param timeoutMillis longest silence of the server in milliseconds
 	 * @param callback told how the call ended
 	 * @return cancelling it closes the call's connection
 	 */
-	public <T> Future<T> execute(AsyncRequestProducer producer, AsyncResponseConsumer<T> consumer, long timeoutMillis,
-			FutureCallback<T> callback) {
-		HttpClientContext context = HttpClientContext.create();
-		context.setRequestConfig(RequestConfig.custom()
-			.setConnectionRequestTimeout(this.connectTimeout)
-			.setResponseTimeout(Timeout.ofMilliseconds(Math.max(1, timeoutMillis)))
-			.setHardCancellationEnabled(true)
-			.setExpectContinueEnabled(false)
-			.setProtocolUpgradeEnabled(false)
-			.build());
-		return this.client.execute(producer, consumer, null, context, callback);
+	public <T> Future<T> execute(Exchange<T> exchange, SendGate gate, long timeoutMillis, FutureCallback<T> callback) {
+		HttpClientContext context = context(timeoutMillis);
+		SendGateHandler.attach(gate, context);
+		return this.client.execute(exchange.producer(), exchange.consumer(), null, context, callback);
+	}
+
+	/**
+	 * Returns the host of an address.
+	 * @param address host and port
+	 * @return the host
+	 * @throws IllegalArgumentException if the address is malformed
+	 */
+	public static HttpHost host(String address) {
+		try {
+			return HttpHost.create("http://" + address);
+		}
+		catch (URISyntaxException ex) {
+			throw new IllegalArgumentException("Address " + address + " is malformed; publish host:port", ex);
+		}
 	}
 
 	/**
@@ -112,7 +124,20 @@
 		BasicAsyncEntityProducer entity = json
 			.map((text) -> new BasicAsyncEntityProducer(text, ContentType.APPLICATION_JSON))
 			.orElse(null);
-		execute(new BasicRequestProducer(request, entity), new ReplyConsumer(limitBytes), timeoutMillis, callback);
+		this.client.execute(new BasicRequestProducer(request, entity), new ReplyConsumer(limitBytes), null,
+				context(timeoutMillis), callback);
+	}
+
+	private HttpClientContext context(long timeoutMillis) {
+		HttpClientContext context = HttpClientContext.create();
+		context.setRequestConfig(RequestConfig.custom()
+			.setConnectionRequestTimeout(this.connectTimeout)
+			.setResponseTimeout(Timeout.ofMilliseconds(Math.max(1, timeoutMillis)))
+			.setHardCancellationEnabled(true)
+			.setExpectContinueEnabled(false)
+			.setProtocolUpgradeEnabled(false)
+			.build());
+		return context;
 	}
 
 	@Override
@@ -120,4 +145,14 @@
 		this.client.close(CloseMode.IMMEDIATE);
 	}
 
+	/**
+	 * The two halves of a call.
+	 *
+	 * @param <T> the result
+	 * @param producer sends the request
+	 * @param consumer takes the answer
+	 */
+	public record Exchange<T>(AsyncRequestProducer producer, AsyncResponseConsumer<T> consumer) {
+	}
+
 }
