--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/PrefixCache.java
@@ -0,0 +1,110 @@
+package io.mulberrylift.testkit.engine;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Cached prompt blocks with opaque keys. A block is pinned while a request or an export
+ * uses it and can be evicted, least recently used first, otherwise.
+ *
+ * <p>
+ * Invariant: {@code idle} holds exactly the blocks without pins. Not safe for use by
+ * several threads.
+ * </p>
+ */
+final class PrefixCache {
+
+	static final int BLOCK_TOKENS = 1_024;
+
+	private final CacheLog log;
+
+	private final Map<Long, Block> blocks = new HashMap<>();
+
+	private final LinkedHashMap<Long, Block> idle = new LinkedHashMap<>();
+
+	PrefixCache(CacheLog log) {
+		this.log = log;
+	}
+
+	/**
+	 * Returns how many of the leading keys are cached.
+	 * @param keys keys of a prompt's blocks
+	 * @return number of cached leading blocks
+	 */
+	int matchingBlocks(long[] keys) {
+		int count = 0;
+		while (count < keys.length && this.blocks.containsKey(keys[count])) {
+			count++;
+		}
+		return count;
+	}
+
+	/**
+	 * Pins a cached block, or adds a pinned one.
+	 * @param atMicros the time
+	 * @param key the block
+	 */
+	void pin(long atMicros, long key) {
+		Block block = this.blocks.get(key);
+		if (block == null) {
+			block = new Block();
+			this.blocks.put(key, block);
+			this.log.append(atMicros, key, true);
+		}
+		block.pins++;
+		this.idle.remove(key);
+	}
+
+	/**
+	 * Unpins the leading blocks. Later blocks are evicted before earlier ones.
+	 * @param keys keys of a prompt's blocks
+	 * @param count number of leading keys to unpin
+	 */
+	void unpin(long[] keys, int count) {
+		for (int i = count - 1; i >= 0; i--) {
+			Block block = this.blocks.get(keys[i]);
+			block.pins--;
+			if (block.pins == 0) {
+				this.idle.put(keys[i], block);
+			}
+		}
+	}
+
+	/**
+	 * Evicts the least recently used block without pins.
+	 * @param atMicros the time
+	 * @return false when there is none
+	 */
+	boolean evictOldest(long atMicros) {
+		Iterator<Long> keys = this.idle.keySet().iterator();
+		if (!keys.hasNext()) {
+			return false;
+		}
+		long key = keys.next();
+		keys.remove();
+		this.blocks.remove(key);
+		this.log.append(atMicros, key, false);
+		return true;
+	}
+
+	boolean contains(long key) {
+		return this.blocks.containsKey(key);
+	}
+
+	long totalTokens() {
+		return (long) this.blocks.size() * BLOCK_TOKENS;
+	}
+
+	long idleTokens() {
+		return (long) this.idle.size() * BLOCK_TOKENS;
+	}
+
+	private static final class Block {
+
+		private int pins;
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Sequence.java
@@ -0,0 +1,64 @@
+package io.mulberrylift.testkit.engine;
+
+import java.util.Comparator;
+
+/**
+ * State of one request in the model. Not safe for use by several threads.
+ */
+final class Sequence {
+
+	/** Order of the waiting queue and of prefill: priority, then arrival. */
+	static final Comparator<Sequence> ORDER = Comparator.comparingInt((Sequence sequence) -> -sequence.priority())
+		.thenComparingLong(Sequence::arrival);
+
+	private final EngineRequest request;
+
+	private final long arrival;
+
+	/** Number of leading blocks that this request has pinned. */
+	int pinnedBlocks;
+
+	/** Memory reserved outside of pinned blocks, in tokens. */
+	long reservedTokens;
+
+	/** Prompt tokens taken from the cache. */
+	int cachedTokens;
+
+	/** Tokens still to be processed before the first new token. */
+	int prefillLeftTokens;
+
+	/** Tokens of this request's prefill in the current step. */
+	int plannedPrefillTokens;
+
+	/** Number of answer tokens counted from offset 0. */
+	int position;
+
+	/** Whether the current step decodes a token for this request. */
+	boolean decoding;
+
+	Sequence(EngineRequest request, long arrival) {
+		this.request = request;
+		this.arrival = arrival;
+	}
+
+	EngineRequest request() {
+		return this.request;
+	}
+
+	int priority() {
+		return this.request.priority();
+	}
+
+	long arrival() {
+		return this.arrival;
+	}
+
+	boolean prefilling() {
+		return this.prefillLeftTokens > 0;
+	}
+
+	int members() {
+		return this.request.holds().map(HoldUse::members).orElse(1);
+	}
+
+}
