--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineModel.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineModel.java
@@ -1,9 +1,8 @@
 package io.mulberrylift.testkit.engine;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -22,9 +21,9 @@
  * {@code base + prefillTokens * prefillTime + decodingSequences * decodeTime}, so the gap
  * between tokens grows with the batch and with prefill in the same step. Waiting requests
  * join the batch between steps, by priority and then arrival; the first one that does not
- * fit the memory keeps the ones behind it waiting. A request reserves memory for its
- * whole prompt and answer when it joins, so nothing is preempted.
- * {@code docs/ENGINE_MODEL.md} has the details.
+ * fit the memory keeps the ones behind it waiting, except those that holds back. A
+ * request reserves memory for its whole prompt and answer when it joins, so nothing is
+ * preempted. {@code docs/ENGINE_MODEL.md} has the details.
  * </p>
  *
  * <p>
@@ -45,13 +44,13 @@
 
 	private final KvMemory memory;
 
+	private final RequestMemory requestMemory;
+
 	private final Map<Long, Sequence> sequences = new HashMap<>();
 
 	private final TreeSet<Sequence> waiting = new TreeSet<>(Sequence.ORDER);
 
-	private final TreeSet<Sequence> prefilling = new TreeSet<>(Sequence.ORDER);
-
-	private final List<Sequence> running = new ArrayList<>();
+	private final Batch batch;
 
 	private long nowMicros;
 
@@ -65,6 +64,8 @@
 
 	private long queuedPromptTokens;
 
+	private int waitingBacked;
+
 	private double slowFactor = 1;
 
 	/**
@@ -78,6 +79,8 @@
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.cacheLog = new CacheLog(settings.cacheLogEvents());
 		this.memory = new KvMemory(settings.memoryTokens(), new PrefixCache(this.cacheLog));
+		this.requestMemory = new RequestMemory(this.memory, settings.memoryTokens());
+		this.batch = new Batch(settings);
 	}
 
 	/**
@@ -134,13 +137,14 @@
 		if (this.sequences.containsKey(request.id())) {
 			return SubmitResult.DUPLICATE;
 		}
-		SubmitResult refusal = checkMemory(request);
+		SubmitResult refusal = this.requestMemory.claim(request);
 		if (refusal != SubmitResult.ACCEPTED) {
 			return refusal;
 		}
 		Sequence sequence = new Sequence(request, ++this.arrivals);
 		this.sequences.put(request.id(), sequence);
 		this.waiting.add(sequence);
+		this.waitingBacked += sequence.backed() ? 1 : 0;
 		this.queuedPromptTokens += request.promptTokens();
 		updateExpiry();
 		beginStepIfIdle();
@@ -269,7 +273,7 @@
 	 * @return number of requests
 	 */
 	public int runningRequests() {
-		return this.running.size();
+		return this.batch.size();
 	}
 
 	/**
@@ -301,123 +305,56 @@
 		this.slowFactor = factor;
 	}
 
-	private SubmitResult checkMemory(EngineRequest request) {
-		if (request.holds().isEmpty()) {
-			return (request.memoryTokens() <= this.settings.memoryTokens()) ? SubmitResult.ACCEPTED
-					: SubmitResult.TOO_LARGE;
-		}
-		HoldUse use = request.holds().get();
-		Optional<HoldState> own = this.memory.findHold(use.own());
-		if (own.isEmpty()) {
-			return SubmitResult.HOLD_MISSING;
-		}
-		if (own.get().tokens() + use.otherTokens() < request.memoryTokens()) {
-			return SubmitResult.TOO_LARGE;
-		}
-		return this.memory.beginUse(use.own()) ? SubmitResult.ACCEPTED : SubmitResult.HOLD_MISSING;
-	}
-
 	private void beginStepIfIdle() {
 		if (this.stepEndMicros != Long.MAX_VALUE) {
 			return;
 		}
 		admit();
-		if (this.running.isEmpty()) {
+		if (this.batch.isEmpty()) {
 			return;
 		}
-		long prefillMicros = planPrefill();
-		int decoding = planDecode();
-		double micros = this.settings.stepBaseMicros() + prefillMicros
-				+ (double) decoding * this.settings.decodeMicrosPerSequence();
+		double factor = this.slowFactor;
 		if (this.memory.lendsMemory()) {
-			micros *= 1 + (double) this.settings.lendingPercent() / PERCENT;
+			factor *= 1 + (double) this.settings.lendingPercent() / PERCENT;
 		}
-		this.stepDurationMicros = Math.max(1, Math.round(micros * this.slowFactor));
+		this.stepDurationMicros = Math.max(1, Math.round(this.batch.planStep() * factor));
 		this.stepEndMicros = this.nowMicros + this.stepDurationMicros;
 	}
 
 	private void admit() {
-		while (!this.waiting.isEmpty() && this.running.size() < this.settings.maxBatch()) {
-			Sequence next = this.waiting.first();
-			if (!takeMemory(next)) {
-				return;
+		boolean memoryShort = false;
+		Iterator<Sequence> iterator = this.waiting.iterator();
+		while (iterator.hasNext() && (!memoryShort || this.waitingBacked > 0)
+				&& this.batch.size() < this.settings.maxBatch()) {
+			Sequence next = iterator.next();
+			boolean backed = next.backed();
+			if ((!memoryShort || backed) && this.requestMemory.take(this.nowMicros, next)) {
+				iterator.remove();
+				this.waitingBacked -= backed ? 1 : 0;
+				join(next);
 			}
-			this.waiting.remove(next);
-			this.running.add(next);
-			next.position = next.request().resumeOffset();
-			int promptLeft = next.request().promptTokens() - next.cachedTokens;
-			this.queuedPromptTokens += promptLeft - next.request().promptTokens();
-			next.prefillLeftTokens = promptLeft + next.position;
-			this.queuedPromptTokens += next.position;
-			this.prefilling.add(next);
-			this.listener.admitted(this.nowMicros, next.request().id(), next.cachedTokens);
-		}
-	}
-
-	private boolean takeMemory(Sequence sequence) {
-		EngineRequest request = sequence.request();
-		long[] keys = request.prefixBlocks();
-		int usable = (request.promptTokens() - 1) / PrefixCache.BLOCK_TOKENS;
-		int blocks = Math.min(usable, this.memory.cache().matchingBlocks(keys));
-		pin(keys, 0, blocks);
-		if (request.holds().isEmpty()) {
-			long tokens = request.memoryTokens() - (long) blocks * PrefixCache.BLOCK_TOKENS;
-			if (!this.memory.reserve(this.nowMicros, tokens)) {
-				this.memory.cache().unpin(keys, blocks);
-				return false;
-			}
-			sequence.reservedTokens = tokens;
-			reportEvictions();
-		}
-		sequence.pinnedBlocks = blocks;
-		sequence.cachedTokens = blocks * PrefixCache.BLOCK_TOKENS;
-		return true;
-	}
-
-	private void pin(long[] keys, int from, int to) {
-		for (int i = from; i < to; i++) {
-			this.memory.cache().pin(this.nowMicros, keys[i]);
-		}
-	}
-
-	private long planPrefill() {
-		int chunkLeft = this.settings.prefillChunkTokens();
-		double micros = 0;
-		for (Sequence sequence : this.prefilling) {
-			if (chunkLeft == 0) {
-				break;
+			else {
+				memoryShort = true;
 			}
-			int tokens = Math.min(chunkLeft, sequence.prefillLeftTokens);
-			sequence.plannedPrefillTokens = tokens;
-			chunkLeft -= tokens;
-			double speed = 1 + (double) (sequence.members() - 1) * this.settings.gangGainPercent() / PERCENT;
-			micros += tokens * this.settings.prefillMicrosPerToken() / speed;
 		}
-		return Math.round(micros);
 	}
 
-	private int planDecode() {
-		int decoding = 0;
-		for (Sequence sequence : this.running) {
-			sequence.decoding = !sequence.prefilling();
-			if (sequence.decoding) {
-				decoding++;
-			}
-		}
-		return decoding;
+	private void join(Sequence sequence) {
+		sequence.position = sequence.request().resumeOffset();
+		sequence.prefillLeftTokens = sequence.request().promptTokens() - sequence.cachedTokens + sequence.position;
+		this.batch.add(sequence);
+		reportEvictions();
+		this.queuedPromptTokens += sequence.prefillLeftTokens - sequence.request().promptTokens();
+		this.listener.admitted(this.nowMicros, sequence.request().id(), sequence.cachedTokens);
 	}
 
 	private void endStep() {
 		this.stepEndMicros = Long.MAX_VALUE;
-		int prefillTokens = 0;
-		int decoding = 0;
-		for (int i = 0; i < this.running.size(); i++) {
-			Sequence sequence = this.running.get(i);
-			prefillTokens += sequence.plannedPrefillTokens;
-			decoding += sequence.decoding ? 1 : 0;
+		int prefillTokens = this.batch.plannedPrefillTokens();
+		int decoding = this.batch.decodingSequences();
+		for (Sequence sequence : this.batch.snapshot()) {
 			if (advance(sequence)) {
 				finish(sequence);
-				i--;
 			}
 		}
 		this.listener.stepped(this.nowMicros, this.stepDurationMicros, decoding, prefillTokens);
@@ -431,8 +368,8 @@
 			if (sequence.prefilling()) {
 				return false;
 			}
-			this.prefilling.remove(sequence);
-			shareBlocks(sequence);
+			this.batch.endPrefill(sequence);
+			this.requestMemory.share(this.nowMicros, sequence);
 		}
 		else if (!sequence.decoding) {
 			return false;
@@ -445,20 +382,6 @@
 		return sequence.position >= answerTokens;
 	}
 
-	private void shareBlocks(Sequence sequence) {
-		EngineRequest request = sequence.request();
-		if (request.holds().isPresent()) {
-			return;
-		}
-		long[] keys = request.prefixBlocks();
-		int whole = Math.min(keys.length, request.promptTokens() / PrefixCache.BLOCK_TOKENS);
-		long tokens = (long) (whole - sequence.pinnedBlocks) * PrefixCache.BLOCK_TOKENS;
-		pin(keys, sequence.pinnedBlocks, whole);
-		this.memory.unreserve(tokens);
-		sequence.reservedTokens -= tokens;
-		sequence.pinnedBlocks = whole;
-	}
-
 	private void finish(Sequence sequence) {
 		remove(sequence);
 		this.listener.ended(this.nowMicros, sequence.request().id(), sequence.cachedTokens,
@@ -469,16 +392,14 @@
 		EngineRequest request = sequence.request();
 		this.sequences.remove(request.id());
 		if (this.waiting.remove(sequence)) {
+			this.waitingBacked -= sequence.backed() ? 1 : 0;
 			this.queuedPromptTokens -= request.promptTokens();
 		}
 		else {
-			this.running.remove(sequence);
-			this.prefilling.remove(sequence);
+			this.batch.remove(sequence);
 			this.queuedPromptTokens -= sequence.prefillLeftTokens;
-			this.memory.unreserve(sequence.reservedTokens);
-			this.memory.cache().unpin(request.prefixBlocks(), sequence.pinnedBlocks);
 		}
-		request.holds().ifPresent((use) -> this.memory.endUse(use.own()));
+		this.requestMemory.free(sequence);
 		updateExpiry();
 	}
 
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Sequence.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Sequence.java
@@ -57,6 +57,10 @@
 		return this.prefillLeftTokens > 0;
 	}
 
+	boolean backed() {
+		return this.request.holds().isPresent();
+	}
+
 	int members() {
 		return this.request.holds().map(HoldUse::members).orElse(1);
 	}
