--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/FakeReducer.java
@@ -0,0 +1,44 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+import io.mulberrylift.core.event.Event;
+import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.core.time.Moment;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import io.mulberrylift.daemon.exchange.ExchangeTable;
+import io.mulberrylift.daemon.loop.EventSink;
+
+/**
+ * Plays the reducer: keeps the events and lets a test act on each arrival.
+ */
+final class FakeReducer implements EventSink {
+
+	final List<Event> events = new CopyOnWriteArrayList<>();
+
+	private final ExchangeTable exchanges;
+
+	volatile Consumer<CallerExchange> onArrived = (exchange) -> {
+	};
+
+	FakeReducer(ExchangeTable exchanges) {
+		this.exchanges = exchanges;
+	}
+
+	@Override
+	public void submit(Function<Moment, Event> event) {
+		Event made = event.apply(new Moment(0, 0));
+		this.events.add(made);
+		if (made instanceof RequestEvent.Arrived arrived) {
+			this.onArrived.accept(this.exchanges.find(arrived.spec().requestId()).orElseThrow());
+		}
+	}
+
+	long count(Class<? extends Event> type) {
+		return this.events.stream().filter(type::isInstance).count();
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the HTTP interface towards callers.
+ */
+package io.mulberrylift.daemon.caller;
