Add the connections between instances

Framed MessagePack over TCP; a frame is checked for its structure before it is bound, because the codec allocates by the lengths that a frame claims. Incoming sides acknowledge, so that a connection that a partition silenced is replaced without waiting for TCP's timeouts. The first frame also names the sender's address: an instance must be answered before the lagging list shows it.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LoadReader.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LoadReader.java
@@ -17,7 +17,6 @@
 import io.mulberrylift.daemon.outbound.HttpReply;
 import io.mulberrylift.daemon.outbound.OutboundHttpClient;
 import io.mulberrylift.daemon.outbound.ReplyCallback;
-import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.core5.http.Method;
 import org.apache.hc.core5.http.message.BasicHttpRequest;
 
@@ -62,7 +61,7 @@
 		this.client.call(request, Optional.empty(), MAX_REPLY_BYTES, TIMEOUT_MILLIS,
 				new ReplyCallback<>((reply) -> answered(id, reply), (ex) -> {
 					this.outstanding.remove(id);
-					unreachable(id, ex instanceof ConnectException && !(ex instanceof ConnectTimeoutException));
+					unreachable(id, ex instanceof ConnectException);
 				}));
 	}
 
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerDirectory.java
@@ -0,0 +1,66 @@
+package io.mulberrylift.daemon.peer;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.Collectors;
+
+import io.mulberrylift.core.model.FleetList;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+
+/**
+ * Where other instances listen.
+ *
+ * <p>
+ * Safe for use by several threads. The published address goes before the one that an
+ * instance named on its own connection; the latter lets an instance be answered before
+ * the list shows it.
+ * </p>
+ */
+public final class PeerDirectory {
+
+	private final ConcurrentMap<InstanceId, String> connected = new ConcurrentHashMap<>();
+
+	private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+	private volatile Map<InstanceId, String> published = Map.of();
+
+	/**
+	 * Replaces the published content by a list.
+	 * @param list the list
+	 */
+	public void update(FleetList list) {
+		this.published = list.instances()
+			.stream()
+			.collect(Collectors.toUnmodifiableMap(InstanceDescription::id, InstanceDescription::address,
+					(first, second) -> second));
+		this.listeners.forEach(Runnable::run);
+	}
+
+	/**
+	 * Returns where an instance listens.
+	 * @param instance the instance
+	 * @return host and port, empty when it is not known
+	 */
+	public Optional<String> find(InstanceId instance) {
+		String address = this.published.get(instance);
+		return Optional.ofNullable((address != null) ? address : this.connected.get(instance));
+	}
+
+	void addListener(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
+	void connected(InstanceId instance, String address) {
+		this.connected.put(instance, address);
+	}
+
+	void disconnected(InstanceId instance, String address) {
+		this.connected.remove(instance, address);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerLink.java
@@ -0,0 +1,209 @@
+package io.mulberrylift.daemon.peer;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.peer.PeerMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The outgoing connection to one instance.
+ *
+ * <p>
+ * All state belongs to one thread of the event loop group; methods may be called on any
+ * thread. There is at most one connection at a time, made on demand and replaced after a
+ * backoff while frames wait.
+ * </p>
+ */
+final class PeerLink {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(PeerLink.class);
+
+	private final InstanceId peer;
+
+	private final PeerLinkContext context;
+
+	private final EventLoop loop;
+
+	private final OutgoingQueue queue;
+
+	private Channel channel;
+
+	private boolean connecting;
+
+	private boolean ready;
+
+	private boolean closed;
+
+	private boolean dropLogged;
+
+	private long backoffMillis;
+
+	PeerLink(InstanceId peer, PeerLinkContext context) {
+		this.peer = peer;
+		this.context = context;
+		this.loop = context.shared().group().next();
+		this.queue = new OutgoingQueue(context.settings().queueBytes());
+		this.backoffMillis = context.settings().firstBackoffMillis();
+	}
+
+	void send(PeerMessage message) {
+		this.loop.execute(() -> enqueue(message));
+	}
+
+	private void enqueue(PeerMessage message) {
+		if (this.closed) {
+			return;
+		}
+		PeerMessageKind kind = PeerMessageKind.of(message);
+		byte[] body = PeerCodec.encode(message);
+		if (body.length >= PeerFrames.MAX_FRAME_BYTES) {
+			LOGGER.warn("peer: {} of {} bytes to {} is too large and was dropped", kind.label(), body.length,
+					this.peer);
+			this.context.metrics().dropped(1);
+			return;
+		}
+		countDropped(this.queue.add(new OutgoingQueue.OutgoingFrame(kind, body)));
+		connectIfNeeded();
+		flush();
+	}
+
+	private void countDropped(int dropped) {
+		if (dropped == 0) {
+			return;
+		}
+		this.context.metrics().dropped(dropped);
+		if (!this.dropLogged) {
+			this.dropLogged = true;
+			LOGGER.warn("peer: queue to {} is full; dropping messages until it is reachable", this.peer);
+		}
+	}
+
+	private void connectIfNeeded() {
+		if (this.closed || this.channel != null || this.connecting || this.queue.isEmpty()) {
+			return;
+		}
+		this.connecting = true;
+		Optional<InetSocketAddress> address = this.context.shared()
+			.directory()
+			.find(this.peer)
+			.flatMap(PeerAddress::parse);
+		if (address.isEmpty() || this.context.shared().cuts().isCut(this.peer)) {
+			retryLater("no address or cut off");
+			return;
+		}
+		connect(address.get());
+	}
+
+	private void connect(InetSocketAddress address) {
+		ChannelFuture future = new Bootstrap().group(this.loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, this.context.settings().connectTimeoutMillis())
+			.handler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel socket) {
+					PeerFrames.setUp(socket, PeerLink.this.context.tls(),
+							new OutgoingHandler(PeerLink.this, PeerLink.this.context));
+				}
+			})
+			.connect(address);
+		this.channel = future.channel();
+		this.channel.closeFuture().addListener((closing) -> connectionClosed());
+	}
+
+	/**
+	 * Takes the other side's first frame. Called on the link's thread.
+	 * @param hello the first frame
+	 */
+	void greeted(Hello hello) {
+		this.ready = true;
+		this.connecting = false;
+		this.backoffMillis = this.context.settings().firstBackoffMillis();
+		this.dropLogged = false;
+		LOGGER.info("peer: connected to {} incarnation {}", this.peer, hello.incarnation());
+		flush();
+	}
+
+	/**
+	 * Writes what the connection takes. Called on the link's thread.
+	 */
+	void flush() {
+		if (!this.ready) {
+			return;
+		}
+		boolean written = false;
+		while (this.channel.isWritable() && !this.queue.isEmpty()) {
+			OutgoingQueue.OutgoingFrame frame = this.queue.poll();
+			this.channel.write(PeerFrames.frame(frame.body()));
+			this.context.metrics().sent(frame.kind(), frame.body().length + PeerFrames.OVERHEAD_BYTES);
+			written = true;
+		}
+		if (written) {
+			this.channel.pipeline().get(OutgoingHandler.class).written();
+			this.channel.flush();
+		}
+	}
+
+	private void connectionClosed() {
+		boolean wasReady = this.ready;
+		this.channel = null;
+		this.ready = false;
+		if (this.closed) {
+			return;
+		}
+		this.connecting = true;
+		retryLater((wasReady) ? "connection closed" : "could not connect");
+	}
+
+	private void retryLater(String reason) {
+		long delayMillis = this.backoffMillis / 2 + this.context.jitterMillis(this.backoffMillis);
+		if (this.backoffMillis == this.context.settings().firstBackoffMillis()) {
+			LOGGER.info("peer: {} to {}; reconnecting in {} ms", reason, this.peer, delayMillis);
+		}
+		this.backoffMillis = Math.min(this.context.settings().maxBackoffMillis(), 2 * this.backoffMillis);
+		this.loop.schedule(() -> {
+			this.connecting = false;
+			connectIfNeeded();
+		}, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Closes the connection when the instance is cut off.
+	 */
+	void checkCut() {
+		this.loop.execute(() -> {
+			if (this.channel != null && this.context.shared().cuts().isCut(this.peer)) {
+				this.channel.close();
+			}
+		});
+	}
+
+	/**
+	 * Closes the link for good.
+	 */
+	void close() {
+		this.loop.execute(() -> {
+			this.closed = true;
+			if (this.channel != null) {
+				this.channel.close();
+			}
+		});
+	}
+
+	InstanceId peer() {
+		return this.peer;
+	}
+
+}
