--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/FleetView.java
@@ -0,0 +1,44 @@
+package io.mulberrylift.daemon.instance;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+
+import io.mulberrylift.core.configuration.FleetConfiguration;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.daemon.endpoint.EndpointDirectory;
+import io.mulberrylift.daemon.loop.FleetListener;
+import io.mulberrylift.daemon.peer.PeerDirectory;
+
+/**
+ * Passes changes of configuration and list on to the adapters.
+ *
+ * <p>
+ * Safe for use by several threads.
+ * </p>
+ */
+final class FleetView implements FleetListener, Supplier<Optional<FleetConfiguration>> {
+
+	private final EndpointDirectory endpoints;
+
+	private final PeerDirectory peers;
+
+	private volatile FleetConfiguration configuration;
+
+	FleetView(EndpointDirectory endpoints, PeerDirectory peers) {
+		this.endpoints = endpoints;
+		this.peers = peers;
+	}
+
+	@Override
+	public void changed(FleetState fleet) {
+		this.endpoints.update(fleet.list());
+		this.peers.update(fleet.list());
+		fleet.configuration().ifPresent((changed) -> this.configuration = changed);
+	}
+
+	@Override
+	public Optional<FleetConfiguration> get() {
+		return Optional.ofNullable(this.configuration);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
@@ -0,0 +1,210 @@
+package io.mulberrylift.daemon.instance;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.security.SecureRandom;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import io.mulberrylift.core.Reducer;
+import io.mulberrylift.core.fleet.InstanceIdentity;
+import io.mulberrylift.daemon.caller.CallerGateway;
+import io.mulberrylift.daemon.caller.CallerServlet;
+import io.mulberrylift.daemon.caller.HttpServer;
+import io.mulberrylift.daemon.caller.OpenCalls;
+import io.mulberrylift.daemon.caller.RequestEffectHandler;
+import io.mulberrylift.daemon.endpoint.AttemptCanceller;
+import io.mulberrylift.daemon.endpoint.AttemptHandler;
+import io.mulberrylift.daemon.endpoint.EndpointDirectory;
+import io.mulberrylift.daemon.endpoint.EndpointHandler;
+import io.mulberrylift.daemon.exchange.ExchangeTable;
+import io.mulberrylift.daemon.loop.EffectRouter;
+import io.mulberrylift.daemon.loop.EventLoop;
+import io.mulberrylift.daemon.loop.MomentClock;
+import io.mulberrylift.daemon.metrics.CallerMetrics;
+import io.mulberrylift.daemon.outbound.HttpClientSettings;
+import io.mulberrylift.daemon.outbound.OutboundHttpClient;
+import io.mulberrylift.daemon.peer.Hello;
+import io.mulberrylift.daemon.peer.PeerCuts;
+import io.mulberrylift.daemon.peer.PeerDirectory;
+import io.mulberrylift.daemon.peer.PeerLinkSettings;
+import io.mulberrylift.daemon.peer.PeerLinks;
+import io.mulberrylift.daemon.peer.PeerReceiver;
+import io.mulberrylift.daemon.peer.PeerServer;
+import io.mulberrylift.daemon.peer.PeerShared;
+import io.mulberrylift.daemon.platform.PlatformHandler;
+import io.mulberrylift.daemon.platform.PlatformSettings;
+import io.mulberrylift.daemon.platform.ReadBudget;
+import io.mulberrylift.daemon.settings.InstanceSettings;
+import io.mulberrylift.daemon.settings.PublishedConfigurationParser;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * Binds the objects of one instance.
+ */
+final class InstanceModule extends AbstractModule {
+
+	private static final int INCARNATION_RANDOM_BITS = 10;
+
+	private static final double PLATFORM_READS_PER_SECOND = 4;
+
+	private static final int PLATFORM_READ_BURST = 8;
+
+	private static final long PLATFORM_TIMEOUT_MILLIS = 2_000;
+
+	private static final int PEER_THREADS = 1;
+
+	private final InstanceSettings settings;
+
+	InstanceModule(InstanceSettings settings) {
+		this.settings = settings;
+	}
+
+	@Override
+	protected void configure() {
+		bind(InstanceSettings.class).toInstance(this.settings);
+		bind(MetricRegistry.class).toInstance(new MetricRegistry());
+		bind(MomentClock.class).toInstance(new MomentClock());
+		bind(ExchangeTable.class).toInstance(new ExchangeTable());
+		bind(EndpointDirectory.class).toInstance(new EndpointDirectory());
+		bind(PeerDirectory.class).toInstance(new PeerDirectory());
+		bind(PeerCuts.class).toInstance(new PeerCuts());
+	}
+
+	@Provides
+	@Singleton
+	InstanceIdentity identity() {
+		int random = new SecureRandom().nextInt(1 << INCARNATION_RANDOM_BITS);
+		long incarnation = (System.currentTimeMillis() << INCARNATION_RANDOM_BITS) | random;
+		return new InstanceIdentity(this.settings.instanceId(), this.settings.zone(), incarnation);
+	}
+
+	@Provides
+	@Singleton
+	ScheduledExecutorService timer() {
+		return Executors.newScheduledThreadPool(1, (task) -> {
+			Thread thread = new Thread(task, "mulberrylift-timer");
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	@Provides
+	@Singleton
+	FleetView fleetView(EndpointDirectory endpoints, PeerDirectory peers) {
+		return new FleetView(endpoints, peers);
+	}
+
+	@Provides
+	@Singleton
+	EventLoop eventLoop(InstanceIdentity identity, MomentClock clock, FleetView view) {
+		return new EventLoop(new Reducer(identity, identity.incarnation()), clock, view);
+	}
+
+	@Provides
+	@Singleton
+	ControlHandler controlHandler(MetricRegistry metrics) {
+		return new ControlHandler(metrics);
+	}
+
+	@Provides
+	@Singleton
+	CallerMetrics callerMetrics(MetricRegistry metrics) {
+		return new CallerMetrics(metrics);
+	}
+
+	@Provides
+	@Singleton
+	OpenCalls openCalls() {
+		return new OpenCalls(this.settings.limits().maxConcurrentCallers(), this.settings.limits().maxTotalBodyBytes());
+	}
+
+	@Provides
+	@Singleton
+	HttpServer httpServer(ExchangeTable exchanges, EventLoop loop, FleetView view, CallerMetrics callerMetrics,
+			MetricRegistry metrics, OpenCalls openCalls, ScheduledExecutorService timer) {
+		CallerGateway gateway = new CallerGateway(exchanges, loop, view, callerMetrics, InstantSource.system());
+		CallerServlet servlet = new CallerServlet(gateway, openCalls, this.settings.limits().maxBodyBytes(),
+				this.settings.limits().bodyTimeoutMillis(), timer);
+		return new HttpServer(this.settings, metrics, servlet, (environment) -> {
+		});
+	}
+
+	@Provides
+	@Singleton
+	OutboundClients outboundClients() {
+		return new OutboundClients(new OutboundHttpClient(HttpClientSettings.forRequests(this.settings.zone())),
+				new OutboundHttpClient(HttpClientSettings.forControl(this.settings.zone())));
+	}
+
+	@Provides
+	@Singleton
+	AttemptCanceller attemptCanceller(EndpointDirectory directory, OutboundClients clients,
+			ScheduledExecutorService timer, InstanceIdentity identity) {
+		return new AttemptCanceller(directory, clients.control(), timer, new SplittableRandom(identity.incarnation()));
+	}
+
+	@Provides
+	@Singleton
+	PlatformHandler platformHandler(OutboundClients clients, MomentClock clock, EventLoop loop) {
+		String address = URI.create(this.settings.platform().baseUrl()).getAuthority();
+		PlatformSettings platform = new PlatformSettings(address, address, PLATFORM_TIMEOUT_MILLIS);
+		ReadBudget budget = new ReadBudget(PLATFORM_READS_PER_SECOND, PLATFORM_READ_BURST, clock::monotonicMillis);
+		return new PlatformHandler(platform, clients.control(), budget, PublishedConfigurationParser::check, loop);
+	}
+
+	@Provides
+	@Singleton
+	EventLoopGroup peerThreads() {
+		return new MultiThreadIoEventLoopGroup(PEER_THREADS, NioIoHandler.newFactory());
+	}
+
+	@Provides
+	@Singleton
+	PeerShared peerShared(InstanceIdentity identity, PeerDirectory directory, PeerCuts cuts, EventLoopGroup threads) {
+		return new PeerShared(Hello.of(identity.id(), identity.incarnation(), identity.zone(),
+				this.settings.peers().host() + ":" + this.settings.peers().port()), directory, cuts, threads);
+	}
+
+	@Provides
+	@Singleton
+	PeerReceiver peerReceiver(EventLoop loop) {
+		return new PeerReceiver(PublishedConfigurationParser::check, loop);
+	}
+
+	@Provides
+	@Singleton
+	PeerServer peerServer(PeerShared shared, PeerReceiver receiver) {
+		InetSocketAddress address = new InetSocketAddress(this.settings.peers().host(), this.settings.peers().port());
+		return new PeerServer(address, shared, receiver, Optional.empty());
+	}
+
+	@Provides
+	@Singleton
+	PeerLinks peerLinks(PeerShared shared, PeerReceiver receiver, MetricRegistry metrics, InstanceIdentity identity) {
+		return new PeerLinks(shared, PeerLinkSettings.DEFAULTS, receiver, metrics,
+				new SplittableRandom(identity.incarnation()), Optional.empty());
+	}
+
+	@Provides
+	@Singleton
+	EffectRouter effectRouter(ExchangeTable exchanges, CallerMetrics callerMetrics, InstanceIdentity identity,
+			EndpointDirectory directory, OutboundClients clients, AttemptCanceller canceller, EventLoop loop,
+			MomentClock clock, PlatformHandler platform, PeerLinks peers, ControlHandler control) {
+		AttemptHandler attempts = new AttemptHandler(
+				new io.mulberrylift.daemon.endpoint.InstanceIdentity(identity.id(), identity.incarnation()), directory,
+				exchanges, clients.requests(), canceller, loop, loop, clock::monotonicMillis);
+		return new EffectRouter(new RequestEffectHandler(exchanges, callerMetrics), attempts,
+				new EndpointHandler(directory, clients.control(), loop), platform, peers, control);
+	}
+
+}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/loop/EventLoop.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/loop/EventLoop.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.daemon.loop;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -12,7 +13,10 @@
 import io.mulberrylift.core.effect.Effect;
 import io.mulberrylift.core.event.ControlEvent;
 import io.mulberrylift.core.event.Event;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.model.FleetList;
 import io.mulberrylift.core.time.Moment;
+import io.mulberrylift.daemon.endpoint.AttemptProgress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,7 +29,7 @@
  * exception in one event or effect is logged and does not stop the loop.
  * </p>
  */
-public final class EventLoop implements EventSink, AutoCloseable {
+public final class EventLoop implements EventSink, AttemptProgress, AutoCloseable {
 
 	private static final Logger logger = LoggerFactory.getLogger(EventLoop.class);
 
@@ -39,16 +43,24 @@
 
 	private final Thread thread;
 
+	private final FleetListener fleetListener;
+
 	private volatile EffectHandler<Effect> handler;
 
+	private FleetList announcedList = FleetList.EMPTY;
+
+	private long announcedConfigurationVersion;
+
 	private volatile boolean stopped;
 
 	/**
 	 * Creates a loop that is not running yet.
 	 * @param reducer the reducer, touched by no one else from now on
 	 * @param clock the clock
+	 * @param fleetListener learns of changes of configuration and list
 	 */
-	public EventLoop(Reducer reducer, MomentClock clock) {
+	public EventLoop(Reducer reducer, MomentClock clock, FleetListener fleetListener) {
+		this.fleetListener = Objects.requireNonNull(fleetListener, "fleetListener");
 		this.reducer = Objects.requireNonNull(reducer, "reducer");
 		this.clock = Objects.requireNonNull(clock, "clock");
 		this.thread = new Thread(this::run, "mulberrylift-loop");
@@ -68,6 +80,11 @@
 		this.tasks.add((loop) -> loop.reduce(event.apply(loop.clock.now())));
 	}
 
+	@Override
+	public void advanced(long attemptId, int acceptedTokens) {
+		this.tasks.add((loop) -> loop.reducer.advance(attemptId, acceptedTokens));
+	}
+
 	/**
 	 * Reads from the reducer on the loop's thread.
 	 * @param <T> the type of the result
@@ -113,8 +130,17 @@
 	}
 
 	private void reduce(Event event) {
-		for (Effect effect : this.reducer.reduce(event)) {
-			carryOut(effect);
+		List<Effect> effects = this.reducer.reduce(event);
+		announceFleet();
+		effects.forEach(this::carryOut);
+	}
+
+	private void announceFleet() {
+		FleetState fleet = this.reducer.fleet();
+		if (fleet.list() != this.announcedList || fleet.configurationVersion() != this.announcedConfigurationVersion) {
+			this.announcedList = fleet.list();
+			this.announcedConfigurationVersion = fleet.configurationVersion();
+			this.fleetListener.changed(fleet);
 		}
 	}
 
