Add operators' resources, settings, logs, metrics and the command line

Operators' resources are a Jersey filter before Dropwizard's own pages, so that both share one port. Calls to services are refused when their path could be read as another one, since the path decides whether a call may run more than once.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/HttpServer.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/HttpServer.java
@@ -50,9 +50,10 @@
 	 * @param settings where to listen, and limits
 	 * @param metrics where the server counts
 	 * @param callers serves callers
-	 * @param setup adds resources for callers and operators
+	 * @param setups add resources for callers and operators
 	 */
-	public HttpServer(InstanceSettings settings, MetricRegistry metrics, CallerServlet callers, HttpSetup setup) {
+	public HttpServer(InstanceSettings settings, MetricRegistry metrics, CallerServlet callers,
+			List<HttpSetup> setups) {
 		this.settings = settings;
 		Environment environment = new Environment("mulberrylift", Jackson.newObjectMapper(),
 				Validation.buildDefaultValidatorFactory(), metrics, HttpServer.class.getClassLoader(),
@@ -60,7 +61,7 @@
 		ServletRegistration.Dynamic registration = environment.servlets().addServlet("callers", callers);
 		registration.setAsyncSupported(true);
 		registration.addMapping(CallerRoute.COMPLETION_PATH, CallerRoute.CHAT_PATH, ServicePath.PREFIX + "*");
-		setup.configure(environment);
+		setups.forEach((setup) -> setup.configure(environment));
 		this.server = factory().build(environment);
 	}
 
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/DocumentKind.java
@@ -0,0 +1,47 @@
+package io.mulberrylift.daemon.cli;
+
+import java.util.List;
+
+import io.mulberrylift.core.configuration.ConfigurationCheck;
+import io.mulberrylift.core.configuration.ConfigurationProblem;
+import io.mulberrylift.core.configuration.PublishedDocument;
+import io.mulberrylift.daemon.settings.InstanceSettings;
+import io.mulberrylift.daemon.settings.InstanceSettingsReader;
+import io.mulberrylift.daemon.settings.PublishedConfigurationParser;
+import io.mulberrylift.daemon.settings.SettingsCheck;
+
+/**
+ * Kinds of files that can be checked.
+ */
+enum DocumentKind {
+
+	/** A published configuration. */
+	FLEET {
+
+		@Override
+		List<ConfigurationProblem> problems(String text) {
+			ConfigurationCheck check = PublishedConfigurationParser.check(new PublishedDocument(0, text));
+			return (check instanceof ConfigurationCheck.Rejected rejected) ? rejected.problems() : List.of();
+		}
+
+	},
+
+	/** Settings of an instance. */
+	INSTANCE {
+
+		@Override
+		List<ConfigurationProblem> problems(String text) {
+			SettingsCheck<InstanceSettings> check = InstanceSettingsReader.read(text);
+			return (check instanceof SettingsCheck.Invalid<InstanceSettings> invalid) ? invalid.problems() : List.of();
+		}
+
+	};
+
+	/**
+	 * Checks a file's content.
+	 * @param text the content
+	 * @return all that is wrong with it, empty when it is valid
+	 */
+	abstract List<ConfigurationProblem> problems(String text);
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/Mulberrylift.java
@@ -0,0 +1,58 @@
+package io.mulberrylift.daemon.cli;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.IFactory;
+
+/**
+ * The command line.
+ *
+ * <p>
+ * Not safe for use by several threads.
+ * </p>
+ */
+@Command(name = "mulberrylift", description = "Serves language-model work that carries deadlines.",
+		mixinStandardHelpOptions = true, versionProvider = VersionProvider.class,
+		subcommands = { ServeCommand.class, CheckCommand.class, StateCommand.class, VersionCommand.class },
+		exitCodeListHeading = "%nExit codes:%n",
+		exitCodeList = { "0:The command did what it was asked.",
+				"1:A fault, such as a file that cannot be read or a process that does not answer.",
+				"2:The command line is wrong.", "3:A file that was read is not valid." })
+public final class Mulberrylift implements Runnable {
+
+	@CommandLine.Spec
+	private CommandLine.Model.CommandSpec spec;
+
+	/**
+	 * Creates the command line.
+	 * @param starter runs instances
+	 * @return the command line
+	 */
+	public static CommandLine commandLine(DaemonStarter starter) {
+		CommandLine commandLine = new CommandLine(new Mulberrylift(), factory(starter));
+		commandLine.setCaseInsensitiveEnumValuesAllowed(true);
+		commandLine.setExecutionExceptionHandler((ex, failed, result) -> {
+			failed.getErr().println("mulberrylift: " + failed.getCommandName() + " failed: " + ex.getMessage());
+			return ExitCode.FAULT;
+		});
+		return commandLine;
+	}
+
+	@Override
+	public void run() {
+		throw new CommandLine.ParameterException(this.spec.commandLine(), "Name a command");
+	}
+
+	private static IFactory factory(DaemonStarter starter) {
+		IFactory fallback = CommandLine.defaultFactory();
+		return new IFactory() {
+
+			@Override
+			public <K> K create(Class<K> type) throws Exception {
+				return (type == ServeCommand.class) ? type.cast(new ServeCommand(starter)) : fallback.create(type);
+			}
+
+		};
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/ServeCommand.java
@@ -0,0 +1,59 @@
+package io.mulberrylift.daemon.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+
+import ch.qos.logback.classic.LoggerContext;
+import io.mulberrylift.daemon.logging.LogSetup;
+import io.mulberrylift.daemon.settings.InstanceSettings;
+import io.mulberrylift.daemon.settings.InstanceSettingsReader;
+import io.mulberrylift.daemon.settings.SettingsCheck;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Runs an instance until it is asked to shut down.
+ *
+ * <p>
+ * Not safe for use by several threads.
+ * </p>
+ */
+@Command(name = "serve", description = "Runs an instance until it is asked to shut down.",
+		mixinStandardHelpOptions = true, versionProvider = VersionProvider.class)
+final class ServeCommand implements Callable<Integer> {
+
+	private final DaemonStarter starter;
+
+	@Option(names = "--settings", required = true, paramLabel = "FILE", description = "Settings of the instance.")
+	private Path settingsFile;
+
+	@Spec
+	private CommandLine.Model.CommandSpec spec;
+
+	/**
+	 * Creates the command.
+	 * @param starter runs the instance
+	 */
+	ServeCommand(DaemonStarter starter) {
+		this.starter = starter;
+	}
+
+	@Override
+	public Integer call() throws Exception {
+		SettingsCheck<InstanceSettings> check = InstanceSettingsReader.read(Files.readString(this.settingsFile));
+		if (check instanceof SettingsCheck.Invalid<InstanceSettings> invalid) {
+			FileReports.print(this.spec.commandLine().getErr(), this.settingsFile, invalid.problems());
+			return ExitCode.INVALID_FILE;
+		}
+		InstanceSettings settings = ((SettingsCheck.Valid<InstanceSettings>) check).value();
+		LogSetup.configure((LoggerContext) LoggerFactory.getILoggerFactory(), settings.log(), System.out);
+		LogSetup.takeJdkLines();
+		this.starter.run(settings);
+		return ExitCode.OK;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CheckTests.java
@@ -0,0 +1,129 @@
+package io.mulberrylift.daemon.caller;
+
+import java.io.ByteArrayInputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+
+import io.mulberrylift.core.effect.RequestEffect;
+import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.core.model.IdempotencyKey;
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the checks before a request reaches the reducer.
+ */
+class CheckTests {
+
+	private static final String V7_KEY = "01890A5D-AC96-774B-BCCE-B302099A8057";
+
+	private static final String BODY = "{\"model\":\"outlook\",\"prompt\":\"Ice?\"}";
+
+	private static TestServer server;
+
+	@BeforeAll
+	static void start() throws Exception {
+		server = new TestServer("\"maxBodyBytes\": 4096, \"bodyTimeoutMillis\": 60000");
+	}
+
+	@AfterAll
+	static void stop() throws Exception {
+		server.close();
+	}
+
+	@BeforeEach
+	void refuseAll() {
+		server.reducer.events.clear();
+		server.reducer.onArrived = (exchange) -> server.effects.handle(new RequestEffect.Refuse(
+				exchange.spec().requestId(), Refusal.of(Outcome.NOT_RUN, RefusalReason.OVERLOADED, "")));
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', quoteCharacter = '`',
+			value = { "{ | bad-request", "{\"model\":\"outlook\",\"prompt\":7} | bad-request",
+					"{\"model\":\"outlook\",\"prompt\":\"\"} | bad-request",
+					"{\"model\":\"outlook\",\"prompt\":\"a\",\"max_tokens\":0} | bad-request",
+					"{\"model\":\"outlook\",\"prompt\":\"a\",\"max_tokens\":4097} | bad-request",
+					"{\"model\":\"outlook\",\"prompt\":\"a\",\"n\":2} | bad-request",
+					"{\"model\":\"outlook\",\"prompt\":\"a\",\"stop\":\"b\"} | bad-request",
+					"{\"model\":\"outlook\",\"prompt\":\"a\",\"stream\":\"yes\"} | bad-request",
+					"{\"model\":\"other\",\"prompt\":\"a\"} | unknown-target" })
+	void faultyBodiesDoNotReachTheReducer(String body, String reason) throws Exception {
+		assertRefused(server.post("/v1/completions", body), reason);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "Mulberrylift-Profile,other,unknown-profile", "Mulberrylift-Workspace,other,unknown-workspace",
+			"Mulberrylift-Workspace,locked,unauthorized", "Mulberrylift-Deadline-Millis,0,bad-request",
+			"Mulberrylift-Deadline-Millis,60001,bad-request", "Mulberrylift-Deadline-Millis,soon,bad-request",
+			"Mulberrylift-Profile,alert,key-required" })
+	void faultyHeadersDoNotReachTheReducer(String name, String value, String reason) throws Exception {
+		assertRefused(server.send(completion().setHeader(name, value)), reason);
+	}
+
+	@Test
+	void credentialOpensItsWorkspace() throws Exception {
+		HttpRequest.Builder request = completion().setHeader(CallerHeaders.WORKSPACE, "locked");
+		assertRefused(server.send(request.setHeader(CallerHeaders.AUTHORIZATION, "Bearer wrong")), "unauthorized");
+		server.send(request.setHeader(CallerHeaders.AUTHORIZATION, "Bearer gate-secret"));
+		assertThat(server.reducer.events).hasSize(1);
+	}
+
+	@Test
+	void uuidOfVersionSevenCarriesItsTime() throws Exception {
+		server.send(alert().setHeader(CallerHeaders.KEY, V7_KEY));
+		assertThat(arrivedKey()).isEqualTo(new IdempotencyKey("01890a5d-ac96-774b-bcce-b302099a8057", 0x01890a5dac96L));
+	}
+
+	@Test
+	void opaqueKeyNeedsTheTimeOfItsFirstSend() throws Exception {
+		assertRefused(server.send(alert().setHeader(CallerHeaders.KEY, "ticket-1")), "key-required");
+		server.send(alert().setHeader(CallerHeaders.KEY, "ticket-1").setHeader(CallerHeaders.FIRST_SENT, "1234"));
+		assertThat(arrivedKey()).isEqualTo(new IdempotencyKey("ticket-1", 1_234));
+	}
+
+	@Test
+	void announcedBodyOverTheLimitIsRefused() throws Exception {
+		assertRefused(server.post("/v1/completions", "x".repeat(4_097)), "body-too-large");
+	}
+
+	@Test
+	void chunkedBodyOverTheLimitIsRefused() throws Exception {
+		byte[] body = new byte[4_097];
+		HttpRequest.Builder request = server.request("/v1/completions")
+			.POST(HttpRequest.BodyPublishers.ofInputStream(() -> new ByteArrayInputStream(body)));
+		assertRefused(server.send(request), "body-too-large");
+	}
+
+	@Test
+	void unsupportedMethodIsRefused() throws Exception {
+		assertRefused(server.send(server.request("/v1/completions").GET()), "bad-request");
+	}
+
+	private static HttpRequest.Builder completion() {
+		return server.request("/v1/completions").POST(HttpRequest.BodyPublishers.ofString(BODY));
+	}
+
+	private static HttpRequest.Builder alert() {
+		return completion().setHeader(CallerHeaders.PROFILE, "alert");
+	}
+
+	private static IdempotencyKey arrivedKey() {
+		return ((RequestEvent.Arrived) server.reducer.events.get(0)).spec().key().orElseThrow();
+	}
+
+	private static void assertRefused(HttpResponse<String> response, String reason) {
+		assertThat(response.body()).contains("\"reason\":\"" + reason + "\"").contains("\"outcome\":\"not-run\"");
+		assertThat(server.reducer.events).isEmpty();
+	}
+
+}
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/FakeReducer.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/FakeReducer.java
@@ -19,15 +19,11 @@
 
 	final List<Event> events = new CopyOnWriteArrayList<>();
 
-	private final ExchangeTable exchanges;
+	volatile ExchangeTable exchanges;
 
 	volatile Consumer<CallerExchange> onArrived = (exchange) -> {
 	};
 
-	FakeReducer(ExchangeTable exchanges) {
-		this.exchanges = exchanges;
-	}
-
 	@Override
 	public void submit(Function<Moment, Event> event) {
 		Event made = event.apply(new Moment(0, 0));
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/TestServer.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/TestServer.java
@@ -6,20 +6,26 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
-import java.time.Instant;
-import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.hash.Hashing;
+import com.google.inject.AbstractModule;
+import com.google.inject.Guice;
+import com.google.inject.Injector;
+import com.google.inject.TypeLiteral;
 import io.mulberrylift.core.configuration.ConfigurationCheck;
 import io.mulberrylift.core.configuration.FleetConfiguration;
 import io.mulberrylift.core.configuration.PublishedDocument;
+import io.mulberrylift.daemon.admin.ConfigurationSource;
+import io.mulberrylift.daemon.admin.ReadinessSource;
+import io.mulberrylift.daemon.admin.StateSource;
 import io.mulberrylift.daemon.exchange.ExchangeTable;
-import io.mulberrylift.daemon.metrics.CallerMetrics;
+import io.mulberrylift.daemon.loop.EventSink;
 import io.mulberrylift.daemon.settings.InstanceSettings;
 import io.mulberrylift.daemon.settings.InstanceSettingsReader;
 import io.mulberrylift.daemon.settings.PublishedConfigurationParser;
@@ -49,23 +55,23 @@
 			"""
 		.formatted(CREDENTIAL_SHA256);
 
-	final MetricRegistry metrics = new MetricRegistry();
+	final MetricRegistry metrics;
 
-	final ExchangeTable exchanges = new ExchangeTable();
+	final ExchangeTable exchanges;
 
-	final FakeReducer reducer = new FakeReducer(this.exchanges);
+	final FakeReducer reducer = new FakeReducer();
 
 	final AtomicReference<Optional<FleetConfiguration>> configuration = new AtomicReference<>(
 			Optional.of(fleet(FLEET)));
 
-	final RequestEffectHandler effects = new RequestEffectHandler(this.exchanges, new CallerMetrics(this.metrics));
+	final RequestEffectHandler effects;
+
+	volatile Optional<String> notReadyReason = Optional.empty();
 
 	final OpenCalls openCalls;
 
 	final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
-	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
-
 	private final HttpServer server;
 
 	TestServer() throws Exception {
@@ -74,13 +80,13 @@
 
 	TestServer(String limits) throws Exception {
 		InstanceSettings settings = settings(limits);
-		this.openCalls = new OpenCalls(settings.limits().maxConcurrentCallers(), settings.limits().maxTotalBodyBytes());
-		CallerGateway gateway = new CallerGateway(this.exchanges, this.reducer, this.configuration::get,
-				new CallerMetrics(this.metrics), InstantSource.fixed(Instant.ofEpochSecond(1_700_000_000)));
-		CallerServlet servlet = new CallerServlet(gateway, this.openCalls, settings.limits().maxBodyBytes(),
-				settings.limits().bodyTimeoutMillis(), this.timer);
-		this.server = new HttpServer(settings, this.metrics, servlet, (environment) -> {
-		});
+		Injector injector = Guice.createInjector(new HttpModule(), new TestModule(settings));
+		this.metrics = injector.getInstance(MetricRegistry.class);
+		this.exchanges = injector.getInstance(ExchangeTable.class);
+		this.reducer.exchanges = this.exchanges;
+		this.effects = injector.getInstance(RequestEffectHandler.class);
+		this.openCalls = injector.getInstance(OpenCalls.class);
+		this.server = injector.getInstance(HttpServer.class);
 		this.server.start();
 	}
 
@@ -88,6 +94,11 @@
 		return this.server.callerPort();
 	}
 
+	HttpResponse<String> getAsOperator(String path) throws IOException, InterruptedException {
+		URI uri = URI.create("http://127.0.0.1:" + this.server.operatorPort() + path);
+		return send(HttpRequest.newBuilder(uri));
+	}
+
 	HttpRequest.Builder request(String path) {
 		return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + path))
 			.header(CallerHeaders.WORKSPACE, "rm-sherwood")
@@ -105,7 +116,6 @@
 	@Override
 	public void close() throws Exception {
 		this.server.stop();
-		this.timer.shutdownNow();
 	}
 
 	static FleetConfiguration fleet(String json) {
@@ -122,4 +132,30 @@
 		return ((SettingsCheck.Valid<InstanceSettings>) check).value();
 	}
 
+	/**
+	 * Binds what the embedding daemon binds.
+	 */
+	private final class TestModule extends AbstractModule {
+
+		private final InstanceSettings settings;
+
+		TestModule(InstanceSettings settings) {
+			this.settings = settings;
+		}
+
+		@Override
+		protected void configure() {
+			bind(InstanceSettings.class).toInstance(this.settings);
+			bind(EventSink.class).toInstance(TestServer.this.reducer);
+			bind(new TypeLiteral<Supplier<Optional<FleetConfiguration>>>() {
+			}).toInstance(TestServer.this.configuration::get);
+			bind(ReadinessSource.class).toInstance(() -> TestServer.this.notReadyReason);
+			bind(StateSource.class).toInstance(() -> List.of("requests", TestServer.this.exchanges.size()));
+			bind(ConfigurationSource.class)
+				.toInstance(() -> new ConfigurationSource.ConfigurationStatus(OptionalLong.of(4),
+						Optional.of(new ConfigurationSource.RejectedVersion(5, List.of()))));
+		}
+
+	}
+
 }
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the package.
+ */
+package io.mulberrylift.daemon.settings;
