Test the adapters against servers that break off at any byte

The tests found three faults, mended here. The HTTP client goes on reading within one input event while the server writes faster than it reads, so that its window did not hold back a fast engine; a session that reads nothing while it does not wait for input keeps the window. Closing logged an error per reactor. A cancellation that fails while the process ends hit a closed timer. Tokens that arrive together with the end of a broken connection are dropped by the client; they count as not delivered.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptCanceller.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptCanceller.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.daemon.endpoint;
 
 import java.util.Optional;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -117,7 +118,14 @@
 	}
 
 	private void schedule(Cancellation cancellation, long delayMillis) {
-		this.timer.schedule(() -> send(cancellation), delayMillis, TimeUnit.MILLISECONDS);
+		try {
+			this.timer.schedule(() -> send(cancellation), delayMillis, TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			LOGGER.warn("endpoint: process ends before {} confirmed the cancellation of {}", cancellation.endpoint(),
+					cancellation.attemptName());
+			this.outstanding.decrementAndGet();
+		}
 	}
 
 	/**
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/outbound/OutboundHttpClient.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/outbound/OutboundHttpClient.java
@@ -28,6 +28,8 @@
 import org.apache.hc.core5.reactor.IOReactorConfig;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * An asynchronous HTTP client that never repeats a call by itself.
@@ -42,6 +44,8 @@
 	/** Name of the header that carries the sender's availability zone. */
 	public static final String ZONE_HEADER = "From-Zone";
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(OutboundHttpClient.class);
+
 	private static final int MAX_CONNECTIONS = 65_536;
 
 	private static final TimeValue IDLE_TIME = TimeValue.ofSeconds(5);
@@ -50,6 +54,8 @@
 
 	private final Timeout connectTimeout;
 
+	private volatile boolean closed;
+
 	/**
 	 * Creates and starts a client.
 	 * @param settings the settings
@@ -59,6 +65,8 @@
 		this.client = HttpAsyncClients.custom()
 			.setConnectionManager(connectionManager(settings))
 			.setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(settings.ioThreads()).build())
+			.setIoReactorExceptionCallback(this::reactorFailed)
+			.setIoSessionDecorator(WindowedSession::new)
 			.setHttp1Config(Http1Config.custom().setInitialWindowSize(settings.windowBytes()).build())
 			.setDefaultHeaders(List.of(new BasicHeader(ZONE_HEADER, settings.zone().value())))
 			.setKeepAliveStrategy((response, context) -> IDLE_TIME)
@@ -140,8 +148,15 @@
 		return context;
 	}
 
+	private void reactorFailed(Exception ex) {
+		if (!this.closed) {
+			LOGGER.error("outbound: reactor failed; restart the process", ex);
+		}
+	}
+
 	@Override
 	public void close() {
+		this.closed = true;
 		this.client.close(CloseMode.IMMEDIATE);
 	}
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerLink.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerLink.java
@@ -42,7 +42,7 @@
 
 	private boolean connecting;
 
-	private boolean ready;
+	private volatile boolean ready;
 
 	private boolean closed;
 
@@ -202,6 +202,10 @@
 		});
 	}
 
+	boolean isReady() {
+		return this.ready;
+	}
+
 	InstanceId peer() {
 		return this.peer;
 	}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerLinks.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerLinks.java
@@ -73,6 +73,14 @@
 		});
 	}
 
+	/**
+	 * Returns to how many instances a greeted connection exists.
+	 * @return the number of connections
+	 */
+	public int connectedPeers() {
+		return (int) this.links.values().stream().filter(PeerLink::isReady).count();
+	}
+
 	/**
 	 * Cuts off instances in both directions and heals all others.
 	 * @param instances the instances
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerServer.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/peer/PeerServer.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.atomic.LongAdder;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -26,6 +27,8 @@
 
 	private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
 
+	private final LongAdder accepted = new LongAdder();
+
 	private final Channel listener;
 
 	/**
@@ -45,6 +48,7 @@
 				@Override
 				protected void initChannel(SocketChannel channel) {
 					PeerServer.this.connections.add(channel);
+					PeerServer.this.accepted.increment();
 					PeerFrames.setUp(channel, tls, new IncomingHandler(shared, receiver));
 				}
 			})
@@ -65,6 +69,14 @@
 		return ((InetSocketAddress) this.listener.localAddress()).getPort();
 	}
 
+	/**
+	 * Returns how many connections were accepted since the start.
+	 * @return the number of connections
+	 */
+	public long acceptedConnections() {
+		return this.accepted.sum();
+	}
+
 	@Override
 	public void close() {
 		this.listener.close().syncUninterruptibly();
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ModelAttemptTests.java
@@ -0,0 +1,372 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.core.model.FleetList;
+import io.mulberrylift.daemon.outbound.RawServer;
+import io.mulberrylift.daemon.outbound.RecordedEvents;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ModelAttempt} against engines that break off at any byte.
+ */
+class ModelAttemptTests {
+
+	private static final String FIRST = "{\"type\":\"tokens\",\"offset\":0,\"text\":[\"a\",\"b\"]}\n";
+
+	private static final String SECOND = "{\"type\":\"tokens\",\"offset\":2,\"text\":[\"c\"]}\n";
+
+	private static final String END = "{\"type\":\"end\",\"finishReason\":\"stop\",\"promptTokens\":5,"
+			+ "\"cachedTokens\":4,\"outputTokens\":3}\n";
+
+	private final FakeExchange exchange = FakeExchange.model("hello");
+
+	private static RawServer engine(RawServer.Script attempts) throws IOException {
+		return new RawServer((request, out) -> {
+			if (request.method().equals("DELETE")) {
+				RawServer.write(out, "HTTP/1.1 204 X\r\n\r\n");
+			}
+			else {
+				attempts.serve(request, out);
+			}
+		});
+	}
+
+	private static RawServer streaming(String... chunks) throws IOException {
+		return engine((request, out) -> {
+			RawServer.startStream(out);
+			for (String chunk : chunks) {
+				RawServer.chunk(out, chunk);
+			}
+			RawServer.endStream(out);
+		});
+	}
+
+	@Test
+	void wholeAnswerReachesTheCaller() throws Exception {
+		try (RawServer engine = streaming(FIRST.substring(0, 7), FIRST.substring(7) + SECOND, "\n" + END);
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			long attemptId = bench.dispatch(this.exchange);
+			assertThat(bench.events.next(AttemptEvent.Started.class).attemptId()).isEqualTo(attemptId);
+			AttemptEvent.Finished finished = bench.events.next(AttemptEvent.Finished.class);
+			assertThat(finished.promptTokens()).isEqualTo(5);
+			assertThat(finished.cachedTokens()).isEqualTo(4);
+			assertThat(finished.outputTokens()).isEqualTo(3);
+			assertThat(finished.answer()).isPresent();
+			assertThat(this.exchange.text()).isEqualTo("abc");
+			assertThat(this.exchange.finishReason()).isEqualTo("stop");
+			assertThat(bench.progressTokens).hasValue(3);
+			assertThat(bench.handler.runningAttempts()).isZero();
+			assertThat(bench.canceller.outstanding()).isZero();
+		}
+	}
+
+	@Test
+	void bodyIsAsTheContractSays() throws Exception {
+		String prompt = "\"\\\n\u0001" + "x".repeat(16_379) + "\ud83d\ude00\u00e9".repeat(20_000) + "\ud800!";
+		try (RawServer engine = streaming(FIRST + SECOND + END);
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(FakeExchange.model(prompt));
+			bench.events.next(AttemptEvent.Started.class);
+			RawServer.Request request = engine.requests().get(0);
+			JsonNode body = new ObjectMapper().readTree(request.body());
+			assertThat(request.path()).isEqualTo("/engine/v1/attempts");
+			assertThat(request.headers()).containsEntry("from-zone", "z1");
+			assertThat(body.get("prompt").textValue()).isEqualTo(prompt);
+			assertThat(body.get("attempt").textValue()).isEqualTo("i 1/42/1");
+			assertThat(body.get("prefixBlocks").toString()).isEqualTo("[\"000000000000001f\",\"ffffffffffffffff\"]");
+			assertThat(body.get("holds").toString())
+				.isEqualTo("[{\"endpoint\":\"e1\",\"owner\":\"i 1\",\"ownerIncarnation\":42,\"holdId\":9}]");
+			assertThat(body.get("priority").intValue()).isEqualTo(3);
+		}
+	}
+
+	@Test
+	void refusedConnectionIsNotSent() throws Exception {
+		int freePort;
+		try (ServerSocket socket = new ServerSocket(0)) {
+			freePort = socket.getLocalPort();
+		}
+		try (AttemptBench bench = new AttemptBench("127.0.0.1:" + freePort)) {
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.NOT_SENT);
+			assertThat(bench.canceller.outstanding()).isZero();
+		}
+	}
+
+	@Test
+	void requestThatIsTooLateIsNotSent() throws Exception {
+		try (RawServer engine = streaming(FIRST + SECOND + END);
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.nowMillis.set(11);
+			bench.dispatch(this.exchange, 1_000, 10);
+			bench.expectFailure(AttemptFailure.NOT_SENT);
+			assertThat(engine.requests()).isEmpty();
+		}
+	}
+
+	@Test
+	void connectionClosedBeforeTheAnswerIsLostAndNotRepeated() throws Exception {
+		try (RawServer engine = engine((request, out) -> request.socket().close());
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.CONNECTION_LOST);
+			RecordedEvents.await("cancellation confirmed twice", () -> engine.requests("DELETE").size() == 2);
+			assertThat(engine.requests("DELETE").get(0).path()).isEqualTo("/engine/v1/attempts/i%201%2F42%2F1");
+			assertThat(engine.requests("POST")).hasSize(1);
+			RecordedEvents.await("cancellation forgotten", () -> bench.canceller.outstanding() == 0);
+		}
+	}
+
+	@Test
+	void connectionClosedAfterTheHeadIsLost() throws Exception {
+		CountDownLatch taken = new CountDownLatch(1);
+		try (RawServer engine = engine((request, out) -> {
+			RawServer.startStream(out);
+			RawServer.chunk(out, FIRST);
+			await(taken);
+			request.socket().close();
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			RecordedEvents.await("tokens taken", () -> this.exchange.acceptedTokens() == 2);
+			taken.countDown();
+			assertThat(bench.expectFailure(AttemptFailure.CONNECTION_LOST).deliveredTokens()).isEqualTo(2);
+		}
+	}
+
+	@Test
+	void pooledConnectionThatBreaksOnTheNextRequestIsLostAndNotRepeated() throws Exception {
+		AtomicInteger attempts = new AtomicInteger();
+		try (RawServer engine = engine((request, out) -> {
+			if (attempts.incrementAndGet() > 1) {
+				request.socket().close();
+				return;
+			}
+			RawServer.reply(out, 429, "", "{}");
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.TURNED_AWAY);
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.CONNECTION_LOST);
+			assertThat(attempts).hasValue(2);
+		}
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", FIRST, FIRST + "{\"type\":\"tokens\",\"offset\":3,\"text\":[\"d\"]}\n",
+			FIRST + "{\"type\":\n" + SECOND + END, FIRST + END, FIRST + SECOND + "[]\n" + END,
+			FIRST + "{\"type\":\"tokens\",\"offset\":\"2\",\"text\":[\"c\"]}\n" + END })
+	void answerThatIsNotWholeIsTruncated(String answer) throws Exception {
+		try (RawServer engine = streaming(answer + "\n"); AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			if (!answer.isEmpty()) {
+				bench.events.next(AttemptEvent.Started.class);
+			}
+			bench.expectFailure(AttemptFailure.TRUNCATED);
+			RecordedEvents.await("cancelled at the engine", () -> engine.requests("DELETE").size() == 1);
+		}
+	}
+
+	@Test
+	void lineThatIsTooLongIsTruncated() throws Exception {
+		String part = " ".repeat(256 * 1_024);
+		try (RawServer engine = streaming(part, part, part, part, part, FIRST + SECOND + END);
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.TRUNCATED);
+		}
+	}
+
+	@Test
+	void doubledTokensReachTheCallerOnce() throws Exception {
+		try (RawServer engine = streaming(FIRST + FIRST + SECOND + END);
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			bench.events.next(AttemptEvent.Finished.class);
+			assertThat(this.exchange.text()).isEqualTo("abc");
+		}
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "429,TURNED_AWAY", "503,DRAINING", "400,REJECTED", "422,REJECTED", "500,ENDPOINT_ERROR",
+			"404,ENDPOINT_ERROR" })
+	void statusDecidesTheFailure(int status, AttemptFailure failure) throws Exception {
+		try (RawServer engine = engine(
+				(request, out) -> RawServer.reply(out, status, "", "{\"detail\":\"d\",\"retryAfterMillis\":70}"));
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			AttemptEvent.Failed failed = bench.expectFailure(failure);
+			assertThat(failed.retryAfterMillis()).hasValue(70);
+			assertThat(failed.detail()).isEqualTo("d");
+		}
+	}
+
+	@Test
+	void statusHoldsWhenTheBodyIsCutOff() throws Exception {
+		try (RawServer engine = engine((request, out) -> {
+			RawServer.write(out, "HTTP/1.1 429 X\r\nContent-Length: 100\r\n\r\n{\"detail\"");
+			request.socket().close();
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.TURNED_AWAY);
+		}
+	}
+
+	@Test
+	void errorLineIsAnEndpointError() throws Exception {
+		try (RawServer engine = streaming(FIRST + "{\"type\":\"error\",\"detail\":\"out of memory\"}\n");
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			AttemptEvent.Failed failed = bench.expectFailure(AttemptFailure.ENDPOINT_ERROR);
+			assertThat(failed.detail()).isEqualTo("out of memory");
+			assertThat(failed.deliveredTokens()).isEqualTo(2);
+		}
+	}
+
+	@Test
+	void engineThatStaysSilentIsReported() throws Exception {
+		CountDownLatch over = new CountDownLatch(1);
+		try (RawServer engine = engine((request, out) -> await(over));
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange, 200, 0);
+			bench.expectFailure(AttemptFailure.SILENT);
+			over.countDown();
+		}
+	}
+
+	@Test
+	void slowCallerStopsTheEngineAndLosesNothing() throws Exception {
+		int chunks = 4_000;
+		String token = "t".repeat(2_000);
+		AtomicInteger written = new AtomicInteger();
+		try (RawServer engine = engine((request, out) -> {
+			RawServer.startStream(out);
+			for (int i = 0; i < chunks; i++) {
+				RawServer.chunk(out, "{\"type\":\"tokens\",\"offset\":" + i + ",\"text\":[\"" + token + "\"]}\n");
+				written.incrementAndGet();
+			}
+			RawServer.chunk(out, END.replace("\"outputTokens\":3", "\"outputTokens\":" + chunks));
+			RawServer.endStream(out);
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			this.exchange.pause();
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			awaitStandstill(written);
+			assertThat(written.get()).isLessThan(chunks);
+			assertThat(this.exchange.takenWhilePaused()).isEqualTo(1);
+			this.exchange.resume();
+			bench.events.next(AttemptEvent.Finished.class);
+			assertThat(this.exchange.text()).isEqualTo(token.repeat(chunks));
+		}
+	}
+
+	private static void awaitStandstill(AtomicInteger counter) throws InterruptedException {
+		int before = -1;
+		while (counter.get() != before) {
+			before = counter.get();
+			Thread.sleep(500);
+		}
+	}
+
+	@Test
+	void nothingReachesTheCallerAfterCancel() throws Exception {
+		CountDownLatch cancelled = new CountDownLatch(1);
+		CountDownLatch connectionClosed = new CountDownLatch(1);
+		AtomicInteger deletes = new AtomicInteger();
+		try (RawServer engine = new RawServer((request, out) -> {
+			if (request.method().equals("DELETE")) {
+				int status = (deletes.incrementAndGet() > 2) ? 204 : 500;
+				RawServer.write(out, "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n");
+				return;
+			}
+			RawServer.startStream(out);
+			RawServer.chunk(out, FIRST);
+			await(cancelled);
+			writeUntilClosed(out, connectionClosed);
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			long attemptId = bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			RecordedEvents.await("tokens taken", () -> this.exchange.acceptedTokens() == 2);
+			bench.cancel(attemptId);
+			cancelled.countDown();
+			RecordedEvents.await("connection closed", () -> connectionClosed.getCount() == 0);
+			RecordedEvents.await("cancellation confirmed", () -> bench.canceller.outstanding() == 0);
+			assertThat(deletes).hasValue(3);
+			assertThat(this.exchange.text()).isEqualTo("ab");
+			assertThat(bench.events.pending()).isEmpty();
+		}
+	}
+
+	private static void writeUntilClosed(OutputStream out, CountDownLatch closed) {
+		try {
+			while (true) {
+				RawServer.chunk(out, SECOND);
+				Thread.sleep(1);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			closed.countDown();
+		}
+	}
+
+	@Test
+	void cancellationIsForgottenWhenTheEndpointIsGone() throws Exception {
+		AtomicInteger deletes = new AtomicInteger();
+		try (RawServer engine = new RawServer((request, out) -> {
+			if (request.method().equals("DELETE")) {
+				deletes.incrementAndGet();
+			}
+			request.socket().close();
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.expectFailure(AttemptFailure.CONNECTION_LOST);
+			RecordedEvents.await("repeated cancellation", () -> deletes.get() > 1);
+			assertThat(bench.canceller.outstanding()).isEqualTo(1);
+			bench.directory.update(FleetList.EMPTY);
+			RecordedEvents.await("cancellation forgotten", () -> bench.canceller.outstanding() == 0);
+		}
+	}
+
+	private static void await(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Test
+	void unlistedEndpointIsNotSent() throws Exception {
+		try (AttemptBench bench = new AttemptBench("not an address")) {
+			bench.dispatch(this.exchange);
+			assertThat(bench.expectFailure(AttemptFailure.NOT_SENT).detail()).contains("not listed");
+		}
+	}
+
+	@Test
+	void hopByHopHeadersAreDropped() {
+		Map<String, List<String>> headers = Map.of("Connection", List.of("X-Hop, close"), "X-Hop", List.of("1"), "TE",
+				List.of("trailers"), "Idempotency-Key", List.of("k"));
+		assertThat(HopHeaders.endToEnd(headers)).containsOnlyKeys("Idempotency-Key");
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ServiceAttemptTests.java
@@ -0,0 +1,96 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.daemon.exchange.ServiceCall;
+import io.mulberrylift.daemon.outbound.RawServer;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link ServiceAttempt}.
+ */
+class ServiceAttemptTests {
+
+	private final FakeExchange exchange = FakeExchange.service(new ServiceCall("POST", "tickets/1?q=a%20b",
+			Map.of("Idempotency-Key", List.of("k"), "Content-Type", List.of("text/plain"), "Host", List.of("x")),
+			"body".getBytes(StandardCharsets.UTF_8)));
+
+	@Test
+	void callAndReplyArePassedOn() throws Exception {
+		try (RawServer service = new RawServer(
+				(request, out) -> RawServer.reply(out, 404, "X-A: 1\r\nKeep-Alive: 1\r\n", "gone"));
+				AttemptBench bench = new AttemptBench(service.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			bench.events.next(AttemptEvent.Finished.class);
+			RawServer.Request request = service.requests().get(0);
+			assertThat(request.method()).isEqualTo("POST");
+			assertThat(request.path()).isEqualTo("/tickets/1?q=a%20b");
+			assertThat(request.headers()).containsEntry("idempotency-key", "k")
+				.containsEntry("content-type", "text/plain")
+				.containsEntry("host", service.address());
+			assertThat(request.body()).isEqualTo("body");
+			assertThat(this.exchange.reply().httpStatus()).isEqualTo(404);
+			assertThat(this.exchange.reply().headers()).containsOnlyKeys("x-a");
+			assertThat(this.exchange.reply().body()).asString().isEqualTo("gone");
+		}
+	}
+
+	@Test
+	void callThatDidNotRunIsTurnedAway() throws Exception {
+		try (RawServer service = new RawServer(
+				(request, out) -> RawServer.reply(out, 503, "Not-Run: true\r\nRetry-After: 2\r\n", "busy"));
+				AttemptBench bench = new AttemptBench(service.address())) {
+			bench.dispatch(this.exchange);
+			assertThat(bench.expectFailure(AttemptFailure.TURNED_AWAY).retryAfterMillis()).hasValue(2_000);
+			assertThat(this.exchange.reply()).isNull();
+		}
+	}
+
+	@Test
+	void unavailableWithoutNotRunIsAReply() throws Exception {
+		try (RawServer service = new RawServer((request, out) -> RawServer.reply(out, 503, "", "busy"));
+				AttemptBench bench = new AttemptBench(service.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			bench.events.next(AttemptEvent.Finished.class);
+			assertThat(this.exchange.reply().httpStatus()).isEqualTo(503);
+		}
+	}
+
+	@Test
+	void replyThatIsTooLargeIsAnEndpointError() throws Exception {
+		String part = "x".repeat(1_024 * 1_024);
+		try (RawServer service = new RawServer((request, out) -> {
+			RawServer.startStream(out);
+			for (int i = 0; i < 9; i++) {
+				RawServer.chunk(out, part);
+			}
+			RawServer.endStream(out);
+		}); AttemptBench bench = new AttemptBench(service.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			assertThat(bench.expectFailure(AttemptFailure.ENDPOINT_ERROR).detail()).contains("larger than 8388608");
+		}
+	}
+
+	@Test
+	void replyThatIsCutOffIsLost() throws Exception {
+		try (RawServer service = new RawServer((request, out) -> {
+			RawServer.write(out, "HTTP/1.1 200 X\r\nContent-Length: 10\r\n\r\nabc");
+			request.socket().close();
+		}); AttemptBench bench = new AttemptBench(service.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			bench.expectFailure(AttemptFailure.CONNECTION_LOST);
+			assertThat(this.exchange.reply()).isNull();
+		}
+	}
+
+}
