Add the witness, heartbeats and the spread of configurations

Cause: every claim was denied, so that no non-idempotent request could run, and no instance knew another one.

Witness: one seat per witness zone; its holder is a pure function of the instance list. Authority from a list ends a freshness period F after the list was confirmed; a holder without a handover grants only keys first sent after the first such list + F + skew (a process started again under an unchanged listing: after its start + 2F + 4 skew). That floor replaces the proposed waiting time before a seat is taken: keys that the predecessor could have granted lie below it, so no wait is needed. A handover goes to one process named by its incarnation and is trusted only if the list confirms it within F of the resignation, since the predecessor may have been started again.

Ruled out: ending a claim's safety with the 500 ms round. Grants are never given twice by a seat, so a late verdict does no harm; the round only bounds the time. What a late dispatch could break is the remedy of KEY_OUT_OF_WINDOW, therefore RequestPart asks Claims.mayDispatch just before each dispatch.

Shared types: WitnessMessage.Settled carries the fingerprint (a seat that missed the claim must not answer another body with the stored answer); WitnessMessage.Handover carries heirIncarnation and resignedEpochMillis.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -21,6 +21,10 @@
 import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.fleet.ListPolling;
 import io.mulberrylift.core.fleet.LoadPolling;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.peer.ConfigurationMessage;
+import io.mulberrylift.core.peer.Heartbeat;
+import io.mulberrylift.core.peer.WitnessMessage;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.time.Moment;
 
@@ -76,6 +80,11 @@
 	 * @return the effects to carry out, in order, empty when there are none
 	 */
 	public List<Effect> reduce(Event event) {
+		boolean paused = this.parts.membership().observe(event.at(), this.effects);
+		this.parts.claims().observe(event.at());
+		if (paused) {
+			this.parts.claims().paused(this.effects);
+		}
 		if (event instanceof RequestEvent requestEvent) {
 			reduceRequest(requestEvent);
 		}
@@ -152,6 +161,8 @@
 	private void reducePlatform(PlatformEvent event) {
 		if (event instanceof PlatformEvent.ListRead read) {
 			this.listPolling.read(read);
+			this.parts.membership().listRead();
+			this.parts.claims().listRead();
 		}
 		else if (event instanceof PlatformEvent.ConfigurationRead read) {
 			this.configuration.read(read.check(), event.at(), this.effects);
@@ -175,7 +186,23 @@
 
 	private void reducePeer(PeerEvent event) {
 		if (event instanceof PeerEvent.ConfigurationReceived received) {
-			this.configuration.take(received.check(), this.effects);
+			this.parts.configurationSpread().received(received.check(), this.effects);
+		}
+		else if (event instanceof PeerEvent.Received received && this.parts.membership().heard(received)) {
+			reduceMessage(received);
+		}
+	}
+
+	private void reduceMessage(PeerEvent.Received event) {
+		InstanceId from = event.from();
+		if (event.message() instanceof Heartbeat heartbeat) {
+			this.parts.configurationSpread().peerHas(from, heartbeat.configurationVersion(), event.at(), this.effects);
+		}
+		else if (event.message() instanceof ConfigurationMessage message) {
+			this.parts.configurationSpread().received(from, message, event.at(), this.effects);
+		}
+		else if (event.message() instanceof WitnessMessage message) {
+			this.parts.claims().received(from, event.senderIncarnation(), message, this.effects);
 		}
 	}
 
@@ -183,6 +210,8 @@
 		if (event instanceof ControlEvent.ShutdownRequested && !this.shuttingDown) {
 			this.shuttingDown = true;
 			this.requests.shutDown();
+			this.parts.membership().shutDown();
+			this.parts.claims().shutDown(this.effects);
 			this.effects.info(Part.REQUEST, "shutdown began with " + this.requests.inProgress() + " in progress");
 		}
 	}
@@ -190,9 +219,12 @@
 	private void settle(Moment now) {
 		this.requests.expire(now, this.effects);
 		this.listPolling.tick(now, this.effects);
+		this.parts.membership().tick(this.requests.inProgress(), now, this.effects);
+		this.parts.configurationSpread().tick(now, this.effects);
 		this.configuration.tick(now, this.effects);
 		this.loadPolling.tick(now, this.effects);
 		this.parts.memory().tick(now, this.effects);
+		this.parts.claims().tick(this.effects);
 		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
 		this.requests.assign(now, this.effects);
 		this.parts.memory().takeOutcomes().forEach((outcome) -> this.requests.reserved(outcome, now, this.effects));
@@ -200,7 +232,7 @@
 	}
 
 	private void exitWhenIdle() {
-		boolean idle = this.requests.inProgress() == 0 && this.parts.memory().isEmpty();
+		boolean idle = this.requests.inProgress() == 0 && this.parts.memory().isEmpty() && this.parts.claims().isDone();
 		if (this.shuttingDown && idle && !this.exited) {
 			this.exited = true;
 			this.effects.add(new ControlEffect.Exit());
@@ -245,6 +277,8 @@
 		state.put("requests", this.requests.describe());
 		state.put("scheduling", this.parts.scheduler().describe());
 		state.put("memory", this.parts.memory().describe());
+		state.put("witness", this.parts.claims().describe());
+		state.put("membership", this.parts.membership().describe());
 		state.put("configuration", this.configuration.describe());
 		state.put("listVersion", this.fleet.list().version());
 		return state;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
@@ -3,14 +3,16 @@
 import java.util.SplittableRandom;
 
 import io.mulberrylift.core.configuration.ConfigurationPart;
+import io.mulberrylift.core.configuration.ConfigurationSpread;
 import io.mulberrylift.core.fleet.FleetState;
 import io.mulberrylift.core.isolation.CrashGuard;
+import io.mulberrylift.core.membership.MembershipPart;
 import io.mulberrylift.core.memory.MemoryPart;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.request.RetryPolicy;
 import io.mulberrylift.core.scheduling.QueueScheduler;
 import io.mulberrylift.core.scheduling.Scheduler;
-import io.mulberrylift.core.witness.Claims;
+import io.mulberrylift.core.witness.WitnessPart;
 
 /**
  * The parts of one reducer, built on one shared state.
@@ -21,19 +23,25 @@
  * @param memory reservations of engine memory
  * @param crashGuard requests that crash endpoints
  * @param configuration the published configuration
+ * @param membership other instances
+ * @param configurationSpread configurations between instances
  */
-record ReducerParts(RequestPart requests, Scheduler scheduler, Claims claims, MemoryPart memory, CrashGuard crashGuard,
-		ConfigurationPart configuration) {
+record ReducerParts(RequestPart requests, Scheduler scheduler, WitnessPart claims, MemoryPart memory,
+		CrashGuard crashGuard, ConfigurationPart configuration, MembershipPart membership,
+		ConfigurationSpread configurationSpread) {
 
 	static ReducerParts create(FleetState fleet, long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
 		Scheduler scheduler = new QueueScheduler(fleet);
-		Claims claims = new io.mulberrylift.core.witness.UnprovedClaims();
+		MembershipPart membership = new MembershipPart(fleet);
+		WitnessPart claims = new WitnessPart(fleet, membership, random.split());
 		MemoryPart memory = new MemoryPart(fleet);
 		CrashGuard crashGuard = new io.mulberrylift.core.isolation.OpenCrashGuard();
 		RequestPart requests = new RequestPart(fleet, scheduler, claims, memory, crashGuard,
 				new RetryPolicy(random.split()));
-		return new ReducerParts(requests, scheduler, claims, memory, crashGuard, new ConfigurationPart(fleet));
+		ConfigurationPart configuration = new ConfigurationPart(fleet);
+		ConfigurationSpread spread = new ConfigurationSpread(fleet, configuration, random.split());
+		return new ReducerParts(requests, scheduler, claims, memory, crashGuard, configuration, membership, spread);
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationPart.java
@@ -16,14 +16,17 @@
  *
  * <p>
  * Not safe for use by several threads; owned by the reducer. The version in force never
- * decreases; a rejected document leaves the last accepted one in force. At most one watch
- * is under way.
+ * decreases; a rejected document leaves the last accepted one in force. At most one read
+ * is under way. An instance that is not a watcher of its zone reads without waiting and
+ * at long intervals.
  * </p>
  */
 public final class ConfigurationPart {
 
 	private static final long WATCH_MILLIS = 5_000;
 
+	private static final long WATCH_TIMEOUT_MILLIS = 15_000;
+
 	private static final long FIRST_RETRY_MILLIS = 200;
 
 	private static final long MAX_RETRY_MILLIS = 2_000;
@@ -38,6 +41,10 @@
 
 	private boolean watching;
 
+	private boolean watcher = true;
+
+	private long pollDelayMillis;
+
 	private long nextWatchMonotonicMillis = Long.MIN_VALUE;
 
 	private long retryMillis = FIRST_RETRY_MILLIS;
@@ -51,16 +58,17 @@
 	}
 
 	/**
-	 * Starts a watch when none is under way and one is due.
+	 * Starts a read when none is under way and one is due.
 	 * @param now the current time
 	 * @param effects takes the watch
 	 */
 	public void tick(Moment now, Effects effects) {
-		if (this.watching || now.monotonicMillis() < this.nextWatchMonotonicMillis) {
+		if (now.monotonicMillis() < this.nextWatchMonotonicMillis) {
 			return;
 		}
 		this.watching = true;
-		long waitMillis = (this.highestSeenVersion == 0) ? 0 : WATCH_MILLIS;
+		this.nextWatchMonotonicMillis = now.monotonicMillis() + WATCH_TIMEOUT_MILLIS;
+		long waitMillis = (this.highestSeenVersion == 0 || !this.watcher) ? 0 : WATCH_MILLIS;
 		effects.add(new PlatformEffect.WatchConfiguration(this.highestSeenVersion, waitMillis));
 	}
 
@@ -113,7 +121,26 @@
 	private void watchEnded(Moment now) {
 		this.watching = false;
 		this.retryMillis = FIRST_RETRY_MILLIS;
-		this.nextWatchMonotonicMillis = now.monotonicMillis();
+		boolean poll = !this.watcher && this.highestSeenVersion > 0;
+		this.nextWatchMonotonicMillis = now.monotonicMillis() + (poll ? this.pollDelayMillis : 0);
+	}
+
+	/**
+	 * Chooses how the service is read from the next read on.
+	 * @param nowWatcher whether this instance waits for news at the service
+	 * @param newPollDelayMillis delay between two reads when it does not, in milliseconds
+	 */
+	void readAs(boolean nowWatcher, long newPollDelayMillis) {
+		this.watcher = nowWatcher;
+		this.pollDelayMillis = newPollDelayMillis;
+	}
+
+	/**
+	 * Returns the highest version that was accepted or rejected here.
+	 * @return the version, 0 before the first
+	 */
+	public long highestSeenVersion() {
+		return this.highestSeenVersion;
 	}
 
 	/**
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationSpread.java
@@ -0,0 +1,172 @@
+package io.mulberrylift.core.configuration;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.PeerEffect;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.peer.ConfigurationMessage;
+import io.mulberrylift.core.peer.PeerMessage;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Spreads accepted configurations between instances and shares out the reads of the
+ * configuration service.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. Invariants: a document is
+ * pulled only when its version is above every version seen here, so that a rejected one
+ * is not pulled again; at most one pull is under way; pushes are limited per second.
+ * </p>
+ *
+ * <p>
+ * Reads: the two longest listed instances of each zone wait at the service, one call each
+ * 5 s; every other instance reads each 2 s to 5 s. Nine instances in three zones make 6 /
+ * 5 + 3 / 3.5, about 2 reads a second; 370 instances in 22 zones make 44 / 5 + 326 / 3.5,
+ * about 102 reads a second, of about 2,000 that the service serves. While the service
+ * fails, each instance repeats its read at most each 2 s, which makes 185 calls a second.
+ * </p>
+ */
+public final class ConfigurationSpread {
+
+	private static final int WATCHERS_PER_ZONE = 2;
+
+	private static final long MIN_POLL_MILLIS = 2_000;
+
+	private static final long POLL_SPREAD_MILLIS = 3_000;
+
+	private static final long PULL_TIMEOUT_MILLIS = 1_000;
+
+	private static final long FIRST_PULL_INTERVAL_MILLIS = 500;
+
+	private static final int FIRST_PULL_PEERS = 2;
+
+	private static final int MAX_PUSHES_PER_SECOND = 20;
+
+	private static final long PUSH_PERIOD_MILLIS = 1_000;
+
+	private final FleetState fleet;
+
+	private final ConfigurationPart configuration;
+
+	private final RandomGenerator random;
+
+	private long pullUntilMonotonicMillis = Long.MIN_VALUE;
+
+	private long nextFirstPullMonotonicMillis = Long.MIN_VALUE;
+
+	private long pushPeriodStartMonotonicMillis;
+
+	private int pushes;
+
+	/**
+	 * Creates the part.
+	 * @param fleet the shared state, not null
+	 * @param configuration the configuration in force, not null
+	 * @param random source of jitter, not null
+	 */
+	public ConfigurationSpread(FleetState fleet, ConfigurationPart configuration, RandomGenerator random) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+		this.configuration = Objects.requireNonNull(configuration, "configuration");
+		this.random = Objects.requireNonNull(random, "random");
+	}
+
+	/**
+	 * Takes the version that another instance has in force.
+	 * @param from the other instance
+	 * @param version its version
+	 * @param now the current time
+	 * @param effects takes the messages
+	 */
+	public void peerHas(InstanceId from, long version, Moment now, Effects effects) {
+		boolean newer = version > this.configuration.highestSeenVersion();
+		if (newer && now.monotonicMillis() >= this.pullUntilMonotonicMillis) {
+			this.pullUntilMonotonicMillis = now.monotonicMillis() + PULL_TIMEOUT_MILLIS;
+			pull(from, effects);
+		}
+	}
+
+	private void pull(InstanceId from, Effects effects) {
+		effects.count(Part.CONFIGURATION, "pulled");
+		send(from, new ConfigurationMessage.Pull(this.configuration.highestSeenVersion()), effects);
+	}
+
+	private static void send(InstanceId to, PeerMessage message, Effects effects) {
+		effects.add(new PeerEffect.Send(to, message));
+	}
+
+	/**
+	 * Takes a message of another instance. A pushed document arrives as an event of its
+	 * own once it has been checked.
+	 * @param from the sender
+	 * @param message the message
+	 * @param now the current time
+	 * @param effects takes the answer
+	 */
+	public void received(InstanceId from, ConfigurationMessage message, Moment now, Effects effects) {
+		if (message instanceof ConfigurationMessage.Pull pull) {
+			this.configuration.accepted()
+				.filter((document) -> document.version() > pull.knownVersion() && mayPush(now))
+				.ifPresent((document) -> send(from, new ConfigurationMessage.Push(document), effects));
+		}
+	}
+
+	private boolean mayPush(Moment now) {
+		if (now.monotonicMillis() - this.pushPeriodStartMonotonicMillis >= PUSH_PERIOD_MILLIS) {
+			this.pushPeriodStartMonotonicMillis = now.monotonicMillis();
+			this.pushes = 0;
+		}
+		this.pushes++;
+		return this.pushes <= MAX_PUSHES_PER_SECOND;
+	}
+
+	/**
+	 * Takes a checked document of another instance.
+	 * @param check the verdict on the document
+	 * @param effects takes the effects
+	 */
+	public void received(ConfigurationCheck check, Effects effects) {
+		this.pullUntilMonotonicMillis = Long.MIN_VALUE;
+		this.configuration.take(check, effects);
+	}
+
+	/**
+	 * Chooses how the service is read and asks others while nothing is known.
+	 * @param now the current time
+	 * @param effects takes the messages
+	 */
+	public void tick(Moment now, Effects effects) {
+		this.configuration.readAs(isWatcher(), MIN_POLL_MILLIS + this.random.nextLong(POLL_SPREAD_MILLIS));
+		boolean unknown = this.configuration.highestSeenVersion() == 0;
+		if (unknown && now.monotonicMillis() >= this.nextFirstPullMonotonicMillis) {
+			this.nextFirstPullMonotonicMillis = now.monotonicMillis() + FIRST_PULL_INTERVAL_MILLIS;
+			this.fleet.list()
+				.instances()
+				.stream()
+				.filter((instance) -> !instance.id().equals(this.fleet.self().id()) && !instance.leaving())
+				.sorted(Comparator.comparingLong(InstanceDescription::listedSinceEpochMillis))
+				.limit(FIRST_PULL_PEERS)
+				.forEach((instance) -> pull(instance.id(), effects));
+		}
+	}
+
+	private boolean isWatcher() {
+		List<InstanceId> watchers = this.fleet.list()
+			.instances()
+			.stream()
+			.filter((instance) -> instance.zone().equals(this.fleet.self().zone()) && !instance.leaving())
+			.sorted(Comparator.comparingLong(InstanceDescription::listedSinceEpochMillis)
+				.thenComparing(InstanceDescription::id))
+			.limit(WATCHERS_PER_ZONE)
+			.map(InstanceDescription::id)
+			.toList();
+		return watchers.contains(this.fleet.self().id());
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/membership/Peer.java
@@ -0,0 +1,91 @@
+package io.mulberrylift.core.membership;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import io.mulberrylift.core.peer.Heartbeat;
+
+/**
+ * What is known of one other instance.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. A process that was replaced
+ * by another of the same instance is never taken for the newest one again.
+ * </p>
+ */
+final class Peer {
+
+	private static final int MAX_FORMER_INCARNATIONS = 8;
+
+	private static final int MIN_HEARTBEATS = 3;
+
+	private final Set<Long> formerIncarnations = new LinkedHashSet<>();
+
+	private long incarnation;
+
+	private long lastHeardMonotonicMillis;
+
+	private long lastSequence;
+
+	private int heartbeats;
+
+	private boolean leaving;
+
+	Peer(long incarnation, long nowMonotonicMillis) {
+		this.incarnation = incarnation;
+		this.lastHeardMonotonicMillis = nowMonotonicMillis;
+	}
+
+	/**
+	 * Takes note of a message.
+	 * @param senderIncarnation the process that sent it
+	 * @param nowMonotonicMillis when it arrived
+	 * @return false when it is a late message of a replaced process
+	 */
+	boolean heard(long senderIncarnation, long nowMonotonicMillis) {
+		if (this.formerIncarnations.contains(senderIncarnation)) {
+			return false;
+		}
+		if (senderIncarnation != this.incarnation) {
+			replacedBy(senderIncarnation);
+		}
+		this.lastHeardMonotonicMillis = nowMonotonicMillis;
+		return true;
+	}
+
+	private void replacedBy(long newIncarnation) {
+		this.formerIncarnations.add(this.incarnation);
+		if (this.formerIncarnations.size() > MAX_FORMER_INCARNATIONS) {
+			this.formerIncarnations.remove(this.formerIncarnations.iterator().next());
+		}
+		this.incarnation = newIncarnation;
+		this.lastSequence = 0;
+		this.heartbeats = 0;
+		this.leaving = false;
+	}
+
+	void heartbeat(Heartbeat heartbeat) {
+		if (heartbeat.sequence() > this.lastSequence) {
+			this.lastSequence = heartbeat.sequence();
+			this.heartbeats++;
+			this.leaving |= heartbeat.leaving();
+		}
+	}
+
+	void trustFrom(long nowMonotonicMillis) {
+		this.lastHeardMonotonicMillis = nowMonotonicMillis;
+	}
+
+	boolean isSilent(long nowMonotonicMillis, long limitMillis) {
+		return this.heartbeats >= MIN_HEARTBEATS && nowMonotonicMillis - this.lastHeardMonotonicMillis > limitMillis;
+	}
+
+	long incarnation() {
+		return this.incarnation;
+	}
+
+	boolean isLeaving() {
+		return this.leaving;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Other instances: heartbeats, liveness and pauses of this process.
+ */
+package io.mulberrylift.core.membership;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/WitnessMessage.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/WitnessMessage.java
@@ -73,10 +73,12 @@
 	 *
 	 * @param seat the seat
 	 * @param key the key
+	 * @param fingerprint fingerprint of the request
 	 * @param claim the claim
 	 * @param answer the answer when it is whole and small enough to keep
 	 */
-	record Settled(ZoneId seat, KeyId key, ClaimId claim, Optional<StoredAnswer> answer) implements WitnessMessage {
+	record Settled(ZoneId seat, KeyId key, long fingerprint, ClaimId claim,
+			Optional<StoredAnswer> answer) implements WitnessMessage {
 	}
 
 	/**
@@ -84,14 +86,17 @@
 	 * granting for good.
 	 *
 	 * @param seat the seat
+	 * @param heirIncarnation incarnation of the only process that may take the seat
+	 * @param resignedEpochMillis when the sender stopped granting, in milliseconds since
+	 * the epoch
 	 * @param sinceEpochMillis time from which the memory is complete, in milliseconds
 	 * since the epoch
 	 * @param part number of this part, from 0
 	 * @param parts number of all parts
 	 * @param grants grants in this part
 	 */
-	record Handover(ZoneId seat, long sinceEpochMillis, int part, int parts,
-			List<Grant> grants) implements WitnessMessage {
+	record Handover(ZoneId seat, long heirIncarnation, long resignedEpochMillis, long sinceEpochMillis, int part,
+			int parts, List<Grant> grants) implements WitnessMessage {
 
 		/**
 		 * Creates the message.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -344,6 +344,12 @@
 	}
 
 	private void dispatch(RequestEntry entry, Moment now, Effects effects) {
+		if (entry.needsClaim() && !this.claims.mayDispatch(entry.requestId(), now)) {
+			entry.phase = RequestPhase.RESERVING;
+			end(entry, Refusal.of(entry.outcomeWithoutAttempt(), RefusalReason.KEY_OUT_OF_WINDOW,
+					"The window of the key ended before an endpoint was free"), now, effects);
+			return;
+		}
 		entry.phase = RequestPhase.RUNNING;
 		entry.attemptId = this.nextAttemptId++;
 		entry.attemptsMade++;
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/ClaimRefusals.java
@@ -0,0 +1,55 @@
+package io.mulberrylift.core.witness;
+
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.peer.WitnessMessage.Decision;
+
+/**
+ * Words the refusals of claims.
+ *
+ * <p>
+ * "Not run" is said only when a majority of the seats holds the key for another request,
+ * so that this request can never have held a majority.
+ * </p>
+ */
+final class ClaimRefusals {
+
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	private ClaimRefusals() {
+	}
+
+	static Refusal outOfWindow(long windowMillis) {
+		return Refusal.of(Outcome.UNKNOWN, RefusalReason.KEY_OUT_OF_WINDOW,
+				"The first send must lie within the last " + windowMillis + " ms");
+	}
+
+	static Refusal reused(ClaimRound round) {
+		boolean never = round.hasMajority(Decision.FINGERPRINT_DIFFERS);
+		return Refusal.of(never ? Outcome.NOT_RUN : Outcome.UNKNOWN, RefusalReason.KEY_REUSED,
+				"The key belongs to a request with another body");
+	}
+
+	static Refusal answerLost() {
+		return Refusal.of(Outcome.UNKNOWN, RefusalReason.ANSWER_LOST, "An earlier send with this key may have run");
+	}
+
+	static Refusal inProgress() {
+		return Refusal.retryable(Outcome.UNKNOWN, RefusalReason.KEY_IN_PROGRESS,
+				"Another send with this key has not ended", RETRY_AFTER_MILLIS);
+	}
+
+	static Refusal beyondMemory() {
+		return Refusal.of(Outcome.UNKNOWN, RefusalReason.KEY_UNPROVED,
+				"The witnesses' memory does not reach back to the first send; check what became of the request");
+	}
+
+	static Refusal unproved(ClaimRound round) {
+		return Refusal.retryable(
+				Outcome.UNKNOWN, RefusalReason.KEY_UNPROVED, round.count(Decision.GRANTED) + " of "
+						+ round.seats().size() + " witnesses granted the key, " + round.majority() + " are needed",
+				RETRY_AFTER_MILLIS);
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Claims.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Claims.java
@@ -43,6 +43,14 @@
 	 */
 	void settle(long requestId, Optional<StoredAnswer> answer, Moment now, Effects effects);
 
+	/**
+	 * Returns whether a granted request may be sent to an endpoint now.
+	 * @param requestId the request
+	 * @param now the current time
+	 * @return false when its claim is not held or the window of its key is about to end
+	 */
+	boolean mayDispatch(long requestId, Moment now);
+
 	/**
 	 * Takes the outcomes since the last call.
 	 * @return the outcomes in order
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/GrantTable.java
@@ -0,0 +1,194 @@
+package io.mulberrylift.core.witness;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
+
+import io.mulberrylift.core.configuration.PromiseSettings;
+import io.mulberrylift.core.model.StoredAnswer;
+import io.mulberrylift.core.peer.WitnessMessage.ClaimId;
+import io.mulberrylift.core.peer.WitnessMessage.Grant;
+import io.mulberrylift.core.peer.WitnessMessage.KeyId;
+
+/**
+ * The grants that a seat remembers.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. Invariants: a key is granted
+ * to one claim at a time; a grant is forgotten only when its claimant gives it back or
+ * when no clock of the fleet still accepts its key; a claim that was given back is not
+ * granted again while its release is remembered; a full table takes no new key. Only the
+ * bodies of answers are dropped for lack of memory, the oldest first.
+ * </p>
+ */
+final class GrantTable {
+
+	private static final int MAX_RELEASES = 50_000;
+
+	private static final long RELEASE_MEMORY_MILLIS = 60_000;
+
+	private final Map<KeyId, Grant> grants = new HashMap<>();
+
+	private final SortedSet<KeyId> byFirstSent = new TreeSet<>(Comparator.comparingLong(KeyId::firstSentEpochMillis)
+		.thenComparing(KeyId::workspace)
+		.thenComparing(KeyId::value));
+
+	private final Map<ClaimId, Long> releases = new LinkedHashMap<>();
+
+	private final Map<KeyId, Integer> answerSizesBytes = new LinkedHashMap<>();
+
+	private long answerBytes;
+
+	Optional<Grant> find(KeyId key) {
+		return Optional.ofNullable(this.grants.get(key));
+	}
+
+	boolean isReleased(ClaimId claim) {
+		return this.releases.containsKey(claim);
+	}
+
+	boolean isFull(PromiseSettings settings) {
+		return this.grants.size() >= settings.maxKeys();
+	}
+
+	/**
+	 * Grants a key that is not granted.
+	 * @param key the key
+	 * @param fingerprint fingerprint of the request
+	 * @param claim the claim that gets it
+	 */
+	void grant(KeyId key, long fingerprint, ClaimId claim) {
+		put(new Grant(key, fingerprint, claim, false, Optional.empty()));
+	}
+
+	private void put(Grant grant) {
+		if (this.grants.put(grant.key(), grant) == null) {
+			this.byFirstSent.add(grant.key());
+		}
+	}
+
+	/**
+	 * Takes a grant back. The release is remembered, so that a claim that arrives after
+	 * it gets no grant.
+	 * @param key the key
+	 * @param claim the claim that is given up
+	 * @param nowMonotonicMillis the current time
+	 */
+	void release(KeyId key, ClaimId claim, long nowMonotonicMillis) {
+		this.releases.put(claim, nowMonotonicMillis);
+		Grant grant = this.grants.get(key);
+		if (grant != null && !grant.settled() && grant.claim().equals(claim)) {
+			this.grants.remove(key);
+			this.byFirstSent.remove(key);
+		}
+	}
+
+	/**
+	 * Records that the request of a claim with a majority ended. This displaces a grant
+	 * of another claim, which cannot have a majority too.
+	 * @param key the key
+	 * @param fingerprint fingerprint of the request
+	 * @param claim the claim that ran
+	 * @param answer its answer, empty when it is not kept
+	 * @param settings bounds of memory
+	 */
+	void settle(KeyId key, long fingerprint, ClaimId claim, Optional<StoredAnswer> answer, PromiseSettings settings) {
+		Grant known = this.grants.get(key);
+		boolean answerKnown = known != null && known.answer().isPresent();
+		if (answerKnown || (known == null && isFull(settings))) {
+			return;
+		}
+		put(new Grant(key, fingerprint, claim, true, answer));
+		answer.ifPresent((stored) -> keep(key, stored, settings));
+	}
+
+	private void keep(KeyId key, StoredAnswer answer, PromiseSettings settings) {
+		int sizeBytes = answer.body().length;
+		this.answerSizesBytes.put(key, sizeBytes);
+		this.answerBytes += sizeBytes;
+		while (this.answerBytes > settings.maxStoredAnswerBytes()) {
+			KeyId oldest = this.answerSizesBytes.keySet().iterator().next();
+			dropAnswer(oldest);
+		}
+	}
+
+	private void dropAnswer(KeyId key) {
+		Integer sizeBytes = this.answerSizesBytes.remove(key);
+		if (sizeBytes != null) {
+			this.answerBytes -= sizeBytes;
+			Grant grant = this.grants.get(key);
+			this.grants.put(key, new Grant(key, grant.fingerprint(), grant.claim(), true, Optional.empty()));
+		}
+	}
+
+	/**
+	 * Adds the memory of a predecessor.
+	 * @param inherited its grants
+	 * @param settings bounds of memory
+	 */
+	void merge(Collection<Grant> inherited, PromiseSettings settings) {
+		for (Grant grant : inherited) {
+			if (grant.settled()) {
+				mergeSettled(grant, settings);
+			}
+			else if (!this.grants.containsKey(grant.key()) && !isReleased(grant.claim())) {
+				put(grant);
+			}
+		}
+	}
+
+	private void mergeSettled(Grant grant, PromiseSettings settings) {
+		Grant known = this.grants.get(grant.key());
+		if (known == null || !known.settled()) {
+			put(new Grant(grant.key(), grant.fingerprint(), grant.claim(), true, Optional.empty()));
+		}
+		settle(grant.key(), grant.fingerprint(), grant.claim(), grant.answer(), settings);
+	}
+
+	/**
+	 * Forgets the keys that no instance accepts any more and releases that are old.
+	 * @param settings bounds of clocks and memory
+	 * @param nowEpochMillis the current wall clock time
+	 * @param nowMonotonicMillis the current monotonic time
+	 */
+	void forget(PromiseSettings settings, long nowEpochMillis, long nowMonotonicMillis) {
+		long oldestKept = nowEpochMillis - settings.windowMillis() - 2 * settings.clockSkewMillis();
+		while (!this.byFirstSent.isEmpty() && this.byFirstSent.first().firstSentEpochMillis() < oldestKept) {
+			KeyId key = this.byFirstSent.first();
+			this.byFirstSent.remove(key);
+			dropAnswer(key);
+			this.grants.remove(key);
+		}
+		var oldestReleases = this.releases.entrySet().iterator();
+		while (oldestReleases.hasNext()) {
+			boolean old = oldestReleases.next().getValue() < nowMonotonicMillis - RELEASE_MEMORY_MILLIS;
+			if (!old && this.releases.size() <= MAX_RELEASES) {
+				return;
+			}
+			oldestReleases.remove();
+		}
+	}
+
+	/**
+	 * Returns all grants.
+	 * @return a copy in the order of first sends
+	 */
+	List<Grant> all() {
+		return this.byFirstSent.stream().map(this.grants::get).toList();
+	}
+
+	int size() {
+		return this.grants.size();
+	}
+
+	long answerBytes() {
+		return this.answerBytes;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
@@ -0,0 +1,226 @@
+package io.mulberrylift.core.witness;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.ZoneId;
+import io.mulberrylift.core.peer.WitnessMessage.Grant;
+import io.mulberrylift.core.peer.WitnessMessage.Handover;
+import io.mulberrylift.core.peer.WitnessMessage.HandoverTaken;
+
+/**
+ * Hands the seat of a leaving instance to the next one and takes the seat of a leaving
+ * predecessor.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. Invariants: nothing is
+ * granted after the first part was built; the seat goes to one process only, named by its
+ * incarnation; a handover takes effect once all its parts have arrived, and once only.
+ * </p>
+ */
+final class Handovers {
+
+	private static final int MAX_PART_GRANTS = 256;
+
+	private static final int MAX_PART_ANSWER_BYTES = 256 * 1_024;
+
+	private static final int MAX_PARTS_UNDER_WAY = 8;
+
+	private static final long RETRANSMIT_MILLIS = 300;
+
+	private static final long NO_HEIR_PATIENCE_MILLIS = 2_000;
+
+	private static final long PATIENCE_MILLIS = 15_000;
+
+	private final WitnessContext context;
+
+	private final SeatHolder holder;
+
+	private final Map<Sender, Incoming> incoming = new HashMap<>();
+
+	private boolean shuttingDown;
+
+	private long shutdownMonotonicMillis;
+
+	private InstanceId heir;
+
+	private List<Handover> parts = List.of();
+
+	private boolean[] confirmed = new boolean[0];
+
+	private long nextSendMonotonicMillis;
+
+	Handovers(WitnessContext context, SeatHolder holder) {
+		this.context = context;
+		this.holder = holder;
+	}
+
+	void shutDown(Effects effects) {
+		this.shuttingDown = true;
+		this.shutdownMonotonicMillis = this.context.now().monotonicMillis();
+		tick(effects);
+	}
+
+	void tick(Effects effects) {
+		boolean leaving = this.shuttingDown || this.holder.authority().listedAsLeaving();
+		if (leaving && this.heir == null && this.holder.authority().hasSeat()) {
+			chooseHeir(effects);
+		}
+		if (this.context.now().monotonicMillis() >= this.nextSendMonotonicMillis) {
+			sendOpenParts(effects);
+		}
+	}
+
+	private void chooseHeir(Effects effects) {
+		ZoneId seat = this.context.fleet().self().zone();
+		SeatTable.holderWithout(this.context.fleet().list(), seat, this.context.fleet().self().id())
+			.map(InstanceDescription::id)
+			.ifPresent((candidate) -> begin(seat, candidate, effects));
+	}
+
+	private void begin(ZoneId seat, InstanceId candidate, Effects effects) {
+		OptionalLong incarnation = this.context.peers().incarnation(candidate);
+		if (incarnation.isEmpty() || this.context.peers().isSilent(candidate)) {
+			return;
+		}
+		this.holder.authority().resign();
+		this.heir = candidate;
+		this.parts = split(seat, incarnation.getAsLong());
+		this.confirmed = new boolean[this.parts.size()];
+		this.holder.forwardTo(candidate);
+		effects.info(Part.WITNESS,
+				"seat " + seat + " with " + this.holder.grants().size() + " keys goes to " + candidate);
+		effects.count(Part.WITNESS, "handover.begun");
+	}
+
+	private List<Handover> split(ZoneId seat, long heirIncarnation) {
+		List<List<Grant>> groups = new ArrayList<>();
+		List<Grant> group = new ArrayList<>();
+		int answerBytes = 0;
+		for (Grant grant : this.holder.grants().all()) {
+			int sizeBytes = grant.answer().map((answer) -> answer.body().length).orElse(0);
+			if (group.size() == MAX_PART_GRANTS || answerBytes + sizeBytes > MAX_PART_ANSWER_BYTES) {
+				groups.add(group);
+				group = new ArrayList<>();
+				answerBytes = 0;
+			}
+			group.add(grant);
+			answerBytes += sizeBytes;
+		}
+		groups.add(group);
+		long resigned = this.holder.authority().resignationEpochMillis(this.context.now());
+		long floor = this.holder.authority().floorEpochMillis();
+		List<Handover> messages = new ArrayList<>();
+		for (int i = 0; i < groups.size(); i++) {
+			messages.add(new Handover(seat, heirIncarnation, resigned, floor, i, groups.size(), groups.get(i)));
+		}
+		return messages;
+	}
+
+	private void sendOpenParts(Effects effects) {
+		int underWay = 0;
+		for (int i = 0; i < this.confirmed.length && underWay < MAX_PARTS_UNDER_WAY; i++) {
+			if (!this.confirmed[i]) {
+				this.context.send(this.heir, this.parts.get(i), effects);
+				underWay++;
+			}
+		}
+		this.nextSendMonotonicMillis = this.context.now().monotonicMillis() + RETRANSMIT_MILLIS;
+	}
+
+	void taken(InstanceId from, HandoverTaken message, Effects effects) {
+		boolean known = from.equals(this.heir) && message.part() >= 0 && message.part() < this.confirmed.length;
+		if (!known || this.confirmed[message.part()]) {
+			return;
+		}
+		this.confirmed[message.part()] = true;
+		if (isConfirmed()) {
+			effects.info(Part.WITNESS, "seat was taken by " + this.heir);
+			effects.count(Part.WITNESS, "handover.confirmed");
+		}
+		else if ((message.part() + 1) % MAX_PARTS_UNDER_WAY == 0) {
+			sendOpenParts(effects);
+		}
+	}
+
+	private boolean isConfirmed() {
+		for (boolean part : this.confirmed) {
+			if (!part) {
+				return false;
+			}
+		}
+		return this.heir != null;
+	}
+
+	/**
+	 * Takes a part of a predecessor's memory.
+	 * @param from the predecessor
+	 * @param senderIncarnation its process
+	 * @param message the part
+	 * @param effects takes the confirmation
+	 */
+	void received(InstanceId from, long senderIncarnation, Handover message, Effects effects) {
+		boolean forThisProcess = message.heirIncarnation() == this.context.fleet().self().incarnation()
+				&& message.seat().equals(this.context.fleet().self().zone());
+		boolean tooLate = this.holder.authority().isResigned();
+		if (!forThisProcess || tooLate) {
+			return;
+		}
+		Incoming sent = this.incoming.computeIfAbsent(new Sender(from, senderIncarnation), (key) -> new Incoming());
+		this.context.send(from, new HandoverTaken(message.seat(), message.part()), effects);
+		if (sent.complete) {
+			return;
+		}
+		sent.parts.put(message.part(), message);
+		if (sent.parts.size() == message.parts()) {
+			sent.complete = true;
+			take(from, sent, effects);
+		}
+	}
+
+	private void take(InstanceId from, Incoming sent, Effects effects) {
+		int keys = 0;
+		for (Handover part : sent.parts.values()) {
+			this.holder.grants().merge(part.grants(), this.context.settings());
+			keys += part.grants().size();
+		}
+		Handover any = sent.parts.values().iterator().next();
+		sent.parts.clear();
+		this.holder.authority()
+			.inherit(from, any.resignedEpochMillis(), any.sinceEpochMillis(), this.context.settings());
+		effects.info(Part.WITNESS, "seat of " + from + " taken with " + keys + " keys");
+		effects.count(Part.WITNESS, "handover.taken");
+	}
+
+	/**
+	 * Returns whether the process may end as far as the seat is concerned.
+	 * @return true when there is no seat, the heir has confirmed it or waiting is useless
+	 */
+	boolean isDone() {
+		long waitedMillis = this.context.now().monotonicMillis() - this.shutdownMonotonicMillis;
+		if (this.heir != null) {
+			return isConfirmed() || waitedMillis >= PATIENCE_MILLIS;
+		}
+		boolean nothingToHand = !this.holder.authority().hasSeat() || this.context.seats().isEmpty();
+		return nothingToHand || waitedMillis >= NO_HEIR_PATIENCE_MILLIS;
+	}
+
+	private record Sender(InstanceId instance, long incarnation) {
+	}
+
+	private static final class Incoming {
+
+		private final Map<Integer, Handover> parts = new HashMap<>();
+
+		private boolean complete;
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatSender.java
@@ -0,0 +1,100 @@
+package io.mulberrylift.core.witness;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.ZoneId;
+import io.mulberrylift.core.peer.WitnessMessage;
+
+/**
+ * Sends messages to the instances that may hold a seat.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. A receiver without authority
+ * does no harm, so that a message may go to several instances of a zone.
+ * </p>
+ */
+final class SeatSender {
+
+	private static final int MAX_WIDE_RECEIVERS = 3;
+
+	private static final long[] REPEAT_DELAYS_MILLIS = { 200, 1_000 };
+
+	private static final int MAX_REPEATS = 20_000;
+
+	private final WitnessContext context;
+
+	private final List<Deque<Repeat>> repeats = new ArrayList<>();
+
+	private int waitingRepeats;
+
+	SeatSender(WitnessContext context) {
+		this.context = context;
+		for (int i = 0; i < REPEAT_DELAYS_MILLIS.length; i++) {
+			this.repeats.add(new ArrayDeque<>());
+		}
+	}
+
+	/**
+	 * Sends a message to a seat.
+	 * @param seat the seat
+	 * @param message the message
+	 * @param widely whether to send it to the next instances in order too
+	 * @param effects takes the messages
+	 */
+	void send(ZoneId seat, WitnessMessage message, boolean widely, Effects effects) {
+		for (InstanceId receiver : receivers(seat, widely)) {
+			this.context.send(receiver, message, effects);
+		}
+	}
+
+	private List<InstanceId> receivers(ZoneId seat, boolean widely) {
+		List<InstanceDescription> order = SeatTable.order(this.context.fleet().list(), seat);
+		if (widely) {
+			return order.stream().limit(MAX_WIDE_RECEIVERS).map(InstanceDescription::id).toList();
+		}
+		return order.stream()
+			.filter((instance) -> !instance.leaving() && !this.context.peers().isLeaving(instance.id()))
+			.findFirst()
+			.or(() -> order.stream().findFirst())
+			.map(InstanceDescription::id)
+			.stream()
+			.toList();
+	}
+
+	/**
+	 * Sends a message without an answer to a seat now and, more widely, a few times
+	 * later.
+	 * @param seat the seat
+	 * @param message the message
+	 * @param effects takes the messages
+	 */
+	void sendRepeatedly(ZoneId seat, WitnessMessage message, Effects effects) {
+		send(seat, message, false, effects);
+		for (int i = 0; i < REPEAT_DELAYS_MILLIS.length && this.waitingRepeats < MAX_REPEATS; i++) {
+			long at = this.context.now().monotonicMillis() + REPEAT_DELAYS_MILLIS[i];
+			this.repeats.get(i).add(new Repeat(at, seat, message));
+			this.waitingRepeats++;
+		}
+	}
+
+	void tick(Effects effects) {
+		long now = this.context.now().monotonicMillis();
+		for (Deque<Repeat> queue : this.repeats) {
+			while (!queue.isEmpty() && queue.peek().atMonotonicMillis() <= now) {
+				Repeat repeat = queue.poll();
+				this.waitingRepeats--;
+				send(repeat.seat(), repeat.message(), true, effects);
+			}
+		}
+	}
+
+	private record Repeat(long atMonotonicMillis, ZoneId seat, WitnessMessage message) {
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatTable.java
@@ -0,0 +1,63 @@
+package io.mulberrylift.core.witness;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+import io.mulberrylift.core.model.FleetList;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.ZoneId;
+
+/**
+ * Says which instance holds the seat of a zone according to an instance list.
+ *
+ * <p>
+ * A pure function of the list, so that two instances with the same list agree. Safe for
+ * use by several threads.
+ * </p>
+ */
+final class SeatTable {
+
+	private static final Comparator<InstanceDescription> BY_LISTING = Comparator
+		.comparingLong(InstanceDescription::listedSinceEpochMillis)
+		.thenComparing(InstanceDescription::id);
+
+	private SeatTable() {
+	}
+
+	/**
+	 * Returns the instances of a zone, the longest listed first.
+	 * @param list the instance list
+	 * @param zone the zone
+	 * @return the instances with those that are leaving, empty when there are none
+	 */
+	static List<InstanceDescription> order(FleetList list, ZoneId zone) {
+		return list.instances().stream().filter((instance) -> instance.zone().equals(zone)).sorted(BY_LISTING).toList();
+	}
+
+	/**
+	 * Returns the holder of a zone's seat.
+	 * @param list the instance list
+	 * @param zone the zone
+	 * @return the longest listed instance that is not leaving, empty when there is none
+	 */
+	static Optional<InstanceDescription> holder(FleetList list, ZoneId zone) {
+		return order(list, zone).stream().filter((instance) -> !instance.leaving()).findFirst();
+	}
+
+	/**
+	 * Returns the instance that holds a zone's seat once another one has resigned.
+	 * @param list the instance list
+	 * @param zone the zone
+	 * @param resigned the instance that has resigned
+	 * @return the longest listed other instance that is not leaving, empty when there is
+	 * none
+	 */
+	static Optional<InstanceDescription> holderWithout(FleetList list, ZoneId zone, InstanceId resigned) {
+		return order(list, zone).stream()
+			.filter((instance) -> !instance.leaving() && !instance.id().equals(resigned))
+			.findFirst();
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/UnprovedClaims.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/UnprovedClaims.java
@@ -39,6 +39,11 @@
 		// Nothing was granted.
 	}
 
+	@Override
+	public boolean mayDispatch(long requestId, Moment now) {
+		return false;
+	}
+
 	@Override
 	public List<ClaimOutcome> takeOutcomes() {
 		List<ClaimOutcome> taken = List.copyOf(this.outcomes);
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessContext.java
@@ -0,0 +1,92 @@
+package io.mulberrylift.core.witness;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import io.mulberrylift.core.configuration.PromiseSettings;
+import io.mulberrylift.core.effect.ControlEffect.Part;
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.PeerEffect;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.peer.WitnessMessage;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * What the parts of the witness share: the fleet, the current time and the way to other
+ * instances.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. A message to this instance
+ * is delivered at once and never becomes an effect.
+ * </p>
+ */
+final class WitnessContext {
+
+	private final FleetState fleet;
+
+	private final PeerKnowledge peers;
+
+	private LocalReceiver localReceiver;
+
+	private Moment now = new Moment(0, 0);
+
+	WitnessContext(FleetState fleet, PeerKnowledge peers) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+		this.peers = Objects.requireNonNull(peers, "peers");
+	}
+
+	void deliverLocallyTo(LocalReceiver receiver) {
+		this.localReceiver = receiver;
+	}
+
+	void observe(Moment moment) {
+		this.now = moment;
+	}
+
+	Moment now() {
+		return this.now;
+	}
+
+	FleetState fleet() {
+		return this.fleet;
+	}
+
+	PeerKnowledge peers() {
+		return this.peers;
+	}
+
+	PromiseSettings settings() {
+		return this.fleet.configuration()
+			.map((configuration) -> configuration.promise())
+			.orElse(PromiseSettings.DEFAULTS);
+	}
+
+	Optional<Integer> seats() {
+		return this.fleet.configuration().map((configuration) -> configuration.witnessZones().size());
+	}
+
+	boolean isSelf(InstanceId instance) {
+		return instance.equals(this.fleet.self().id());
+	}
+
+	void send(InstanceId to, WitnessMessage message, Effects effects) {
+		if (isSelf(to)) {
+			this.localReceiver.receive(to, message, effects);
+			return;
+		}
+		effects.count(Part.WITNESS, "sent");
+		effects.add(new PeerEffect.Send(to, message));
+	}
+
+	/**
+	 * Takes messages that this instance sends to itself.
+	 */
+	@FunctionalInterface
+	interface LocalReceiver {
+
+		void receive(InstanceId from, WitnessMessage message, Effects effects);
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/witness/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the witness.
+ */
+package io.mulberrylift.core.witness;
