Isolate requests that crash endpoints and prove promises in virtual time

Cause: nothing held a crashing request back, and nothing proved the promises across instances.

Crash guard: the endpoints lost to a fingerprint, those whose connection broke in the last 5 s while they ran it and those that run it in this instance are two at most, checked before each dispatch. Notices go out when the connection breaks (unconfirmed) and again when the process is known to have ended, so that a quick caller who sends through another instance finds them there. Ruled out: one run at a time per fingerprint for clear requests, which would queue equal harmless requests; they may share an endpoint instead.

Proof: several reducers on one queue of virtual time with fakes of network, platform, endpoints and callers; 17 faults and pairs of them at any step.

Shared types: SuspectNotice carries confirmed; CrashGuard has mayStart; RequestPart asks it before each dispatch.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -24,6 +24,7 @@
 import io.mulberrylift.core.model.InstanceId;
 import io.mulberrylift.core.peer.ConfigurationMessage;
 import io.mulberrylift.core.peer.Heartbeat;
+import io.mulberrylift.core.peer.SuspectNotice;
 import io.mulberrylift.core.peer.WitnessMessage;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.time.Moment;
@@ -188,8 +189,14 @@
 		if (event instanceof PeerEvent.ConfigurationReceived received) {
 			this.parts.configurationSpread().received(received.check(), this.effects);
 		}
-		else if (event instanceof PeerEvent.Received received && this.parts.membership().heard(received)) {
-			reduceMessage(received);
+		else if (event instanceof PeerEvent.Received received) {
+			boolean known = this.parts.membership().incarnation(received.from()).isPresent();
+			if (this.parts.membership().heard(received)) {
+				reduceMessage(received);
+			}
+			if (!known) {
+				this.parts.crashGuard().peerJoined(received.from(), this.effects);
+			}
 		}
 	}
 
@@ -198,6 +205,9 @@
 		if (event.message() instanceof Heartbeat heartbeat) {
 			this.parts.configurationSpread().peerHas(from, heartbeat.configurationVersion(), event.at(), this.effects);
 		}
+		else if (event.message() instanceof SuspectNotice notice) {
+			this.parts.crashGuard().received(notice, event.at(), this.effects);
+		}
 		else if (event.message() instanceof ConfigurationMessage message) {
 			this.parts.configurationSpread().received(from, message, event.at(), this.effects);
 		}
@@ -224,6 +234,7 @@
 		this.configuration.tick(now, this.effects);
 		this.loadPolling.tick(now, this.effects);
 		this.parts.memory().tick(now, this.effects);
+		this.parts.crashGuard().tick(now, this.effects);
 		this.parts.claims().tick(this.effects);
 		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
 		this.requests.assign(now, this.effects);
@@ -278,6 +289,7 @@
 		state.put("scheduling", this.parts.scheduler().describe());
 		state.put("memory", this.parts.memory().describe());
 		state.put("witness", this.parts.claims().describe());
+		state.put("isolation", this.parts.crashGuard().describe());
 		state.put("membership", this.parts.membership().describe());
 		state.put("configuration", this.configuration.describe());
 		state.put("listVersion", this.fleet.list().version());
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
@@ -5,7 +5,7 @@
 import io.mulberrylift.core.configuration.ConfigurationPart;
 import io.mulberrylift.core.configuration.ConfigurationSpread;
 import io.mulberrylift.core.fleet.FleetState;
-import io.mulberrylift.core.isolation.CrashGuard;
+import io.mulberrylift.core.isolation.CrashGuardPart;
 import io.mulberrylift.core.membership.MembershipPart;
 import io.mulberrylift.core.memory.MemoryPart;
 import io.mulberrylift.core.request.RequestPart;
@@ -27,7 +27,7 @@
  * @param configurationSpread configurations between instances
  */
 record ReducerParts(RequestPart requests, Scheduler scheduler, WitnessPart claims, MemoryPart memory,
-		CrashGuard crashGuard, ConfigurationPart configuration, MembershipPart membership,
+		CrashGuardPart crashGuard, ConfigurationPart configuration, MembershipPart membership,
 		ConfigurationSpread configurationSpread) {
 
 	static ReducerParts create(FleetState fleet, long seed) {
@@ -36,7 +36,7 @@
 		MembershipPart membership = new MembershipPart(fleet);
 		WitnessPart claims = new WitnessPart(fleet, membership, random.split());
 		MemoryPart memory = new MemoryPart(fleet);
-		CrashGuard crashGuard = new io.mulberrylift.core.isolation.OpenCrashGuard();
+		CrashGuardPart crashGuard = new CrashGuardPart(fleet);
 		RequestPart requests = new RequestPart(fleet, scheduler, claims, memory, crashGuard,
 				new RetryPolicy(random.split()));
 		ConfigurationPart configuration = new ConfigurationPart(fleet);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/CrashGuard.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/CrashGuard.java
@@ -20,6 +20,15 @@
 	 */
 	CrashVerdict verdict(long fingerprint);
 
+	/**
+	 * Returns whether a request may start on an endpoint now.
+	 * @param fingerprint the request's fingerprint
+	 * @param endpoint the endpoint
+	 * @param now the current time
+	 * @return false when two endpoints may already be lost to it, so that it must wait
+	 */
+	boolean mayStart(long fingerprint, EndpointId endpoint, Moment now);
+
 	/**
 	 * Records that a request runs on an endpoint.
 	 * @param attemptId the try
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/OpenCrashGuard.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/OpenCrashGuard.java
@@ -14,6 +14,11 @@
 		return CrashVerdict.CLEAR;
 	}
 
+	@Override
+	public boolean mayStart(long fingerprint, EndpointId endpoint, Moment now) {
+		return true;
+	}
+
 	@Override
 	public void attemptStarted(long attemptId, long fingerprint, EndpointId endpoint) {
 		// Nothing is suspected.
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/Run.java
@@ -0,0 +1,11 @@
+package io.mulberrylift.core.isolation;
+
+/**
+ * One try of a request on an endpoint.
+ *
+ * @param fingerprint the request's fingerprint
+ * @param at the endpoint's process
+ * @param suspected whether the request ran as a suspect, alone among suspects
+ */
+record Run(long fingerprint, Loss at, boolean suspected) {
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/SuspectGossip.java
@@ -0,0 +1,68 @@
+package io.mulberrylift.core.isolation;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import io.mulberrylift.core.effect.Effects;
+import io.mulberrylift.core.effect.PeerEffect;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.peer.SuspectNotice;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Sends notices of lost endpoints to all listed instances, each notice a few times.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer.
+ * </p>
+ */
+final class SuspectGossip {
+
+	private static final long[] REPEAT_DELAYS_MILLIS = { 500, 2_000 };
+
+	private static final int MAX_WAITING = 2_000;
+
+	private final FleetState fleet;
+
+	private final Deque<Repeat> waiting = new ArrayDeque<>();
+
+	SuspectGossip(FleetState fleet) {
+		this.fleet = fleet;
+	}
+
+	void spread(SuspectNotice notice, Moment now, Effects effects) {
+		sendToAll(notice, effects);
+		for (long delayMillis : REPEAT_DELAYS_MILLIS) {
+			if (this.waiting.size() < MAX_WAITING) {
+				this.waiting.add(new Repeat(now.monotonicMillis() + delayMillis, notice));
+			}
+		}
+	}
+
+	private void sendToAll(SuspectNotice notice, Effects effects) {
+		this.fleet.list().instances().forEach((instance) -> send(instance.id(), notice, effects));
+	}
+
+	void send(InstanceId to, SuspectNotice notice, Effects effects) {
+		if (!to.equals(this.fleet.self().id())) {
+			effects.add(new PeerEffect.Send(to, notice));
+		}
+	}
+
+	void tick(Moment now, Effects effects) {
+		for (int i = this.waiting.size(); i > 0; i--) {
+			Repeat repeat = this.waiting.poll();
+			if (repeat.atMonotonicMillis() <= now.monotonicMillis()) {
+				sendToAll(repeat.notice(), effects);
+			}
+			else {
+				this.waiting.add(repeat);
+			}
+		}
+	}
+
+	private record Repeat(long atMonotonicMillis, SuspectNotice notice) {
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/SuspectNotice.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/SuspectNotice.java
@@ -5,15 +5,17 @@
 import io.mulberrylift.core.model.EndpointId;
 
 /**
- * Says that an endpoint was lost while it ran a request.
+ * Says that an endpoint was lost, or may have been lost, while it ran a request.
  *
  * @param fingerprint the request's fingerprint
  * @param endpoint the lost endpoint
  * @param endpointIncarnation incarnation of the lost endpoint
- * @param alone whether no other request ran there
+ * @param alone whether the request ran there as the only suspect
+ * @param confirmed whether the endpoint's process is known to have ended; false when only
+ * the connection broke
  */
-public record SuspectNotice(long fingerprint, EndpointId endpoint, long endpointIncarnation,
-		boolean alone) implements PeerMessage {
+public record SuspectNotice(long fingerprint, EndpointId endpoint, long endpointIncarnation, boolean alone,
+		boolean confirmed) implements PeerMessage {
 
 	/**
 	 * Creates the notice.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -51,6 +51,8 @@
 
 	private static final long DISPATCH_LEASE_MILLIS = 2_000;
 
+	private static final long CRASH_GUARD_DELAY_MILLIS = 200;
+
 	private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
 	private final FleetState fleet;
@@ -350,6 +352,9 @@
 					"The window of the key ended before an endpoint was free"), now, effects);
 			return;
 		}
+		if (heldBackByCrashGuard(entry, now, effects)) {
+			return;
+		}
 		entry.phase = RequestPhase.RUNNING;
 		entry.attemptId = this.nextAttemptId++;
 		entry.attemptsMade++;
@@ -366,6 +371,25 @@
 				entry.assignment.priority(), leftMillis, entry.deliveredTokens, notAfter, entry.holds));
 	}
 
+	private boolean heldBackByCrashGuard(RequestEntry entry, Moment now, Effects effects) {
+		CrashVerdict verdict = this.crashGuard.verdict(entry.spec.fingerprint());
+		if (verdict == CrashVerdict.CONVICTED) {
+			entry.phase = RequestPhase.RESERVING;
+			end(entry, convicted(entry), now, effects);
+			return true;
+		}
+		boolean newlySuspected = verdict == CrashVerdict.SUSPECTED && !entry.suspected;
+		if (!newlySuspected && this.crashGuard.mayStart(entry.spec.fingerprint(), entry.endpoint, now)) {
+			return false;
+		}
+		this.scheduler.ended(report(entry, false, 0, 0, 0, now), now);
+		this.reservations.free(entry.requestId(), now, effects);
+		entry.suspected = verdict == CrashVerdict.SUSPECTED;
+		entry.phase = RequestPhase.QUEUED;
+		this.scheduler.requeue(entry.pending(now.monotonicMillis() + CRASH_GUARD_DELAY_MILLIS), now);
+		return true;
+	}
+
 	private void attemptEnded(RequestEntry entry, boolean whole, int promptTokens, int cachedTokens, int outputTokens,
 			Moment now) {
 		this.table.attemptEnded(entry);
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
@@ -0,0 +1,172 @@
+package io.mulberrylift.core.promise;
+
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.ZoneId;
+
+/**
+ * Faults that can be placed at any step of the instance that is about to take it.
+ */
+enum Fault {
+
+	/** The process dies. */
+	KILL {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			at.kill();
+			fleet.time().after(1_500, () -> fleet.platform().drop(at.identity().id()));
+		}
+	},
+
+	/** The process dies and starts again before the platform notices. */
+	RESTART {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			at.kill();
+			fleet.time().after(400, () -> fleet.startAs(at.identity().id(), at.identity().zone()));
+		}
+	},
+
+	/** The process stands still for less than a list is fresh. */
+	FREEZE_SHORT {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			at.freeze(2_500);
+		}
+	},
+
+	/** The process stands still, is dropped meanwhile and wakes late. */
+	FREEZE_LONG {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			at.freeze(9_000);
+			dropAndListAgain(fleet, at.identity().id(), at.identity().zone(), 1_500, 9_500);
+		}
+	},
+
+	/** The zone is cut off from the others and goes on reading the platform. */
+	CUT {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			ZoneId zone = at.identity().zone();
+			fleet.network().cut(zone);
+			fleet.time().after(6_000, () -> fleet.network().heal(zone));
+		}
+	},
+
+	/** The zone is cut off and the platform drops a live instance of it. */
+	CUT_AND_DROP {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			CUT.strike(fleet, at);
+			fleet.platform().reachable(at.identity().id(), false);
+			fleet.time().after(6_000, () -> fleet.platform().reachable(at.identity().id(), true));
+			dropAndListAgain(fleet, at.identity().id(), at.identity().zone(), 500, 7_000);
+		}
+	},
+
+	/** The platform drops a live instance, which sees an old list for long. */
+	DROP_UNSEEN {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			InstanceId id = at.identity().id();
+			fleet.platform().holdList(id);
+			dropAndListAgain(fleet, id, at.identity().zone(), 100, 12_000);
+			fleet.time().after(11_000, () -> fleet.platform().releaseList(id));
+		}
+	},
+
+	/** Messages take up to 700 ms and overtake each other. */
+	SLOW {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.network().quality(0, 0, 700);
+			fleet.time().after(5_000, () -> fleet.network().quality(0, 0, 4));
+		}
+	},
+
+	/** A third of the messages is lost and a third is doubled. */
+	LOSSY {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.network().quality(0.33, 0.33, 60);
+			fleet.time().after(5_000, () -> fleet.network().quality(0, 0, 4));
+		}
+	},
+
+	/** The instance reads old lists. */
+	STALE_READER {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.platform().lag(at.identity().id(), 2_000);
+			fleet.time().after(8_000, () -> fleet.platform().lag(at.identity().id(), 0));
+		}
+	},
+
+	/** The platform's services are down. */
+	PLATFORM_DOWN {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.platform().down(true);
+			fleet.time().after(8_000, () -> fleet.platform().down(false));
+		}
+	},
+
+	/** The process is asked to shut down. */
+	SHUT_DOWN {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.shutDown(at);
+		}
+	},
+
+	/** The platform lists the instance as leaving before the process is asked. */
+	LISTED_AS_LEAVING {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.platform().leaving(at.identity().id());
+			fleet.time().after(3_000, () -> fleet.shutDown(at));
+		}
+	},
+
+	/** All instances are replaced one after the other. */
+	REPLACE_ALL {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.replaceAll(900);
+		}
+	},
+
+	/** An endpoint crashes. */
+	ENDPOINT_CRASH {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.endpoints().get(0).crash();
+		}
+	},
+
+	/** An endpoint hangs. */
+	ENDPOINT_HANG {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.endpoints().get(0).hang(true);
+			fleet.time().after(6_000, () -> fleet.endpoints().get(0).hang(false));
+		}
+	},
+
+	/** An endpoint leaves. */
+	ENDPOINT_LEAVE {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.endpoints().get(0).leave();
+		}
+	};
+
+	abstract void strike(VirtualFleet fleet, VirtualInstance at);
+
+	private static void dropAndListAgain(VirtualFleet fleet, InstanceId id, ZoneId zone, long dropMillis,
+			long listMillis) {
+		fleet.time().after(dropMillis, () -> fleet.platform().drop(id));
+		fleet.time().after(listMillis, () -> fleet.platform().list(id, zone));
+	}
+
+}
