--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 
+import io.mulberrylift.core.configuration.ConfigurationCheck;
 import io.mulberrylift.core.configuration.ConfigurationPart;
 import io.mulberrylift.core.effect.ControlEffect;
 import io.mulberrylift.core.effect.ControlEffect.Part;
@@ -22,6 +24,11 @@
 import io.mulberrylift.core.fleet.ListPolling;
 import io.mulberrylift.core.fleet.LoadPolling;
 import io.mulberrylift.core.orders.OrdersPart;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.peer.ConfigurationMessage;
+import io.mulberrylift.core.peer.Heartbeat;
+import io.mulberrylift.core.peer.SuspectNotice;
+import io.mulberrylift.core.peer.WitnessMessage;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.time.Moment;
 
@@ -80,6 +87,11 @@
 	 * @return the effects to carry out, in order, empty when there are none
 	 */
 	public List<Effect> reduce(Event event) {
+		boolean paused = this.parts.membership().observe(event.at(), this.effects);
+		this.parts.claims().observe(event.at());
+		if (paused) {
+			this.parts.claims().paused(this.effects);
+		}
 		if (event instanceof RequestEvent requestEvent) {
 			reduceRequest(requestEvent);
 		}
@@ -159,6 +171,8 @@
 	private void reducePlatform(PlatformEvent event) {
 		if (event instanceof PlatformEvent.ListRead read) {
 			this.listPolling.read(read);
+			this.parts.membership().listRead();
+			this.parts.claims().listRead();
 		}
 		else if (event instanceof PlatformEvent.ConfigurationRead read) {
 			this.configuration.read(read.check(), event.at(), this.effects);
@@ -182,7 +196,32 @@
 
 	private void reducePeer(PeerEvent event) {
 		if (event instanceof PeerEvent.ConfigurationReceived received) {
-			this.configuration.take(received.check(), this.effects);
+			this.parts.configurationSpread().received(received.check(), this.effects);
+		}
+		else if (event instanceof PeerEvent.Received received) {
+			boolean known = this.parts.membership().incarnation(received.from()).isPresent();
+			if (this.parts.membership().heard(received)) {
+				reduceMessage(received);
+			}
+			if (!known) {
+				this.parts.crashGuard().peerJoined(received.from(), this.effects);
+			}
+		}
+	}
+
+	private void reduceMessage(PeerEvent.Received event) {
+		InstanceId from = event.from();
+		if (event.message() instanceof Heartbeat heartbeat) {
+			this.parts.configurationSpread().peerHas(from, heartbeat.configurationVersion(), event.at(), this.effects);
+		}
+		else if (event.message() instanceof SuspectNotice notice) {
+			this.parts.crashGuard().received(notice, event.at(), this.effects);
+		}
+		else if (event.message() instanceof ConfigurationMessage message) {
+			this.parts.configurationSpread().received(from, message, event.at(), this.effects);
+		}
+		else if (event.message() instanceof WitnessMessage message) {
+			this.parts.claims().received(from, event.senderIncarnation(), message, this.effects);
 		}
 	}
 
@@ -190,6 +229,8 @@
 		if (event instanceof ControlEvent.ShutdownRequested && !this.shuttingDown) {
 			this.shuttingDown = true;
 			this.requests.shutDown();
+			this.parts.membership().shutDown();
+			this.parts.claims().shutDown(this.effects);
 			this.effects.info(Part.REQUEST, "shutdown began with " + this.requests.inProgress() + " in progress");
 		}
 	}
@@ -197,10 +238,14 @@
 	private void settle(Moment now) {
 		this.requests.expire(now, this.effects);
 		this.listPolling.tick(now, this.effects);
+		this.parts.membership().tick(this.requests.inProgress(), now, this.effects);
+		this.parts.configurationSpread().tick(now, this.effects);
 		this.configuration.tick(now, this.effects);
 		this.loadPolling.tick(now, this.effects);
 		this.parts.memory().tick(now, this.effects);
 		this.orders.tick(now, this.effects);
+		this.parts.crashGuard().tick(now, this.effects);
+		this.parts.claims().tick(this.effects);
 		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
 		this.requests.assign(now, this.effects);
 		this.parts.memory().takeOutcomes().forEach((outcome) -> this.requests.reserved(outcome, now, this.effects));
@@ -208,7 +253,7 @@
 	}
 
 	private void exitWhenIdle() {
-		boolean idle = this.requests.inProgress() == 0 && this.parts.memory().isEmpty();
+		boolean idle = this.requests.inProgress() == 0 && this.parts.memory().isEmpty() && this.parts.claims().isDone();
 		if (this.shuttingDown && idle && !this.exited) {
 			this.exited = true;
 			this.effects.add(new ControlEffect.Exit());
@@ -234,6 +279,14 @@
 		return !this.shuttingDown && this.fleet.configuration().isPresent() && this.fleet.list().version() > 0;
 	}
 
+	/**
+	 * Returns the published document rejected last.
+	 * @return the verdict with its problems, empty when none was rejected
+	 */
+	public Optional<ConfigurationCheck.Rejected> rejectedConfiguration() {
+		return this.configuration.rejected();
+	}
+
 	/**
 	 * Returns the shared state for reading.
 	 * @return the fleet as this instance knows it
@@ -254,6 +307,9 @@
 		state.put("scheduling", this.parts.scheduler().describe());
 		state.put("memory", this.parts.memory().describe());
 		state.put("orders", this.orders.describe());
+		state.put("witness", this.parts.claims().describe());
+		state.put("isolation", this.parts.crashGuard().describe());
+		state.put("membership", this.parts.membership().describe());
 		state.put("configuration", this.configuration.describe());
 		state.put("listVersion", this.fleet.list().version());
 		return state;
