Add the experiment that compares routing policies in virtual time

The reducers of all entry instances run against the engines' timing model on one event queue with fixed network delays; equal seeds give equal results. QueueScheduler gives way to PolicyScheduler, which runs the policy named by routing.policy: random, round-robin, least-requests, least-outstanding-tokens and prefix-affinity. A label that no policy has is a problem of the configuration. The policy slack is a placeholder that takes the endpoint with the fewest prompt tokens ahead.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
@@ -8,7 +8,7 @@
 import io.mulberrylift.core.memory.MemoryPart;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.request.RetryPolicy;
-import io.mulberrylift.core.scheduling.QueueScheduler;
+import io.mulberrylift.core.scheduling.PolicyScheduler;
 import io.mulberrylift.core.scheduling.Scheduler;
 import io.mulberrylift.core.witness.Claims;
 
@@ -27,7 +27,7 @@
 
 	static ReducerParts create(FleetState fleet, long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
-		Scheduler scheduler = new QueueScheduler(fleet);
+		Scheduler scheduler = new PolicyScheduler(fleet, random.split());
 		Claims claims = new io.mulberrylift.core.witness.UnprovedClaims();
 		MemoryPart memory = new MemoryPart(fleet);
 		CrashGuard crashGuard = new io.mulberrylift.core.isolation.OpenCrashGuard();
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
@@ -1,8 +1,12 @@
 package io.mulberrylift.core.configuration;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
+
+import io.mulberrylift.core.scheduling.RoutingPolicy;
 
 /**
  * Checks the content of a configuration. A pure function: equal content gives equal
@@ -29,6 +33,7 @@
 		configuration.workspaces()
 			.forEach((name, workspace) -> checkWorkspace("workspaces." + name, workspace, problems));
 		configuration.models().forEach((name, model) -> checkModel("models." + name, model, problems));
+		checkRouting(configuration.routing(), problems);
 		checkNotEmpty("profiles", configuration.profiles(), problems);
 		checkNotEmpty("workspaces", configuration.workspaces(), problems);
 		return List.copyOf(problems);
@@ -73,6 +78,19 @@
 		checkRange(key + ".maxOutputTokens", model.maxOutputTokens(), 1, Integer.MAX_VALUE, problems);
 	}
 
+	private static void checkRouting(RoutingSettings routing, List<ConfigurationProblem> problems) {
+		if (RoutingPolicy.ofLabel(routing.policy()).isEmpty()) {
+			String labels = Arrays.stream(RoutingPolicy.values())
+				.map(RoutingPolicy::label)
+				.collect(Collectors.joining(", "));
+			problems.add(new ConfigurationProblem("routing.policy", routing.policy(), "one of " + labels,
+					"Name one of the policies."));
+		}
+		checkRange("routing.crossZonePenaltyMillis", routing.crossZonePenaltyMillis(), 0, MAX_TIMEOUT_MILLIS, problems);
+		checkRange("routing.longPromptTokens", routing.longPromptTokens(), 1, Integer.MAX_VALUE, problems);
+		checkRange("routing.maxQueuedRequests", routing.maxQueuedRequests(), 1, Integer.MAX_VALUE, problems);
+	}
+
 	private static void checkRange(String key, long value, long least, long greatest,
 			List<ConfigurationProblem> problems) {
 		if (value < least || value > greatest) {
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/FleetLoad.java
@@ -0,0 +1,122 @@
+package io.mulberrylift.core.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+
+import io.mulberrylift.core.configuration.RoutingSettings;
+import io.mulberrylift.core.fleet.EndpointState;
+import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.model.EndpointId;
+
+/**
+ * What this instance believes of the load of all endpoints.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the scheduler. Endpoints that are listed
+ * no more are forgotten.
+ * </p>
+ */
+final class FleetLoad {
+
+	private final FleetState fleet;
+
+	private final RandomGenerator random;
+
+	private final Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+
+	private int turn;
+
+	FleetLoad(FleetState fleet, RandomGenerator random) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+		this.random = Objects.requireNonNull(random, "random");
+	}
+
+	RoutingSettings settings() {
+		return this.fleet.configuration().orElseThrow().routing();
+	}
+
+	FleetState fleet() {
+		return this.fleet;
+	}
+
+	RandomGenerator random() {
+		return this.random;
+	}
+
+	int nextTurn() {
+		this.turn = (this.turn + 1) & Integer.MAX_VALUE;
+		return this.turn;
+	}
+
+	boolean inOwnZone(EndpointLoad load) {
+		return load.state().description().zone().equals(this.fleet.self().zone());
+	}
+
+	/**
+	 * Returns the load of a listed endpoint.
+	 * @param state the endpoint
+	 * @return its load
+	 */
+	EndpointLoad load(EndpointState state) {
+		EndpointLoad known = this.loads.get(state.id());
+		if (known == null || known.state() != state) {
+			known = new EndpointLoad(state);
+			this.loads.put(state.id(), known);
+		}
+		return known;
+	}
+
+	/**
+	 * Returns the load of an endpoint that may be listed no more.
+	 * @param id the endpoint
+	 * @return its load, null when it is not known
+	 */
+	EndpointLoad loadOrNull(EndpointId id) {
+		EndpointState state = this.fleet.endpoint(id).orElse(null);
+		if (state == null) {
+			this.loads.remove(id);
+			return null;
+		}
+		return load(state);
+	}
+
+	/**
+	 * Returns the endpoints that serve a request and accept new work.
+	 * @param request the request
+	 * @param nowMonotonicMillis the current time
+	 * @return the loads in the order of the endpoints' identities
+	 */
+	List<EndpointLoad> candidates(PendingRequest request, long nowMonotonicMillis) {
+		List<EndpointLoad> candidates = new ArrayList<>();
+		for (EndpointState state : this.fleet.endpoints()) {
+			if (serves(state, request) && state.accepts(nowMonotonicMillis)) {
+				EndpointLoad load = load(state);
+				if (!(request.alone() && load.runsSuspect())) {
+					candidates.add(load);
+				}
+			}
+		}
+		return candidates;
+	}
+
+	private static boolean serves(EndpointState endpoint, PendingRequest request) {
+		return endpoint.description().kind() == request.spec().kind()
+				&& endpoint.description().targets().contains(request.spec().target())
+				&& !request.excluded().contains(endpoint.id());
+	}
+
+	Map<String, Object> describe() {
+		Map<String, Object> state = new java.util.TreeMap<>();
+		this.loads.forEach((id, load) -> state.put(id.value(),
+				Map.of("requests", load.ownRequests(), "tokens", load.ownTokens(), "freeMemoryTokens",
+						load.freeMemoryTokens(), "prefillTokensPerSecond",
+						Math.round(load.speed().prefillTokensPerMilli() * 1_000), "decodeGapMillis",
+						Math.round(load.speed().decodeGapMillis()))));
+		return state;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PrefixIndex.java
@@ -0,0 +1,57 @@
+package io.mulberrylift.core.scheduling;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.mulberrylift.core.model.RequestSpec;
+
+/**
+ * The prefix blocks that an endpoint is believed to have cached.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the scheduler. At most a fixed number of
+ * blocks is remembered; further ones are ignored until some are evicted.
+ * </p>
+ */
+final class PrefixIndex {
+
+	private static final int MAX_BLOCKS = 4_096;
+
+	private final Set<Long> blocks = new HashSet<>();
+
+	void change(boolean complete, List<Long> added, List<Long> evicted) {
+		if (!complete) {
+			this.blocks.clear();
+		}
+		this.blocks.removeAll(Set.copyOf(evicted));
+		for (Long block : added) {
+			if (this.blocks.size() < MAX_BLOCKS) {
+				this.blocks.add(block);
+			}
+		}
+	}
+
+	void clear() {
+		this.blocks.clear();
+	}
+
+	/**
+	 * Returns how many prompt tokens are likely to come from the cache. The last token of
+	 * a prompt is always processed.
+	 * @param spec the request
+	 * @return number of tokens
+	 */
+	int cachedTokens(RequestSpec spec) {
+		if (this.blocks.isEmpty()) {
+			return 0;
+		}
+		int matching = 0;
+		while (matching < spec.prefixBlocks().length && this.blocks.contains(spec.prefixBlocks()[matching])) {
+			matching++;
+		}
+		int usableBlocks = Math.max(0, spec.promptTokens() - 1) / RequestSpec.PREFIX_BLOCK_TOKENS;
+		return Math.min(matching, usableBlocks) * RequestSpec.PREFIX_BLOCK_TOKENS;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentCommand.java
@@ -0,0 +1,110 @@
+package io.mulberrylift.testkit.experiment;
+
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+
+import io.mulberrylift.core.scheduling.RoutingPolicy;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Command that compares routing policies in virtual time.
+ *
+ * <p>
+ * Not safe for use by several threads.
+ * </p>
+ */
+@Command(name = "experiment", description = "Compares routing policies on seeded workloads in virtual time.")
+public final class ExperimentCommand implements Callable<Integer> {
+
+	@Option(names = "--shape", defaultValue = "both", description = "prairie, timbangan or both")
+	private String shape;
+
+	@Option(names = "--seeds", split = ",", defaultValue = "1,2,3", description = "seeds of the workloads")
+	private List<Long> seeds;
+
+	@Option(names = "--load", split = ",", defaultValue = "0.8,1.0,1.2",
+			description = "loads as shares of the fleet's capacity")
+	private List<Double> loads;
+
+	@Option(names = "--policies", split = ",", description = "labels of the policies, all by default")
+	private List<String> policies = Arrays.stream(RoutingPolicy.values()).map(RoutingPolicy::label).toList();
+
+	@Option(names = "--warm-up-seconds", defaultValue = "120", description = "time before measuring")
+	private long warmUpSeconds;
+
+	@Option(names = "--window-seconds", defaultValue = "480", description = "measured time")
+	private long windowSeconds;
+
+	@Option(names = "--cool-down-seconds", defaultValue = "120", description = "time after measuring")
+	private long coolDownSeconds;
+
+	@Option(names = "--out", description = "directory for values, charts and a page; none by default")
+	private Path out;
+
+	@Spec
+	private CommandSpec spec;
+
+	/**
+	 * Creates the command.
+	 */
+	public ExperimentCommand() {
+	}
+
+	@Override
+	public Integer call() throws Exception {
+		PrintWriter output = this.spec.commandLine().getOut();
+		ComparisonPlan plan = new ComparisonPlan(shapes(), this.seeds, this.loads, selectedPolicies(),
+				this.warmUpSeconds, this.windowSeconds, this.coolDownSeconds);
+		plan.shapes()
+			.forEach((fleet) -> output.printf(Locale.ROOT, "capacity of %s: %.2f requests/s%n", fleet.label(),
+					CapacityMeasurement.requestsPerSecond(fleet)));
+		List<ComparisonRow> rows = new Comparison(plan, (row) -> {
+			output.printf(Locale.ROOT, "experiment: %s load %.2f seed %d %s done%n", row.shape().label(), row.load(),
+					row.seed(), row.policy().label());
+			output.flush();
+		}).run();
+		output.println(ResultTable.format(rows));
+		output.flush();
+		if (this.out != null) {
+			ResultReport.write(rows, this.out);
+		}
+		return CommandLine.ExitCode.OK;
+	}
+
+	private List<FleetShape> shapes() {
+		if ("both".equals(this.shape)) {
+			return List.of(FleetShape.values());
+		}
+		return Arrays.stream(FleetShape.values())
+			.filter((fleet) -> fleet.label().equals(this.shape))
+			.findFirst()
+			.map(List::of)
+			.orElseThrow(() -> new CommandLine.ParameterException(this.spec.commandLine(),
+					"Unknown shape " + this.shape + "; name prairie, timbangan or both."));
+	}
+
+	private List<RoutingPolicy> selectedPolicies() {
+		return this.policies.stream()
+			.map((label) -> RoutingPolicy.ofLabel(label)
+				.orElseThrow(() -> new CommandLine.ParameterException(this.spec.commandLine(),
+						"Unknown policy " + label + "; name values of routing.policy.")))
+			.toList();
+	}
+
+	/**
+	 * Runs the command on its own.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		System.exit(new CommandLine(new ExperimentCommand()).execute(arguments));
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/RunRecorder.java
@@ -0,0 +1,137 @@
+package io.mulberrylift.testkit.experiment;
+
+import java.util.List;
+
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RefusalReason;
+
+/**
+ * Records what becomes of each request of a run.
+ *
+ * <p>
+ * Not safe for use by several threads. Times are those at which the caller sees the
+ * event.
+ * </p>
+ */
+final class RunRecorder {
+
+	/** One-way delay between callers and entry instances in microseconds. */
+	static final long CALLER_MICROS = 3_000;
+
+	private final List<Arrival> arrivals;
+
+	private final Arrival[] byId;
+
+	private final long[] firstTokenMicros;
+
+	private final long[] endMicros;
+
+	private final Answer[] answers;
+
+	private long neededTokens;
+
+	RunRecorder(List<Arrival> arrivals) {
+		this.arrivals = arrivals;
+		int size = arrivals.stream().mapToInt((arrival) -> (int) arrival.id()).max().orElse(0) + 1;
+		this.firstTokenMicros = new long[size];
+		this.endMicros = new long[size];
+		this.answers = new Answer[size];
+		this.byId = new Arrival[size];
+		arrivals.forEach((arrival) -> this.byId[(int) arrival.id()] = arrival);
+	}
+
+	List<Arrival> arrivals() {
+		return this.arrivals;
+	}
+
+	Arrival arrival(long id) {
+		return this.byId[(int) id];
+	}
+
+	void firstToken(long id, long atMicros) {
+		if (this.firstTokenMicros[(int) id] == 0) {
+			this.firstTokenMicros[(int) id] = atMicros + CALLER_MICROS;
+		}
+	}
+
+	void finished(long id, int cachedTokens) {
+		if (this.answers[(int) id] == null) {
+			this.neededTokens += arrival(id).totalTokens() - cachedTokens;
+		}
+	}
+
+	void completed(long id, long atMicros) {
+		end(id, Answer.ANSWERED, atMicros);
+	}
+
+	void refused(long id, Refusal refusal, long atMicros) {
+		boolean atOnce = atMicros <= arrival(id).sendMicros() + CALLER_MICROS;
+		boolean late = refusal.reason() == RefusalReason.DEADLINE_PASSED;
+		end(id, atOnce ? Answer.REFUSED : (late ? Answer.LATE : Answer.FAILED), atMicros);
+	}
+
+	private void end(long id, Answer answer, long atMicros) {
+		this.answers[(int) id] = answer;
+		this.endMicros[(int) id] = atMicros + CALLER_MICROS;
+	}
+
+	/**
+	 * Returns the time to the first token of an answered request.
+	 * @param arrival the request
+	 * @return microseconds from the intended send
+	 */
+	long firstTokenMicros(Arrival arrival) {
+		return this.firstTokenMicros[(int) arrival.id()] - arrival.sendMicros();
+	}
+
+	/**
+	 * Returns the time to the final answer.
+	 * @param arrival the request
+	 * @return microseconds from the intended send
+	 */
+	long durationMicros(Arrival arrival) {
+		return endMicros(arrival) - arrival.sendMicros();
+	}
+
+	long endMicros(Arrival arrival) {
+		return this.endMicros[(int) arrival.id()];
+	}
+
+	/**
+	 * Returns what became of a request.
+	 * @param arrival the request
+	 * @return the answer, {@link Answer#FAILED} when the run ended before
+	 */
+	Answer answer(Arrival arrival) {
+		Answer answer = this.answers[(int) arrival.id()];
+		return (answer != null) ? answer : Answer.FAILED;
+	}
+
+	/**
+	 * Returns the tokens that engines had to compute for the answered requests.
+	 * @return uncached prompt tokens and answer tokens
+	 */
+	long neededTokens() {
+		return this.neededTokens;
+	}
+
+	/**
+	 * What became of a request.
+	 */
+	enum Answer {
+
+		/** The whole answer came in time. */
+		ANSWERED,
+
+		/** Refused on arrival. */
+		REFUSED,
+
+		/** Admitted and ended by its deadline. */
+		LATE,
+
+		/** Admitted and ended for another reason. */
+		FAILED
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
@@ -0,0 +1,172 @@
+package io.mulberrylift.testkit.experiment;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.model.LoadReport;
+import io.mulberrylift.testkit.engine.EngineListener;
+import io.mulberrylift.testkit.engine.EngineModel;
+import io.mulberrylift.testkit.engine.EngineRequest;
+import io.mulberrylift.testkit.engine.EngineSettings;
+import io.mulberrylift.testkit.engine.SubmitResult;
+
+/**
+ * An engine model on the event queue that publishes its load at a steady rate.
+ *
+ * <p>
+ * Not safe for use by several threads.
+ * </p>
+ */
+final class SimulatedEngine implements EngineListener {
+
+	private static final long REPORT_INTERVAL_MICROS = 500_000;
+
+	private final EndpointId id;
+
+	private final EventQueue queue;
+
+	private final EngineModel model;
+
+	private final Map<Long, AttemptObserver> observers = new HashMap<>();
+
+	private long wakeMicros = Long.MAX_VALUE;
+
+	private LoadReport report;
+
+	private long reportedMicros;
+
+	private long processedTokens;
+
+	SimulatedEngine(EndpointId id, EventQueue queue, long firstReportMicros) {
+		this.id = id;
+		this.queue = queue;
+		this.model = new EngineModel(EngineSettings.midSize(), this);
+		this.report = snapshot();
+		queue.at(firstReportMicros, this::publish);
+	}
+
+	private void publish() {
+		this.model.advanceTo(this.queue.nowMicros());
+		this.report = snapshot();
+		this.reportedMicros = this.queue.nowMicros();
+		this.queue.after(REPORT_INTERVAL_MICROS, this::publish);
+	}
+
+	private LoadReport snapshot() {
+		return new LoadReport(this.id, 1, this.model.runningRequests(), this.model.queuedRequests(),
+				this.model.queuedPromptTokens(), this.model.memory().usedTokens(), false, Set.of(FleetShape.MODEL), 0);
+	}
+
+	/**
+	 * Returns the last published report with its age.
+	 * @return the report
+	 */
+	LoadReport report() {
+		LoadReport last = this.report;
+		long ageMillis = (this.queue.nowMicros() - this.reportedMicros) / 1_000;
+		return new LoadReport(last.endpoint(), last.incarnation(), last.runningRequests(), last.queuedRequests(),
+				last.queuedPromptTokens(), last.usedMemoryTokens(), last.draining(), last.loadedModels(), ageMillis);
+	}
+
+	/**
+	 * Runs something on the model at the current time.
+	 * @param action what to run
+	 */
+	void apply(Consumer<EngineModel> action) {
+		this.model.advanceTo(this.queue.nowMicros());
+		action.accept(this.model);
+		scheduleWake();
+	}
+
+	/**
+	 * Submits a request.
+	 * @param request the request
+	 * @param observer told of its progress
+	 * @return whether the engine took it
+	 */
+	boolean submit(EngineRequest request, AttemptObserver observer) {
+		this.observers.put(request.id(), observer);
+		SubmitResult[] result = new SubmitResult[1];
+		apply((engine) -> result[0] = engine.submit(request));
+		if (result[0] != SubmitResult.ACCEPTED) {
+			this.observers.remove(request.id());
+			return false;
+		}
+		return true;
+	}
+
+	void cancel(long requestId) {
+		this.observers.remove(requestId);
+		apply((engine) -> engine.cancel(requestId));
+	}
+
+	/**
+	 * Returns the prompt and answer tokens that the engine has computed.
+	 * @return number of tokens
+	 */
+	long processedTokens() {
+		return this.processedTokens;
+	}
+
+	private void scheduleWake() {
+		long next = this.model.nextEventMicros().orElse(Long.MAX_VALUE);
+		if (next < this.wakeMicros) {
+			this.wakeMicros = next;
+			this.queue.at(next, () -> wake(next));
+		}
+	}
+
+	private void wake(long scheduledMicros) {
+		if (scheduledMicros == this.wakeMicros) {
+			this.wakeMicros = Long.MAX_VALUE;
+			this.model.advanceTo(this.queue.nowMicros());
+			scheduleWake();
+		}
+	}
+
+	@Override
+	public void stepped(long atMicros, long durationMicros, int decodingSequences, int prefillTokens) {
+		this.processedTokens += decodingSequences + prefillTokens;
+	}
+
+	@Override
+	public void generated(long atMicros, long requestId, int offset, int count) {
+		if (offset == 0) {
+			AttemptObserver observer = this.observers.get(requestId);
+			if (observer != null) {
+				observer.firstToken();
+			}
+		}
+	}
+
+	@Override
+	public void ended(long atMicros, long requestId, int cachedTokens, int answerTokens) {
+		AttemptObserver observer = this.observers.remove(requestId);
+		if (observer != null) {
+			observer.ended(cachedTokens, answerTokens);
+		}
+	}
+
+	/**
+	 * Told of the progress of a request on an engine.
+	 */
+	interface AttemptObserver {
+
+		/**
+		 * The first token was generated.
+		 */
+		void firstToken();
+
+		/**
+		 * The answer is whole.
+		 * @param cachedTokens prompt tokens taken from the cache
+		 * @param answerTokens length of the answer
+		 */
+		void ended(int cachedTokens, int answerTokens);
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Comparison of routing policies in virtual time.
+ */
+package io.mulberrylift.testkit.experiment;
