--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/ReducerParts.java
@@ -10,7 +10,7 @@
 import io.mulberrylift.core.memory.MemoryPart;
 import io.mulberrylift.core.request.RequestPart;
 import io.mulberrylift.core.request.RetryPolicy;
-import io.mulberrylift.core.scheduling.QueueScheduler;
+import io.mulberrylift.core.scheduling.PolicyScheduler;
 import io.mulberrylift.core.scheduling.Scheduler;
 import io.mulberrylift.core.witness.WitnessPart;
 
@@ -32,7 +32,7 @@
 
 	static ReducerParts create(FleetState fleet, long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
-		Scheduler scheduler = new QueueScheduler(fleet);
+		Scheduler scheduler = new PolicyScheduler(fleet, random.split());
 		MembershipPart membership = new MembershipPart(fleet);
 		WitnessPart claims = new WitnessPart(fleet, membership, random.split());
 		MemoryPart memory = new MemoryPart(fleet);
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
@@ -106,7 +106,7 @@
 		ProfileSettings profile = new ProfileSettings(5, 5_000, 60_000, false, false, 0);
 		return new FleetConfiguration(this.zones, Map.of(), Map.of(), Map.of("ticket", profile),
 				Map.of("yard", new WorkspaceSettings(1, 0, "")), null,
-				new PromiseSettings(WINDOW_MILLIS, 0, 0, SKEW_MILLIS, FRESHNESS_MILLIS), null);
+				new PromiseSettings(WINDOW_MILLIS, 0, 0, SKEW_MILLIS, FRESHNESS_MILLIS), null, null);
 	}
 
 	VirtualInstance start(ZoneId zone) {
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/ControlHandler.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/ControlHandler.java
@@ -5,9 +5,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mulberrylift.core.effect.ControlEffect;
+import io.mulberrylift.daemon.logging.LogEffectHandler;
 import io.mulberrylift.daemon.loop.EffectHandler;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import io.mulberrylift.daemon.metrics.CountEffectHandler;
 
 /**
  * Writes the reducer's log lines, counts for it and learns that it is done.
@@ -18,38 +18,29 @@
  */
 final class ControlHandler implements EffectHandler<ControlEffect> {
 
-	private static final Logger logger = LoggerFactory.getLogger("io.mulberrylift");
+	private final EffectHandler<ControlEffect.Count> counts;
 
-	private final MetricRegistry metrics;
+	private final EffectHandler<ControlEffect.Log> lines = new LogEffectHandler();
 
 	private final CountDownLatch exit = new CountDownLatch(1);
 
 	ControlHandler(MetricRegistry metrics) {
-		this.metrics = metrics;
+		this.counts = new CountEffectHandler(metrics);
 	}
 
 	@Override
 	public void handle(ControlEffect effect) {
 		if (effect instanceof ControlEffect.Count count) {
-			this.metrics.counter(count.part().prefix() + "." + count.name()).inc(count.increment());
+			this.counts.handle(count);
 		}
 		else if (effect instanceof ControlEffect.Log line) {
-			write(line);
+			this.lines.handle(line);
 		}
 		else if (effect instanceof ControlEffect.Exit) {
 			this.exit.countDown();
 		}
 	}
 
-	private void write(ControlEffect.Log line) {
-		String prefix = line.part().prefix();
-		switch (line.level()) {
-			case DEBUG -> logger.debug("{}: {}", prefix, line.message());
-			case INFO -> logger.info("{}: {}", prefix, line.message());
-			case WARN -> logger.warn("{}: {}", prefix, line.message());
-		}
-	}
-
 	boolean awaitExit(long timeoutMillis) throws InterruptedException {
 		return this.exit.await(timeoutMillis, TimeUnit.MILLISECONDS);
 	}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/FleetView.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/FleetView.java
@@ -24,6 +24,8 @@
 
 	private volatile FleetConfiguration configuration;
 
+	private volatile boolean listKnown;
+
 	FleetView(EndpointDirectory endpoints, PeerDirectory peers) {
 		this.endpoints = endpoints;
 		this.peers = peers;
@@ -33,6 +35,7 @@
 	public void changed(FleetState fleet) {
 		this.endpoints.update(fleet.list());
 		this.peers.update(fleet.list());
+		this.listKnown = fleet.list().version() > 0;
 		fleet.configuration().ifPresent((changed) -> this.configuration = changed);
 	}
 
@@ -41,4 +44,8 @@
 		return Optional.ofNullable(this.configuration);
 	}
 
+	boolean hasList() {
+		return this.listKnown;
+	}
+
 }
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.security.SecureRandom;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
@@ -15,6 +16,7 @@
 import com.google.inject.Singleton;
 import io.mulberrylift.core.Reducer;
 import io.mulberrylift.core.fleet.InstanceIdentity;
+import io.mulberrylift.daemon.admin.OperatorSetup;
 import io.mulberrylift.daemon.caller.CallerGateway;
 import io.mulberrylift.daemon.caller.CallerServlet;
 import io.mulberrylift.daemon.caller.HttpServer;
@@ -110,6 +112,12 @@
 		return new EventLoop(new Reducer(identity, identity.incarnation()), clock, view);
 	}
 
+	@Provides
+	@Singleton
+	OperatorView operatorView(EventLoop loop, FleetView view) {
+		return new OperatorView(loop, view);
+	}
+
 	@Provides
 	@Singleton
 	ControlHandler controlHandler(MetricRegistry metrics) {
@@ -131,12 +139,12 @@
 	@Provides
 	@Singleton
 	HttpServer httpServer(ExchangeTable exchanges, EventLoop loop, FleetView view, CallerMetrics callerMetrics,
-			MetricRegistry metrics, OpenCalls openCalls, ScheduledExecutorService timer) {
+			MetricRegistry metrics, OpenCalls openCalls, ScheduledExecutorService timer, OperatorView operators) {
 		CallerGateway gateway = new CallerGateway(exchanges, loop, view, callerMetrics, InstantSource.system());
 		CallerServlet servlet = new CallerServlet(gateway, openCalls, this.settings.limits().maxBodyBytes(),
 				this.settings.limits().bodyTimeoutMillis(), timer);
-		return new HttpServer(this.settings, metrics, servlet, (environment) -> {
-		});
+		OperatorSetup operatorSetup = new OperatorSetup(metrics, operators, operators, operators);
+		return new HttpServer(this.settings, metrics, servlet, List.of(operatorSetup::configure));
 	}
 
 	@Provides
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerCodecTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerCodecTests.java
@@ -44,16 +44,18 @@
 
 	static Stream<PeerMessage> messages() {
 		WitnessMessage.Grant grant = new WitnessMessage.Grant(KEY, -1, CLAIM, true, ANSWER);
-		return Stream.of(new Heartbeat(ZONE, 1, 2, 3, true, 4), new SuspectNotice(-5, new EndpointId("e"), 6, false),
-				new ConfigurationMessage.Pull(7), new ConfigurationMessage.Push(new PublishedDocument(8, "{\"a\":1}")),
+		return Stream.of(new Heartbeat(ZONE, 1, 2, 3, true, 4),
+				new SuspectNotice(-5, new EndpointId("e"), 6, false, true), new ConfigurationMessage.Pull(7),
+				new ConfigurationMessage.Push(new PublishedDocument(8, "{\"a\":1}")),
 				new WitnessMessage.Claim(ZONE, KEY, 9, CLAIM),
 				new WitnessMessage.Verdict(ZONE, CLAIM, WitnessMessage.Decision.RUNNING, Optional.of(CLAIM), ANSWER),
 				new WitnessMessage.Verdict(ZONE, CLAIM, WitnessMessage.Decision.GRANTED, Optional.empty(),
 						Optional.empty()),
-				new WitnessMessage.Release(ZONE, KEY, CLAIM), new WitnessMessage.Settled(ZONE, KEY, CLAIM, ANSWER),
-				new WitnessMessage.Settled(ZONE, KEY, CLAIM, Optional.empty()),
-				new WitnessMessage.Handover(ZONE, 10, 0, 2, List.of(grant, grant)),
-				new WitnessMessage.Handover(ZONE, 10, 1, 2, List.of()), new WitnessMessage.HandoverTaken(ZONE, 1));
+				new WitnessMessage.Release(ZONE, KEY, CLAIM), new WitnessMessage.Settled(ZONE, KEY, 11, CLAIM, ANSWER),
+				new WitnessMessage.Settled(ZONE, KEY, 11, CLAIM, Optional.empty()),
+				new WitnessMessage.Handover(ZONE, 12, 13, 10, 0, 2, List.of(grant, grant)),
+				new WitnessMessage.Handover(ZONE, 12, 13, 10, 1, 2, List.of()),
+				new WitnessMessage.HandoverTaken(ZONE, 1));
 	}
 
 	@ParameterizedTest
