Add the stand-in servers, the history checker and their command

Engine, plain service and platform serve the contracts over Jetty's handler API. Streams are written without a blocked thread and watch the connection, so that a caller that closes frees its memory before the first token.

--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/ServiceCommand.java
@@ -0,0 +1,41 @@
+package io.mulberrylift.testkit.command;
+
+import java.util.concurrent.Callable;
+
+import io.mulberrylift.testkit.service.PlainServiceServer;
+import io.mulberrylift.testkit.service.ServiceOptions;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Runs a plain service. Used by one thread.
+ */
+@Command(name = "service", description = "Runs a plain service.", mixinStandardHelpOptions = true)
+final class ServiceCommand implements Callable<Integer> {
+
+	@Spec
+	private CommandSpec spec;
+
+	@Mixin
+	private CommonOptions common;
+
+	@Option(names = "--latency-millis", defaultValue = "20", description = "How long a call executes.")
+	private long latencyMillis;
+
+	@Option(names = "--report-lag-millis", defaultValue = "500", description = "Greatest age of a load report.")
+	private long reportLagMillis;
+
+	@Override
+	public Integer call() throws InterruptedException {
+		ServiceOptions options = new ServiceOptions(this.common.id, this.common.port, this.latencyMillis,
+				this.reportLagMillis);
+		PlainServiceServer server = new PlainServiceServer(options, this.common.openHistory());
+		server.start();
+		this.common.announceAndWait(this.spec.commandLine().getOut(), server.address());
+		return 0;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line of the stand-ins.
+ */
+package io.mulberrylift.testkit.command;
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Attempt.java
@@ -0,0 +1,185 @@
+package io.mulberrylift.testkit.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.mulberrylift.testkit.http.Json;
+import io.mulberrylift.testkit.http.LineStream;
+
+/**
+ * One request that an engine runs, with the stream of its answer.
+ *
+ * <p>
+ * Invariant: tokens below {@code sent} have been given to the stream. Not safe for use by
+ * several threads; the runner's lock guards it.
+ * </p>
+ */
+final class Attempt {
+
+	private final long id;
+
+	private final EngineMessages.AttemptBody body;
+
+	private final long promptHash;
+
+	private final int promptTokens;
+
+	private final boolean crashes;
+
+	private final StreamFaults faults;
+
+	private LineStream stream;
+
+	private Optional<String> heldBack = Optional.empty();
+
+	private int sent;
+
+	private int generated;
+
+	private int cachedTokens;
+
+	private boolean running;
+
+	private boolean ended;
+
+	private boolean cancelled;
+
+	Attempt(long id, EngineMessages.AttemptBody body, boolean crashes, StreamFaults faults) {
+		this.id = id;
+		this.body = body;
+		this.promptHash = AnswerText.promptHash(body.prompt());
+		this.promptTokens = AnswerText.promptTokens(body.prompt());
+		this.crashes = crashes;
+		this.faults = faults;
+		this.sent = body.resumeOffset();
+		this.generated = body.resumeOffset();
+	}
+
+	long id() {
+		return this.id;
+	}
+
+	String name() {
+		return this.body.attempt();
+	}
+
+	long promptHash() {
+		return this.promptHash;
+	}
+
+	boolean crashes() {
+		return this.crashes;
+	}
+
+	boolean running() {
+		return this.running;
+	}
+
+	EngineRequest request(Optional<HoldUse> holds) {
+		return new EngineRequest(this.id, this.body.priority(), this.promptTokens, answerTokens(),
+				this.body.resumeOffset(), EngineMessages.parseBlocks(this.body.prefixBlocks()), holds);
+	}
+
+	boolean attached() {
+		return this.stream != null;
+	}
+
+	void attach(LineStream lineStream) {
+		this.stream = lineStream;
+	}
+
+	void admitted() {
+		this.running = true;
+	}
+
+	void generated(int upTo) {
+		this.generated = upTo;
+	}
+
+	void ended(int cached) {
+		this.cachedTokens = cached;
+		this.ended = true;
+	}
+
+	void cancelled() {
+		this.cancelled = true;
+	}
+
+	/**
+	 * Returns the lines that are due and not sent yet.
+	 * @return what to send
+	 */
+	Output takeOutput() {
+		int limit = this.generated;
+		boolean truncated = this.cancelled;
+		if (this.faults.truncateAfterTokens() >= 0) {
+			int last = this.body.resumeOffset() + this.faults.truncateAfterTokens();
+			truncated |= this.generated >= last;
+			limit = Math.min(limit, last);
+		}
+		List<String> lines = new ArrayList<>();
+		if (limit > this.sent) {
+			addTokens(lines, limit);
+		}
+		boolean end = this.ended && !truncated;
+		if (end) {
+			this.heldBack.ifPresent(lines::add);
+			lines.add(Json.write(new EngineMessages.EndLine("end", finishReason(), this.promptTokens, this.cachedTokens,
+					answerTokens())));
+		}
+		return new Output(Optional.ofNullable(this.stream), lines, end, truncated);
+	}
+
+	private void addTokens(List<String> lines, int limit) {
+		List<String> tokens = new ArrayList<>();
+		for (int offset = this.sent; offset < limit; offset++) {
+			tokens.add(AnswerText.token(this.body.model(), this.promptHash, offset));
+		}
+		String line = Json.write(new EngineMessages.TokensLine("tokens", this.sent, tokens));
+		this.sent = limit;
+		if (this.faults.reorder() && this.heldBack.isEmpty()) {
+			this.heldBack = Optional.of(line);
+			return;
+		}
+		lines.add(line);
+		if (this.faults.duplicate()) {
+			lines.add(line);
+		}
+		this.heldBack.ifPresent(lines::add);
+		this.heldBack = Optional.empty();
+	}
+
+	private int answerTokens() {
+		return AnswerText.answerTokens(this.promptHash, this.body.maxOutputTokens());
+	}
+
+	private String finishReason() {
+		return AnswerText.finishReason(this.promptHash, this.body.maxOutputTokens());
+	}
+
+	/**
+	 * What an attempt has to send.
+	 *
+	 * @param stream where to, empty while the answer is not begun
+	 * @param lines the lines in order
+	 * @param end whether the stream ends after them
+	 * @param broken whether the connection closes after them
+	 */
+	record Output(Optional<LineStream> stream, List<String> lines, boolean end, boolean broken) {
+
+		void send() {
+			this.stream.ifPresent((to) -> {
+				this.lines.forEach(to::send);
+				if (this.broken) {
+					to.breakOff();
+				}
+				else if (this.end) {
+					to.end();
+				}
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineClock.java
@@ -0,0 +1,58 @@
+package io.mulberrylift.testkit.engine;
+
+/**
+ * Time of a model that runs as a process: real time multiplied by a scale, without the
+ * time for which the process hung.
+ *
+ * <p>
+ * Invariant: the time never goes back. Not safe for use by several threads.
+ * </p>
+ */
+final class EngineClock {
+
+	private static final double NANOS_PER_MICRO = 1_000;
+
+	private final double scale;
+
+	private long originNanos = System.nanoTime();
+
+	private long frozenAtNanos;
+
+	private boolean frozen;
+
+	EngineClock(double scale) {
+		this.scale = scale;
+	}
+
+	long micros() {
+		long nowNanos = this.frozen ? this.frozenAtNanos : System.nanoTime();
+		return (long) ((nowNanos - this.originNanos) / NANOS_PER_MICRO * this.scale);
+	}
+
+	long toRealNanos(long modelMicros) {
+		return (long) Math.ceil(modelMicros * NANOS_PER_MICRO / this.scale);
+	}
+
+	long toModelMicros(long realMillis) {
+		return (long) (realMillis * NANOS_PER_MICRO * this.scale);
+	}
+
+	long toRealMillis(long modelMicros) {
+		return (long) (modelMicros / NANOS_PER_MICRO / this.scale);
+	}
+
+	boolean frozen() {
+		return this.frozen;
+	}
+
+	void freeze(boolean on) {
+		if (on && !this.frozen) {
+			this.frozenAtNanos = System.nanoTime();
+		}
+		else if (!on && this.frozen) {
+			this.originNanos += System.nanoTime() - this.frozenAtNanos;
+		}
+		this.frozen = on;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineFaults.java
@@ -0,0 +1,80 @@
+package io.mulberrylift.testkit.engine;
+
+/**
+ * Fault switches of an engine. Safe for use by several threads.
+ */
+final class EngineFaults {
+
+	private StreamFaults nextStream = StreamFaults.NONE;
+
+	private String crashMarker = "";
+
+	private int refusalStatus;
+
+	private boolean draining;
+
+	synchronized void truncateNext(int afterTokens) {
+		this.nextStream = new StreamFaults(afterTokens, this.nextStream.duplicate(), this.nextStream.reorder());
+	}
+
+	synchronized void duplicateNext() {
+		this.nextStream = new StreamFaults(this.nextStream.truncateAfterTokens(), true, this.nextStream.reorder());
+	}
+
+	synchronized void reorderNext() {
+		this.nextStream = new StreamFaults(this.nextStream.truncateAfterTokens(), this.nextStream.duplicate(), true);
+	}
+
+	synchronized StreamFaults takeNextStream() {
+		StreamFaults faults = this.nextStream;
+		this.nextStream = StreamFaults.NONE;
+		return faults;
+	}
+
+	synchronized void crashOn(String marker) {
+		this.crashMarker = (marker != null) ? marker : "";
+	}
+
+	synchronized boolean crashes(String prompt) {
+		return !this.crashMarker.isEmpty() && prompt.contains(this.crashMarker);
+	}
+
+	synchronized void refuse(int status) {
+		this.refusalStatus = status;
+	}
+
+	synchronized int refusalStatus() {
+		return this.refusalStatus;
+	}
+
+	synchronized void drain(boolean on) {
+		this.draining = on;
+	}
+
+	synchronized boolean draining() {
+		return this.draining;
+	}
+
+	record Marker(String marker) {
+	}
+
+	record Factor(double factor) {
+	}
+
+	record After(int afterTokens) {
+	}
+
+	record Refusal(Boolean on, Integer status) {
+
+		private static final int BUSY_STATUS = 429;
+
+		int effectiveStatus() {
+			if (Boolean.FALSE.equals(this.on)) {
+				return 0;
+			}
+			return (this.status != null) ? this.status : BUSY_STATUS;
+		}
+
+	}
+
+}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineModel.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineModel.java
@@ -91,14 +91,6 @@
 		return this.nowMicros;
 	}
 
-	/**
-	 * Returns the settings.
-	 * @return the settings
-	 */
-	public EngineSettings settings() {
-		return this.settings;
-	}
-
 	/**
 	 * Returns when something happens next without a further call.
 	 * @return the time in microseconds, empty while the model is idle
@@ -269,28 +261,11 @@
 	}
 
 	/**
-	 * Returns the number of requests in the batch.
-	 * @return number of requests
-	 */
-	public int runningRequests() {
-		return this.batch.size();
-	}
-
-	/**
-	 * Returns the number of waiting requests.
-	 * @return number of requests
-	 */
-	public int queuedRequests() {
-		return this.waiting.size();
-	}
-
-	/**
-	 * Returns the prompt tokens that are not processed yet, of waiting and running
-	 * requests.
-	 * @return number of tokens
+	 * Returns the numbers of the load report.
+	 * @return the load
 	 */
-	public long queuedPromptTokens() {
-		return this.queuedPromptTokens;
+	public EngineLoad load() {
+		return new EngineLoad(this.batch.size(), this.waiting.size(), this.queuedPromptTokens, memory().usedTokens());
 	}
 
 	/**
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineServer.java
@@ -0,0 +1,139 @@
+package io.mulberrylift.testkit.engine;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.mulberrylift.testkit.history.HistoryEvent;
+import io.mulberrylift.testkit.history.HistoryWriter;
+import io.mulberrylift.testkit.http.FaultControls;
+import io.mulberrylift.testkit.http.FaultGate;
+import io.mulberrylift.testkit.http.HttpStandIn;
+import io.mulberrylift.testkit.http.Router;
+
+/**
+ * Stand-in of a model engine: the engine contract over HTTP, run by {@link EngineModel}
+ * in scaled real time.
+ *
+ * <p>
+ * Fault switches under {@code /control}: {@code crash}, {@code crash-on-prompt}
+ * {@code {"marker"}}, {@code hang}, {@code drain} and {@code refuse} {@code {"on"}},
+ * {@code slow} {@code {"factor"}}, {@code truncate} {@code {"afterTokens"}},
+ * {@code duplicate} and {@code reorder} for the next stream, {@code cut}
+ * {@code {"zones"}}.
+ * </p>
+ *
+ * <p>
+ * Start and stop belong to one thread; requests are served by several threads.
+ * </p>
+ */
+public final class EngineServer {
+
+	private final EngineOptions options;
+
+	private final HistoryWriter history;
+
+	private final EngineRunner runner;
+
+	private final EngineRoutes routes;
+
+	private final EngineFaults faults = new EngineFaults();
+
+	private final FaultGate gate = new FaultGate();
+
+	private final HttpStandIn http;
+
+	/**
+	 * Creates an engine that does not listen yet and whose crashes end this process.
+	 * @param options how to run it
+	 * @param history receives its events
+	 */
+	public EngineServer(EngineOptions options, HistoryWriter history) {
+		this(options, history, FaultControls::halt);
+	}
+
+	/**
+	 * Creates an engine that does not listen yet.
+	 * @param options how to run it
+	 * @param history receives its events
+	 * @param crash what a crash does
+	 */
+	public EngineServer(EngineOptions options, HistoryWriter history, Runnable crash) {
+		this.options = options;
+		this.history = history;
+		this.runner = new EngineRunner(options, history, crash);
+		this.routes = new EngineRoutes(options, this.runner, this.faults, history);
+		Router router = new Router();
+		this.routes.addTo(router);
+		addControls(new FaultControls(router, this.gate, crash));
+		this.http = new HttpStandIn(options.port(), router, this.gate);
+	}
+
+	/**
+	 * Begins to serve.
+	 * @throws IllegalStateException if the port cannot be opened
+	 */
+	public void start() {
+		this.history
+			.write(new HistoryEvent.Started(System.currentTimeMillis(), this.options.id(), this.routes.incarnation()));
+		this.runner.start();
+		this.http.start();
+	}
+
+	/**
+	 * Closes all connections and drops all work.
+	 */
+	public void stop() {
+		this.http.stop();
+		this.runner.stop();
+		try {
+			this.routes.close();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("Cannot close the client of engine " + this.options.id(), ex);
+		}
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port, not positive before the start
+	 */
+	public int port() {
+		return this.http.port();
+	}
+
+	/**
+	 * Returns where the engine listens.
+	 * @return host and port
+	 */
+	public String address() {
+		return this.http.address();
+	}
+
+	/**
+	 * Returns the census of the engine's memory.
+	 * @return the census at this moment
+	 */
+	public MemoryUse memory() {
+		return this.runner.apply(EngineModel::memory);
+	}
+
+	private void addControls(FaultControls controls) {
+		controls.on("crash-on-prompt", EngineFaults.Marker.class, (body) -> this.faults.crashOn(body.marker()));
+		controls.on("hang", FaultControls.Switch.class, (body) -> hang(body.on()));
+		controls.on("drain", FaultControls.Switch.class, (body) -> this.faults.drain(body.on()));
+		controls.on("refuse", EngineFaults.Refusal.class, (body) -> this.faults.refuse(body.effectiveStatus()));
+		controls.on("slow", EngineFaults.Factor.class, (body) -> this.runner.apply((model) -> {
+			model.slowDown(body.factor());
+			return body;
+		}));
+		controls.on("truncate", EngineFaults.After.class, (body) -> this.faults.truncateNext(body.afterTokens()));
+		controls.on("duplicate", FaultControls.Switch.class, (body) -> this.faults.duplicateNext());
+		controls.on("reorder", FaultControls.Switch.class, (body) -> this.faults.reorderNext());
+	}
+
+	private void hang(boolean on) {
+		this.runner.freeze(on);
+		this.gate.hang(on);
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/history/Violation.java
@@ -0,0 +1,11 @@
+package io.mulberrylift.testkit.history;
+
+/**
+ * A broken promise.
+ *
+ * @param promise the promise
+ * @param subject the send, key, endpoint or instance
+ * @param detail what happened
+ */
+public record Violation(Promise promise, String subject, String detail) {
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/http/LineStream.java
@@ -0,0 +1,175 @@
+package io.mulberrylift.testkit.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+import org.eclipse.jetty.io.AbstractEndPoint;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Answer that is sent line by line without blocking a thread. Lines that come while a
+ * write is under way leave together with the next write.
+ *
+ * <p>
+ * Invariants: lines leave in the order in which they were given; after the end or a
+ * failure, nothing leaves. While the stream is open it watches the connection and reports
+ * once when the caller closes it. Safe for use by several threads.
+ * </p>
+ */
+public final class LineStream {
+
+	private final Response response;
+
+	private final Callback callback;
+
+	private final EndPoint endPoint;
+
+	private final Runnable onClosed;
+
+	private final StringBuilder pending = new StringBuilder();
+
+	private boolean writing;
+
+	private boolean ending;
+
+	private boolean breaking;
+
+	private boolean done;
+
+	LineStream(Response response, Callback callback, EndPoint endPoint, Runnable onClosed) {
+		this.response = response;
+		this.callback = callback;
+		this.endPoint = endPoint;
+		this.onClosed = onClosed;
+	}
+
+	/**
+	 * Sends a line.
+	 * @param line the line without its end
+	 */
+	public void send(String line) {
+		synchronized (this) {
+			this.pending.append(line).append('\n');
+		}
+		writeNext();
+	}
+
+	/**
+	 * Ends the answer after all lines have left.
+	 */
+	public void end() {
+		synchronized (this) {
+			this.ending = true;
+		}
+		writeNext();
+	}
+
+	/**
+	 * Closes the connection in the middle of the answer, after the lines given so far
+	 * have left.
+	 */
+	public void breakOff() {
+		synchronized (this) {
+			this.breaking = true;
+		}
+		writeNext();
+	}
+
+	void begin() {
+		this.endPoint.tryFillInterested(Callback.from(this::readable, this::closedByCaller));
+		synchronized (this) {
+			this.writing = true;
+		}
+		this.response.write(false, BufferUtil.EMPTY_BUFFER, Callback.from(this::written, this::closedByCaller));
+	}
+
+	private void writeNext() {
+		ByteBuffer buffer;
+		Step step;
+		synchronized (this) {
+			step = nextStep();
+			buffer = BufferUtil.toBuffer(this.pending.toString(), StandardCharsets.UTF_8);
+			if (step != Step.NONE) {
+				this.pending.setLength(0);
+				this.writing = true;
+				this.done = step != Step.WRITE;
+			}
+		}
+		switch (step) {
+			case WRITE -> this.response.write(false, buffer, Callback.from(this::written, this::closedByCaller));
+			case END -> {
+				stopWatching();
+				this.response.write(true, buffer, this.callback);
+			}
+			case BREAK -> fail();
+			default -> {
+			}
+		}
+	}
+
+	private Step nextStep() {
+		if (this.writing || this.done) {
+			return Step.NONE;
+		}
+		if (this.breaking) {
+			return this.pending.isEmpty() ? Step.BREAK : Step.WRITE;
+		}
+		if (this.ending) {
+			return Step.END;
+		}
+		return this.pending.isEmpty() ? Step.NONE : Step.WRITE;
+	}
+
+	private void written() {
+		synchronized (this) {
+			this.writing = false;
+		}
+		writeNext();
+	}
+
+	private void readable() {
+		try {
+			if (this.endPoint.fill(BufferUtil.allocate(1)) < 0) {
+				closedByCaller(new EofException("closed by the caller"));
+			}
+		}
+		catch (IOException ex) {
+			closedByCaller(ex);
+		}
+	}
+
+	private void closedByCaller(Throwable failure) {
+		synchronized (this) {
+			if (this.done) {
+				return;
+			}
+			this.done = true;
+		}
+		this.endPoint.close();
+		this.callback.failed(failure);
+		this.onClosed.run();
+	}
+
+	private void fail() {
+		this.endPoint.close();
+		this.callback.failed(new EofException("stream cut off"));
+	}
+
+	private void stopWatching() {
+		if (this.endPoint instanceof AbstractEndPoint watched) {
+			watched.getFillInterest().onFail(new EofException("stream ended"));
+		}
+	}
+
+	private enum Step {
+
+		NONE, WRITE, END, BREAK
+
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/platform/PlatformState.java
@@ -0,0 +1,82 @@
+package io.mulberrylift.testkit.platform;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What the platform publishes, live and as readers see it while it is stale.
+ *
+ * <p>
+ * Invariants: versions only grow. While the state is stale, readers get the content and
+ * the time of confirmation from the moment at which it became stale. Safe for use by
+ * several threads.
+ * </p>
+ */
+final class PlatformState {
+
+	private final Map<String, ListedInstance> instances = new LinkedHashMap<>();
+
+	private final Map<String, ListedEndpoint> endpoints = new LinkedHashMap<>();
+
+	private PublishedConfiguration configuration = new PublishedConfiguration(0, "");
+
+	private long listVersion;
+
+	private Optional<Snapshot> stale = Optional.empty();
+
+	synchronized long publish(String document) {
+		this.configuration = new PublishedConfiguration(this.configuration.version() + 1, document);
+		return this.configuration.version();
+	}
+
+	synchronized long change(PlatformMessages.ListChange change, long nowEpochMillis) {
+		change.remove().forEach((id) -> {
+			this.instances.remove(id);
+			this.endpoints.remove(id);
+		});
+		change.addInstances().forEach((added) -> this.instances.put(added.id(), added.listedAt(nowEpochMillis)));
+		change.addEndpoints().forEach((added) -> this.endpoints.put(added.id(), added));
+		change.leaving().forEach((id) -> mark(id, true));
+		change.staying().forEach((id) -> mark(id, false));
+		this.listVersion++;
+		return this.listVersion;
+	}
+
+	synchronized void freeze(boolean on, long nowEpochMillis) {
+		if (!on) {
+			this.stale = Optional.empty();
+		}
+		else if (this.stale.isEmpty()) {
+			this.stale = Optional.of(new Snapshot(this.configuration, liveList(nowEpochMillis)));
+		}
+	}
+
+	synchronized PublishedConfiguration configuration() {
+		return this.stale.map(Snapshot::configuration).orElse(this.configuration);
+	}
+
+	synchronized PublishedList list(long nowEpochMillis) {
+		return this.stale.map(Snapshot::list).orElseGet(() -> liveList(nowEpochMillis));
+	}
+
+	synchronized List<String> endpointIds() {
+		return new ArrayList<>(this.endpoints.keySet());
+	}
+
+	private PublishedList liveList(long nowEpochMillis) {
+		return new PublishedList(this.listVersion, nowEpochMillis, new ArrayList<>(this.instances.values()),
+				new ArrayList<>(this.endpoints.values()));
+	}
+
+	private void mark(String id, boolean leaving) {
+		this.instances.computeIfPresent(id, (key, instance) -> instance.withLeaving(leaving));
+		this.endpoints.computeIfPresent(id, (key, endpoint) -> endpoint.withLeaving(leaving));
+	}
+
+	private record Snapshot(PublishedConfiguration configuration, PublishedList list) {
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/service/PlainServiceServer.java
@@ -0,0 +1,208 @@
+package io.mulberrylift.testkit.service;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.mulberrylift.testkit.engine.AnswerText;
+import io.mulberrylift.testkit.history.HistoryEvent;
+import io.mulberrylift.testkit.history.HistoryWriter;
+import io.mulberrylift.testkit.http.Exchange;
+import io.mulberrylift.testkit.http.FaultControls;
+import io.mulberrylift.testkit.http.FaultGate;
+import io.mulberrylift.testkit.http.HttpStandIn;
+import io.mulberrylift.testkit.http.Router;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * Stand-in of a plain service. It executes each call that it accepts, also when it knows
+ * the key, and counts it under {@code GET /control/executions}. The answer is the
+ * {@link ServiceReceipt} of the body.
+ *
+ * <p>
+ * Fault switches under {@code /control}: {@code crash}, {@code crash-before} and
+ * {@code crash-after} the next execution, {@code hang}, {@code drain} and {@code refuse}
+ * {@code {"on"}}, {@code latency} {@code {"latencyMillis"}}, {@code cut}
+ * {@code {"zones"}}.
+ * </p>
+ *
+ * <p>
+ * Invariant: a call that is answered with {@code Not-Run: true} is not counted. Start and
+ * stop belong to one thread; requests are served by several threads.
+ * </p>
+ */
+public final class PlainServiceServer {
+
+	private static final String KEY_HEADER = "Idempotency-Key";
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final ServiceOptions options;
+
+	private final HistoryWriter history;
+
+	private final Runnable crash;
+
+	private final ServiceFaults faults;
+
+	private final ExecutionLog executions = new ExecutionLog();
+
+	private final AtomicInteger running = new AtomicInteger();
+
+	private final AtomicLong lastExecutionId = new AtomicLong();
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor((task) -> {
+		Thread thread = new Thread(task, "service-timer");
+		thread.setDaemon(true);
+		return thread;
+	});
+
+	private final FaultGate gate = new FaultGate();
+
+	private final HttpStandIn http;
+
+	private final long incarnation = System.currentTimeMillis();
+
+	private ServiceMessages.LoadBody lastLoad;
+
+	private long lastLoadNanos;
+
+	/**
+	 * Creates a service that does not listen yet and whose crashes end this process.
+	 * @param options how to run it
+	 * @param history receives its events
+	 */
+	public PlainServiceServer(ServiceOptions options, HistoryWriter history) {
+		this(options, history, FaultControls::halt);
+	}
+
+	/**
+	 * Creates a service that does not listen yet.
+	 * @param options how to run it
+	 * @param history receives its events
+	 * @param crash what a crash does; when it returns, the call's connection is closed
+	 */
+	public PlainServiceServer(ServiceOptions options, HistoryWriter history, Runnable crash) {
+		this.options = options;
+		this.history = history;
+		this.crash = crash;
+		this.faults = new ServiceFaults(options.latencyMillis());
+		Router router = new Router();
+		addControls(new FaultControls(router, this.gate, crash));
+		router.on("GET", "/control/executions",
+				(exchange) -> exchange.respond(HttpStatus.OK_200, new ServiceMessages.Executions(executions())));
+		router.on("GET", "/service/v1/load", (exchange) -> exchange.respond(HttpStatus.OK_200, load()));
+		router.otherwise(this::call);
+		this.http = new HttpStandIn(options.port(), router, this.gate);
+	}
+
+	/**
+	 * Begins to serve.
+	 * @throws IllegalStateException if the port cannot be opened
+	 */
+	public void start() {
+		this.history.write(new HistoryEvent.Started(System.currentTimeMillis(), this.options.id(), this.incarnation));
+		this.http.start();
+	}
+
+	/**
+	 * Closes all connections and drops all work.
+	 */
+	public void stop() {
+		this.http.stop();
+		this.timer.shutdownNow();
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port, not positive before the start
+	 */
+	public int port() {
+		return this.http.port();
+	}
+
+	/**
+	 * Returns where the service listens.
+	 * @return host and port
+	 */
+	public String address() {
+		return this.http.address();
+	}
+
+	/**
+	 * Returns the executed calls.
+	 * @return one entry for each key and body, in the order of their first execution
+	 */
+	public List<Execution> executions() {
+		return this.executions.list();
+	}
+
+	private void addControls(FaultControls controls) {
+		controls.on("crash-before", FaultControls.Switch.class, (body) -> this.faults.crashBefore(body.on()));
+		controls.on("crash-after", FaultControls.Switch.class, (body) -> this.faults.crashAfter(body.on()));
+		controls.on("hang", FaultControls.Switch.class, (body) -> this.gate.hang(body.on()));
+		controls.on("drain", FaultControls.Switch.class, (body) -> this.faults.drain(body.on()));
+		controls.on("refuse", FaultControls.Switch.class, (body) -> this.faults.refuse(body.on()));
+		controls.on("latency", ServiceMessages.Latency.class, (body) -> this.faults.latency(body.latencyMillis()));
+	}
+
+	private void call(Exchange exchange) throws IOException {
+		if (this.faults.refuses()) {
+			exchange.setHeader("Not-Run", "true");
+			exchange.setHeader("Retry-After", "1");
+			exchange.respond(HttpStatus.SERVICE_UNAVAILABLE_503);
+			return;
+		}
+		Call call = new Call(exchange, Long.toString(this.lastExecutionId.incrementAndGet()),
+				exchange.header(KEY_HEADER).orElse(""), AnswerText.promptHash(exchange.body()));
+		this.history.write(new HistoryEvent.NewWork(System.currentTimeMillis(), this.options.id(), call.id()));
+		if (this.faults.crashBefore()) {
+			crash(exchange);
+			return;
+		}
+		execute(call);
+	}
+
+	private void execute(Call call) {
+		this.running.incrementAndGet();
+		this.executions.add(call.key(), call.bodyHash());
+		this.history.write(new HistoryEvent.Run(System.currentTimeMillis(), this.options.id(), call.id(),
+				call.bodyHash(), call.key()));
+		this.timer.schedule(() -> finish(call), this.faults.latencyMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private void finish(Call call) {
+		this.running.decrementAndGet();
+		this.history.write(new HistoryEvent.RunEnd(System.currentTimeMillis(), this.options.id(), call.id(), true));
+		if (this.faults.crashAfter()) {
+			crash(call.exchange());
+			return;
+		}
+		call.exchange().respondText(HttpStatus.OK_200, "application/json", ServiceReceipt.text(call.bodyHash()));
+	}
+
+	private void crash(Exchange exchange) {
+		this.crash.run();
+		exchange.close();
+	}
+
+	private synchronized ServiceMessages.LoadBody load() {
+		long nowNanos = System.nanoTime();
+		long ageMillis = (nowNanos - this.lastLoadNanos) / NANOS_PER_MILLI;
+		if (this.lastLoad == null || ageMillis >= this.options.reportLagMillis()) {
+			this.lastLoad = new ServiceMessages.LoadBody(this.incarnation, this.running.get(), 0, 0, 0,
+					this.faults.draining(), List.of(), "service", 0);
+			this.lastLoadNanos = nowNanos;
+			ageMillis = 0;
+		}
+		return this.lastLoad.withAge(ageMillis);
+	}
+
+	private record Call(Exchange exchange, String id, String key, long bodyHash) {
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/service/ServiceFaults.java
@@ -0,0 +1,62 @@
+package io.mulberrylift.testkit.service;
+
+/**
+ * Fault switches of a service. Safe for use by several threads.
+ */
+final class ServiceFaults {
+
+	private volatile boolean draining;
+
+	private volatile boolean refusing;
+
+	private volatile boolean crashBefore;
+
+	private volatile boolean crashAfter;
+
+	private volatile long latencyMillis;
+
+	ServiceFaults(long latencyMillis) {
+		this.latencyMillis = latencyMillis;
+	}
+
+	boolean draining() {
+		return this.draining;
+	}
+
+	void drain(boolean on) {
+		this.draining = on;
+	}
+
+	boolean refuses() {
+		return this.draining || this.refusing;
+	}
+
+	void refuse(boolean on) {
+		this.refusing = on;
+	}
+
+	boolean crashBefore() {
+		return this.crashBefore;
+	}
+
+	void crashBefore(boolean on) {
+		this.crashBefore = on;
+	}
+
+	boolean crashAfter() {
+		return this.crashAfter;
+	}
+
+	void crashAfter(boolean on) {
+		this.crashAfter = on;
+	}
+
+	long latencyMillis() {
+		return this.latencyMillis;
+	}
+
+	void latency(long millis) {
+		this.latencyMillis = millis;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/service/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The stand-in of a plain service.
+ */
+package io.mulberrylift.testkit.service;
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineModelMemoryTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineModelMemoryTests.java
@@ -31,8 +31,8 @@
 		model.advanceTo(Long.MAX_VALUE - 1);
 		assertCensusAddsUp(model);
 		assertThat(model.memory().usedTokens()).isZero();
-		assertThat(model.queuedPromptTokens()).isZero();
-		assertThat(model.runningRequests() + model.queuedRequests()).isZero();
+		assertThat(model.load().queuedPromptTokens()).isZero();
+		assertThat(model.load().runningRequests() + model.load().queuedRequests()).isZero();
 	}
 
 	private static void assertCensusAddsUp(EngineModel model) {
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineModelTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineModelTests.java
@@ -69,7 +69,7 @@
 	void requestWaitsUntilMemoryIsFree() {
 		this.model.submit(EngineRequest.of(1, 0, 300_000, 2));
 		this.model.submit(EngineRequest.of(2, 0, 200_000, 2));
-		assertThat(this.model.queuedRequests()).isEqualTo(1);
+		assertThat(this.model.load().queuedRequests()).isEqualTo(1);
 		this.model.advanceTo(FOREVER_MICROS);
 		assertThat(this.events.firstTokenMicros.get(2L)).isGreaterThan(this.events.endMicros.get(1L));
 	}
@@ -87,7 +87,7 @@
 		assertThat(this.model.memory().runningTokens()).isEqualTo(300_002);
 		assertThat(this.model.cancel(1)).isTrue();
 		assertThat(this.model.memory().usedTokens()).isZero();
-		assertThat(this.model.queuedPromptTokens()).isZero();
+		assertThat(this.model.load().queuedPromptTokens()).isZero();
 		assertThat(this.model.cancel(1)).isFalse();
 	}
 
--- /dev/null
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/http/TestClient.java
@@ -0,0 +1,125 @@
+package io.mulberrylift.testkit.http;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.DefaultHttpRequestRetryStrategy;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.EntityUtils;
+import org.apache.hc.core5.http.io.entity.StringEntity;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+
+/**
+ * HTTP client of the tests. It sends each request once. Safe for use by several threads.
+ */
+public final class TestClient implements Closeable {
+
+	private static final Timeout READ_TIMEOUT = Timeout.ofSeconds(5);
+
+	private final CloseableHttpClient client = HttpClients.custom()
+		.setDefaultRequestConfig(RequestConfig.custom().setResponseTimeout(READ_TIMEOUT).build())
+		.setRetryStrategy(new DefaultHttpRequestRetryStrategy(0, TimeValue.ZERO_MILLISECONDS))
+		.build();
+
+	/**
+	 * Sends a request and returns the answer before its body has come.
+	 * @param method the HTTP method
+	 * @param url where to
+	 * @param body JSON body, empty for none
+	 * @param headers further headers
+	 * @return the answer, to be closed
+	 * @throws IOException if the connection fails
+	 */
+	public ClassicHttpResponse open(String method, String url, String body, Map<String, String> headers)
+			throws IOException {
+		HttpUriRequestBase request = new HttpUriRequestBase(method, URI.create(url));
+		headers.forEach(request::setHeader);
+		if (!body.isEmpty()) {
+			request.setEntity(new StringEntity(body, ContentType.APPLICATION_JSON));
+		}
+		return this.client.executeOpen(null, request, null);
+	}
+
+	/**
+	 * Sends a request and reads its whole answer.
+	 * @param method the HTTP method
+	 * @param url where to
+	 * @param body JSON body, empty for none
+	 * @return the status
+	 * @throws IOException if the connection fails
+	 */
+	public int status(String method, String url, String body) throws IOException {
+		try (ClassicHttpResponse response = open(method, url, body, Map.of())) {
+			EntityUtils.consume(response.getEntity());
+			return response.getCode();
+		}
+	}
+
+	/**
+	 * Gets a text.
+	 * @param url where from
+	 * @param headers further headers
+	 * @return the text
+	 * @throws IOException if the connection fails
+	 */
+	public String get(String url, Map<String, String> headers) throws IOException {
+		return text(open("GET", url, "", headers));
+	}
+
+	/**
+	 * Posts a JSON text.
+	 * @param url where to
+	 * @param body the text
+	 * @return the text of the answer
+	 * @throws IOException if the connection fails
+	 */
+	public String post(String url, String body) throws IOException {
+		return text(open("POST", url, body, Map.of()));
+	}
+
+	/**
+	 * Posts a JSON text, waits for the first byte of the answer and closes the
+	 * connection.
+	 * @param url where to
+	 * @param body the text
+	 * @throws IOException if the connection fails
+	 */
+	public void abandon(String url, String body) throws IOException {
+		URI uri = URI.create(url);
+		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		String head = "POST " + uri.getPath() + " HTTP/1.1\r\nHost: " + uri.getAuthority() + "\r\nContent-Length: "
+				+ bytes.length + "\r\n\r\n";
+		try (Socket socket = new Socket(uri.getHost(), uri.getPort())) {
+			socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+			socket.getOutputStream().write(bytes);
+			if (socket.getInputStream().read() < 0) {
+				throw new IOException("closed before the answer began");
+			}
+		}
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.client.close();
+	}
+
+	private static String text(ClassicHttpResponse opened) throws IOException {
+		try (ClassicHttpResponse response = opened) {
+			return EntityUtils.toString(response.getEntity(), StandardCharsets.UTF_8);
+		}
+		catch (org.apache.hc.core5.http.ParseException ex) {
+			throw new IOException(ex);
+		}
+	}
+
+}
