--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/EngineCommand.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/EngineCommand.java
@@ -41,6 +41,16 @@
 			description = "Greatest number of prompt tokens in a step.")
 	private int prefillChunkTokens;
 
+	@Option(names = "--step-base-micros", defaultValue = "11000", description = "Fixed part of a step's time.")
+	private long stepBaseMicros;
+
+	@Option(names = "--prefill-micros-per-token", defaultValue = "95", description = "Time per prompt token.")
+	private long prefillMicrosPerToken;
+
+	@Option(names = "--decode-micros-per-sequence", defaultValue = "600",
+			description = "Time per decoding sequence of a step.")
+	private long decodeMicrosPerSequence;
+
 	@Option(names = "--time-scale", defaultValue = "1", description = "How many times faster than real time.")
 	private double timeScale;
 
@@ -60,7 +70,8 @@
 	public Integer call() throws InterruptedException {
 		EngineSettings settings = EngineSettings.midSize()
 			.withMemoryTokens(this.memoryTokens)
-			.withStepLimits(this.maxBatch, this.prefillChunkTokens);
+			.withStepLimits(this.maxBatch, this.prefillChunkTokens)
+			.withStepTimes(this.stepBaseMicros, this.prefillMicrosPerToken, this.decodeMicrosPerSequence);
 		EngineOptions options = new EngineOptions(this.common.id, this.zone, this.common.port, this.models, settings,
 				this.timeScale, !this.ignoreFencing, this.reportLagMillis, this.cacheLagMillis, this.maxQueued);
 		EngineServer server = new EngineServer(options, this.common.openHistory());
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineSettings.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineSettings.java
@@ -74,6 +74,19 @@
 				this.importMicrosPerToken, this.cacheLogEvents);
 	}
 
+	/**
+	 * Returns these settings with other times of a step.
+	 * @param baseMicros fixed part in microseconds
+	 * @param prefillMicros time per prompt token in microseconds
+	 * @param decodeMicros time per decoding sequence in microseconds
+	 * @return the changed settings
+	 */
+	public EngineSettings withStepTimes(long baseMicros, long prefillMicros, long decodeMicros) {
+		return new EngineSettings(this.memoryTokens, this.maxBatch, this.prefillChunkTokens, baseMicros, prefillMicros,
+				decodeMicros, this.gangGainPercent, this.lendingPercent, this.importMicrosPerToken,
+				this.cacheLogEvents);
+	}
+
 	/**
 	 * Returns these settings with another length of the cache log.
 	 * @param events number of cache events that are kept
