--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/UuidV7.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/UuidV7.java
@@ -8,8 +8,6 @@
  */
 final class UuidV7 {
 
-	private static final int TEXT_LENGTH_CHARS = 36;
-
 	private static final int VERSION = 7;
 
 	private static final int VARIANT = 2;
@@ -25,12 +23,10 @@
 	 * @return milliseconds since the epoch, empty when the key is not a UUID of version 7
 	 */
 	static OptionalLong epochMillis(String key) {
-		if (key.length() != TEXT_LENGTH_CHARS) {
-			return OptionalLong.empty();
-		}
 		try {
 			UUID uuid = UUID.fromString(key);
-			boolean timed = uuid.version() == VERSION && uuid.variant() == VARIANT;
+			boolean canonical = uuid.toString().equalsIgnoreCase(key);
+			boolean timed = canonical && uuid.version() == VERSION && uuid.variant() == VARIANT;
 			return (timed) ? OptionalLong.of(uuid.getMostSignificantBits() >>> TIME_SHIFT_BITS) : OptionalLong.empty();
 		}
 		catch (IllegalArgumentException ex) {
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/logging/LogEffectHandler.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/logging/LogEffectHandler.java
@@ -6,7 +6,6 @@
 import io.mulberrylift.core.effect.ControlEffect;
 import io.mulberrylift.daemon.loop.EffectHandler;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.slf4j.event.Level;
 
 /**
@@ -18,13 +17,24 @@
  */
 public final class LogEffectHandler implements EffectHandler<ControlEffect.Log> {
 
-	private static final Logger LOGGER = LoggerFactory.getLogger("io.mulberrylift");
+	/** Name of the logger that takes the reducer's lines. */
+	public static final String LOGGER_NAME = "io.mulberrylift";
 
 	private static final Map<ControlEffect.Level, Level> LEVELS = levels();
 
+	private final Logger logger;
+
+	/**
+	 * Creates the handler.
+	 * @param logger takes the lines, commonly the one named {@value #LOGGER_NAME}
+	 */
+	public LogEffectHandler(Logger logger) {
+		this.logger = logger;
+	}
+
 	@Override
 	public void handle(ControlEffect.Log effect) {
-		LOGGER.atLevel(LEVELS.get(effect.level())).log("{}: {}", effect.part().prefix(), effect.message());
+		this.logger.atLevel(LEVELS.get(effect.level())).log("{}: {}", effect.part().prefix(), effect.message());
 	}
 
 	private static Map<ControlEffect.Level, Level> levels() {
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/JsonRecordReader.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/JsonRecordReader.java
@@ -82,10 +82,16 @@
 	private static <T> SettingsCheck<T> broken(JsonProcessingException ex) {
 		String place = (ex.getLocation() != null) ? JsonLocations.describe(ex.getLocation()) : "";
 		return new SettingsCheck.Invalid<>(
-				List.of(new ConfigurationProblem("document", "not valid" + place + " (" + ex.getOriginalMessage() + ")",
+				List.of(new ConfigurationProblem("document", "not valid" + place + " (" + summary(ex) + ")",
 						"JSON with comments", "Correct the text at this place.")));
 	}
 
+	private static String summary(JsonProcessingException ex) {
+		String message = ex.getOriginalMessage().lines().findFirst().orElse("");
+		int source = message.indexOf(" (for ");
+		return (source < 0) ? message : message.substring(0, source);
+	}
+
 	private static SimpleModule names() {
 		SimpleModule module = new SimpleModule();
 		module.addDeserializer(ZoneId.class, new NameDeserializer<>(ZoneId::new));
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ConnectionTests.java
@@ -0,0 +1,207 @@
+package io.mulberrylift.daemon.caller;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+
+import io.mulberrylift.core.effect.RequestEffect;
+import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.daemon.exchange.AnswerSink;
+import io.mulberrylift.daemon.exchange.CallerExchange;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of slow, stalled and lost connections.
+ */
+class ConnectionTests {
+
+	private static final long WAIT_MILLIS = 30_000;
+
+	private static final String CHUNK = "#".repeat(16 * 1_024);
+
+	private static final int MANY_CHUNKS = 2_000;
+
+	private static final String STREAM_BODY = "{\"model\":\"outlook\",\"prompt\":\"Ice?\",\"stream\":true}";
+
+	private TestServer server;
+
+	private volatile CallerExchange arrived;
+
+	@AfterEach
+	void stop() throws Exception {
+		this.server.close();
+	}
+
+	@Test
+	void stalledReaderStopsTheWriterAtTheBound() throws Exception {
+		start("");
+		try (Socket socket = connect()) {
+			send(socket, request(STREAM_BODY));
+			int chunks = writeUntilFull();
+			ResponseStream stream = ((AbstractExchange) this.arrived).stream();
+			assertThat(chunks).isLessThan(MANY_CHUNKS);
+			assertThat(stream.bufferedBytes()).isGreaterThan(AnswerSink.MAX_BUFFERED_BYTES)
+				.isLessThan(AnswerSink.MAX_BUFFERED_BYTES + 2L * CHUNK.length());
+			CountDownLatch resumed = new CountDownLatch(1);
+			this.arrived.sink().whenWritable(resumed::countDown);
+			assertThat(resumed.getCount()).isOne();
+			finish();
+			String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(resumed.await(WAIT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+			assertThat(response.chars().filter((c) -> c == '#').count()).isEqualTo((long) chunks * CHUNK.length());
+			assertThat(response).contains("data: [DONE]");
+		}
+	}
+
+	@Test
+	void callerGoneInMidStreamIsSubmittedOnce() throws Exception {
+		start("");
+		try (Socket socket = connect()) {
+			send(socket, request(STREAM_BODY));
+			waitFor(() -> this.arrived != null);
+			this.arrived.sink().tokens(0, List.of("a"));
+			waitForText(socket.getInputStream(), "data: ");
+			socket.setSoLinger(true, 0);
+		}
+		waitFor(this::writeSeesLostCaller);
+		AtomicBoolean released = new AtomicBoolean();
+		this.arrived.sink().whenWritable(() -> released.set(true));
+		assertThat(released).isTrue();
+		this.arrived.sink().tokens(this.arrived.sink().acceptedTokens(), List.of("late"));
+		assertThat(this.server.reducer.count(RequestEvent.CallerGone.class)).isOne();
+		waitFor(() -> this.server.openCalls.count() == 0);
+	}
+
+	@Test
+	void stalledReaderIsGivenUpAfterTheIdleTimeout() throws Exception {
+		start("\"idleTimeoutMillis\": 300");
+		try (Socket socket = connect()) {
+			send(socket, request(STREAM_BODY));
+			writeUntilFull();
+			waitFor(() -> this.server.reducer.count(RequestEvent.CallerGone.class) == 1);
+		}
+		waitFor(() -> this.server.openCalls.count() == 0);
+	}
+
+	@Test
+	void waitingCallOutlivesTheIdleTimeout() throws Exception {
+		start("\"idleTimeoutMillis\": 200");
+		try (Socket socket = connect()) {
+			send(socket, request(STREAM_BODY));
+			waitFor(() -> this.arrived != null);
+			Thread.sleep(1_000);
+			this.arrived.sink().tokens(0, List.of("a"));
+			finish();
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+				.contains("data: [DONE]");
+		}
+		assertThat(this.server.reducer.count(RequestEvent.CallerGone.class)).isZero();
+	}
+
+	@Test
+	void slowSenderIsRefusedAfterTheBodyTimeout() throws Exception {
+		start("\"bodyTimeoutMillis\": 200");
+		try (Socket socket = connect()) {
+			String whole = request(STREAM_BODY);
+			send(socket, whole.substring(0, whole.length() - 5));
+			String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+			assertThat(response).startsWith("HTTP/1.1 408").contains("\"outcome\":\"not-run\"");
+		}
+		assertThat(this.server.reducer.events).isEmpty();
+		waitFor(() -> this.server.openCalls.count() == 0);
+	}
+
+	@Test
+	void callsAndBodiesAreLimitedTogether() throws Exception {
+		start("\"maxConcurrentCallers\": 1, \"maxBodyBytes\": 1024, \"maxTotalBodyBytes\": 1024");
+		try (Socket socket = connect()) {
+			send(socket, request(STREAM_BODY));
+			waitFor(() -> this.arrived != null);
+			assertThat(this.server.post("/v1/completions", STREAM_BODY).statusCode()).isEqualTo(429);
+			assertThat(this.server.openCalls.bodyBytes()).isEqualTo(STREAM_BODY.length());
+			finish();
+			waitFor(() -> this.server.openCalls.count() == 0);
+			assertThat(this.server.openCalls.bodyBytes()).isZero();
+		}
+	}
+
+	@Test
+	void oversizedHeadersAreRefused() throws Exception {
+		start("\"maxHeaderBytes\": 1024");
+		try (Socket socket = connect()) {
+			send(socket, "GET /v1/models HTTP/1.1\r\nHost: a\r\nX-Long: " + "a".repeat(4_096) + "\r\n\r\n");
+			assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8))
+				.startsWith("HTTP/1.1 431");
+		}
+	}
+
+	private void start(String limits) throws Exception {
+		this.server = new TestServer(limits);
+		this.server.reducer.onArrived = (exchange) -> this.arrived = exchange;
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(16 * 1_024);
+		socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.server.port()));
+		return socket;
+	}
+
+	private int writeUntilFull() throws InterruptedException {
+		waitFor(() -> this.arrived != null);
+		int chunks = 0;
+		while (chunks < MANY_CHUNKS && this.arrived.sink().tokens(chunks, List.of(CHUNK))) {
+			chunks++;
+		}
+		return chunks + 1;
+	}
+
+	private boolean writeSeesLostCaller() {
+		this.arrived.sink().tokens(this.arrived.sink().acceptedTokens(), List.of("b"));
+		return this.server.reducer.count(RequestEvent.CallerGone.class) > 0;
+	}
+
+	private void finish() {
+		this.arrived.sink().end("stop", 1, 1);
+		this.server.effects.handle(new RequestEffect.Complete(this.arrived.spec().requestId()));
+	}
+
+	private static String request(String body) {
+		return "POST /v1/completions HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + CallerHeaders.WORKSPACE
+				+ ": rm-sherwood\r\n" + CallerHeaders.PROFILE + ": ice-briefing\r\nContent-Length: " + body.length()
+				+ "\r\n\r\n" + body;
+	}
+
+	private static void send(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+	}
+
+	private static void waitForText(InputStream input, String text) throws IOException {
+		StringBuilder seen = new StringBuilder();
+		while (seen.indexOf(text) < 0) {
+			int next = input.read();
+			assertThat(next).as(seen.toString()).isNotNegative();
+			seen.append((char) next);
+		}
+	}
+
+	private static void waitFor(BooleanSupplier condition) throws InterruptedException {
+		long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MILLIS);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("waiting").isLessThan(endNanos);
+			Thread.sleep(5);
+		}
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/settings/SettingsTests.java
@@ -0,0 +1,113 @@
+package io.mulberrylift.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import io.mulberrylift.core.configuration.ConfigurationCheck;
+import io.mulberrylift.core.configuration.ConfigurationProblem;
+import io.mulberrylift.core.configuration.PublishedDocument;
+import io.mulberrylift.core.model.ZoneId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of settings and published configurations.
+ */
+class SettingsTests {
+
+	private static final Path EXAMPLES = Path.of("..", "config");
+
+	private static final String MINIMAL = """
+			{"instanceId": "a", "zone": "z", "callers": {"host": "::1", "port": 0},
+			 "operators": {"host": "::1", "port": 0}, "peers": {"host": "::1", "port": %s},
+			 "platform": {"baseUrl": "%s"}%s}
+			""";
+
+	@Test
+	void exampleSettingsNameTheDefaults() throws IOException {
+		SettingsCheck<InstanceSettings> check = InstanceSettingsReader
+			.read(Files.readString(EXAMPLES.resolve("instance.json")));
+		InstanceSettings settings = ((SettingsCheck.Valid<InstanceSettings>) check).value();
+		assertThat(settings.zone()).isEqualTo(new ZoneId("regina-hall"));
+		assertThat(settings.limits()).isEqualTo(LimitSettings.DEFAULTS);
+		assertThat(settings.log()).isEqualTo(LogSettings.DEFAULTS);
+		assertThat(settings.callers().tls()).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "fleet.json", "fleet-timbangan.json" })
+	void exampleConfigurationsAreAccepted(String file) throws IOException {
+		ConfigurationCheck check = PublishedConfigurationParser
+			.check(new PublishedDocument(1, Files.readString(EXAMPLES.resolve(file))));
+		assertThat(check).isInstanceOf(ConfigurationCheck.Accepted.class);
+		assertThat(((ConfigurationCheck.Accepted) check).configuration().workspaces()).hasSize(10);
+	}
+
+	@Test
+	void absentGroupsTakeDefaults() {
+		assertThat(InstanceSettingsReader.read(MINIMAL.formatted("0", "http://a:1", "")))
+			.isInstanceOf(SettingsCheck.Valid.class);
+	}
+
+	@Test
+	void allRangesAreReportedAtOnce() {
+		assertThat(keys(MINIMAL.formatted("65536", "a:1",
+				", \"limits\": {\"maxBodyBytes\": 10, \"bodyTimeoutMillis\": -1, \"maxConcurrentCallers\": -1}")))
+			.containsExactly("peers.port", "platform.baseUrl", "limits.maxBodyBytes", "limits.maxConcurrentCallers",
+					"limits.bodyTimeoutMillis");
+	}
+
+	@Test
+	void structureIsReportedAtOnceWithPlaces() {
+		List<ConfigurationProblem> problems = problems("""
+				{"instanceId": " ", "zone": 7, "callers": {"host": "a", "port": "0", "tls": {"keyStorePath": "a"}},
+				 "operators": [], "peers": {"host": "a", "port": 1.5}, "log": {"format": "xml"}, "colour": 1}
+				""");
+		assertThat(problems).extracting(ConfigurationProblem::key)
+			.containsExactlyInAnyOrder("instanceId", "zone", "callers.port", "callers.tls.keyStorePassword",
+					"operators", "peers.port", "log.format", "colour", "platform");
+		assertThat(problems).filteredOn((problem) -> problem.key().equals("log.format"))
+			.extracting(ConfigurationProblem::value)
+			.containsExactly("\"xml\" at line 2, column 74");
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "null", "[]", "{", "{} {}", "{\"zone\": \"a\", \"zone\": \"b\"}", "{\"zone\": NaN}" })
+	void brokenTextIsOneProblem(String text) {
+		assertThat(keys(text)).isNotEmpty();
+		assertThat(PublishedConfigurationParser.check(new PublishedDocument(1, text)))
+			.isInstanceOf(ConfigurationCheck.Rejected.class);
+	}
+
+	@Test
+	void deepNestingIsRejectedWithoutFailing() {
+		assertThat(keys("[".repeat(100_000))).containsExactly("document");
+	}
+
+	@Test
+	void rangesOfAConfigurationNameTheirPlace() {
+		ConfigurationCheck check = PublishedConfigurationParser.check(new PublishedDocument(1, """
+				{"witnessZones": ["a"], "workspaces": {"w": {"weight": -1}},
+				 "profiles": {"p": {"priority": 10, "defaultTimeoutMillis": 1, "maxTimeoutMillis": 1}}}
+				"""));
+		assertThat(((ConfigurationCheck.Rejected) check).problems()).extracting(ConfigurationProblem::toString)
+			.containsExactly(
+					"profiles.p.priority is 10 at line 2, column 33; allowed: 0 to 9. Set a value in this range.",
+					"workspaces.w.weight is -1.0 at line 1, column 56; allowed: a positive number. "
+							+ "Set a positive weight.");
+	}
+
+	private static List<String> keys(String text) {
+		return problems(text).stream().map(ConfigurationProblem::key).toList();
+	}
+
+	private static List<ConfigurationProblem> problems(String text) {
+		return ((SettingsCheck.Invalid<InstanceSettings>) InstanceSettingsReader.read(text)).problems();
+	}
+
+}
