Close gaps between tokens, storing and lost callers

A caller that went between the check of its request and the submission of the event could be reported gone before it had arrived; both now happen under one lock. Tokens for a lost caller advance the accepted offset, so that an attempt that runs on sees no gap. A stream without a key keeps no text and so gives no stored answer. Log lines are queued, so that the event loop never waits for the output.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ModelExchange.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ModelExchange.java
@@ -81,13 +81,14 @@
 					"Token " + offset + " leaves a gap after token " + this.acceptedTokens + "; resume the attempt");
 		}
 		int known = this.acceptedTokens - offset;
+		boolean first = this.acceptedTokens == 0;
+		this.acceptedTokens = Math.max(this.acceptedTokens, offset + tokens.size());
 		if (closed() || known >= tokens.size()) {
 			return true;
 		}
-		if (this.acceptedTokens == 0) {
+		if (first) {
 			this.onFirstToken.run();
 		}
-		this.acceptedTokens = offset + tokens.size();
 		return accept(String.join("", tokens.subList(known, tokens.size())));
 	}
 
@@ -103,7 +104,7 @@
 
 	@Override
 	public synchronized Optional<StoredAnswer> storedAnswer() {
-		if (this.answerEnd == null || this.text.length() > AnswerSink.MAX_BUFFERED_BYTES) {
+		if (this.answerEnd == null || !keepsText() || this.text.length() > AnswerSink.MAX_BUFFERED_BYTES) {
 			return Optional.empty();
 		}
 		byte[] body = wholeBody();
@@ -135,8 +136,8 @@
 	}
 
 	private boolean accept(String newText) {
-		boolean stored = spec().key().isPresent() && this.text.length() <= AnswerSink.MAX_BUFFERED_BYTES;
-		if (stored || !this.shape.streaming()) {
+		boolean full = this.shape.streaming() && this.text.length() > AnswerSink.MAX_BUFFERED_BYTES;
+		if (keepsText() && !full) {
 			this.text.append(newText);
 		}
 		if (!this.shape.streaming()) {
@@ -146,6 +147,10 @@
 		return stream().send(this.writer.chunk(newText));
 	}
 
+	private boolean keepsText() {
+		return !this.shape.streaming() || spec().key().isPresent();
+	}
+
 	private void sendEnd() {
 		if (this.shape.streaming()) {
 			sendFinish(this.answerEnd);
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/OpenCall.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/OpenCall.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.mulberrylift.core.model.Refusal;
 import io.mulberrylift.core.model.RefusalReason;
@@ -30,9 +29,9 @@
 
 	private final ResponseStream stream;
 
-	private final AtomicBoolean goneReported = new AtomicBoolean();
+	private CallerExchange exchange;
 
-	private volatile CallerExchange exchange;
+	private boolean goneReported;
 
 	/**
 	 * Creates the call.
@@ -53,11 +52,7 @@
 				this.head.headers(), body);
 		CheckResult<CallerExchange> result = check(request);
 		if (result instanceof CheckResult.Valid<CallerExchange> valid) {
-			this.exchange = valid.value();
-			this.gateway.submit(valid.value());
-			if (this.stream.failed()) {
-				lost();
-			}
+			submit(valid.value());
 		}
 		else if (result instanceof CheckResult.Refused<CallerExchange> refused) {
 			send(refused.refusal(), Map.of());
@@ -72,9 +67,21 @@
 	@Override
 	public void lost() {
 		this.stream.fail();
-		CallerExchange known = this.exchange;
-		if (known != null && this.goneReported.compareAndSet(false, true)) {
-			this.gateway.callerGone(known);
+		reportGone();
+	}
+
+	private synchronized void submit(CallerExchange accepted) {
+		this.exchange = accepted;
+		this.gateway.submit(accepted);
+		if (this.stream.failed()) {
+			reportGone();
+		}
+	}
+
+	private synchronized void reportGone() {
+		if (this.exchange != null && !this.goneReported) {
+			this.goneReported = true;
+			this.gateway.callerGone(this.exchange);
 		}
 	}
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ResponseStream.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ResponseStream.java
@@ -110,7 +110,7 @@
 		try {
 			HttpServletResponse response = (HttpServletResponse) this.context.getResponse();
 			response.setStatus(status);
-			headers.forEach((name, values) -> values.forEach((value) -> response.addHeader(name, value)));
+			headers.forEach((name, values) -> setHeader(response, name, values));
 			this.output = response.getOutputStream();
 			this.output.setWriteListener(this);
 		}
@@ -200,6 +200,11 @@
 		runWaiting();
 	}
 
+	private static void setHeader(HttpServletResponse response, String name, List<String> values) {
+		values.stream().limit(1).forEach((value) -> response.setHeader(name, value));
+		values.stream().skip(1).forEach((value) -> response.addHeader(name, value));
+	}
+
 	private void complete() {
 		if (!this.completed.compareAndSet(false, true)) {
 			return;
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/ServeCommand.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/ServeCommand.java
@@ -50,9 +50,15 @@
 			return ExitCode.INVALID_FILE;
 		}
 		InstanceSettings settings = ((SettingsCheck.Valid<InstanceSettings>) check).value();
-		LogSetup.configure((LoggerContext) LoggerFactory.getILoggerFactory(), settings.log(), System.out);
+		LoggerContext logs = (LoggerContext) LoggerFactory.getILoggerFactory();
+		LogSetup.configure(logs, settings.log(), System.out);
 		LogSetup.takeJdkLines();
-		this.starter.run(settings);
+		try {
+			this.starter.run(settings);
+		}
+		finally {
+			logs.stop();
+		}
 		return ExitCode.OK;
 	}
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/logging/LogSetup.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/logging/LogSetup.java
@@ -2,12 +2,14 @@
 
 import java.io.OutputStream;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.OutputStreamAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import io.mulberrylift.daemon.settings.LogFormat;
@@ -23,11 +25,15 @@
 
 	private static final String OWN_LOGGER = "io.mulberrylift";
 
+	private static final int MAX_QUEUED_LINES = 8_192;
+
 	private LogSetup() {
 	}
 
 	/**
-	 * Replaces all that the context had. Libraries write warnings only.
+	 * Replaces all that the context had. Libraries write warnings only. Lines are written
+	 * by a thread of their own; when output stalls for long, lines are dropped rather
+	 * than making their writers wait. Stopping the context writes what is left.
 	 * @param context the context to set up
 	 * @param settings form and level of lines
 	 * @param output where lines go
@@ -41,7 +47,7 @@
 		appender.setOutputStream(output);
 		appender.start();
 		Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-		root.addAppender(appender);
+		root.addAppender(nonBlocking(context, appender));
 		root.setLevel(Level.WARN);
 		context.getLogger(OWN_LOGGER).setLevel(Level.toLevel(settings.level().name()));
 	}
@@ -54,6 +60,18 @@
 		SLF4JBridgeHandler.install();
 	}
 
+	private static Appender<ILoggingEvent> nonBlocking(LoggerContext context, Appender<ILoggingEvent> target) {
+		AsyncAppender appender = new AsyncAppender();
+		appender.setContext(context);
+		appender.setName("queue");
+		appender.setQueueSize(MAX_QUEUED_LINES);
+		appender.setDiscardingThreshold(0);
+		appender.setNeverBlock(true);
+		appender.addAppender(target);
+		appender.start();
+		return appender;
+	}
+
 	private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogFormat format) {
 		Encoder<ILoggingEvent> encoder = (format == LogFormat.JSON) ? jsonEncoder() : textEncoder();
 		encoder.setContext(context);
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CompletionTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CompletionTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.mulberrylift.core.effect.RequestEffect;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 /**
  * Tests of completion requests over a real port.
@@ -146,6 +148,51 @@
 		assertThat(events.body()).contains("\"content\":\"Black ice.\"").endsWith("data: [DONE]\n\n");
 	}
 
+	@Test
+	void streamWithoutKeyIsNotStored() throws Exception {
+		AtomicReference<Optional<StoredAnswer>> stored = new AtomicReference<>();
+		this.server.reducer.onArrived = (exchange) -> {
+			exchange.sink().tokens(0, List.of("a"));
+			exchange.sink().end("stop", 5, 1);
+			stored.set(exchange.storedAnswer());
+			complete(exchange);
+		};
+		this.server.post("/v1/completions", PROMPT.formatted(",\"stream\":true"));
+		assertThat(stored.get()).isEmpty();
+	}
+
+	@Test
+	void gapInTokensIsAFault() throws Exception {
+		AtomicReference<Throwable> fault = new AtomicReference<>();
+		this.server.reducer.onArrived = (exchange) -> {
+			exchange.sink().tokens(0, List.of("a"));
+			fault.set(catchThrowable(() -> exchange.sink().tokens(2, List.of("c"))));
+			complete(exchange);
+		};
+		this.server.post("/v1/completions", PROMPT.formatted(""));
+		assertThat(fault.get()).isInstanceOf(IllegalStateException.class);
+	}
+
+	@Test
+	void promptOfAMillionTokensIsAccepted() throws Exception {
+		this.server.reducer.onArrived = this::answer;
+		HttpResponse<String> response = this.server.post("/v1/completions",
+				"{\"model\":\"outlook\",\"prompt\":\"" + "a".repeat(4_000_000) + "\"}");
+		RequestSpec spec = ((RequestEvent.Arrived) this.server.reducer.events.get(0)).spec();
+		assertThat(response.statusCode()).isEqualTo(200);
+		assertThat(spec.promptTokens()).isEqualTo(1_000_000);
+		assertThat(spec.prefixBlocks()).hasSize(976);
+	}
+
+	@Test
+	void promptBeyondTheModelIsTooLong() throws Exception {
+		HttpResponse<String> response = this.server.post("/v1/completions",
+				"{\"model\":\"outlook\",\"prompt\":\"" + "a".repeat(4_000_001) + "\"}");
+		assertThat(response.statusCode()).isEqualTo(422);
+		assertThat(response.body()).contains("\"reason\":\"prompt-too-long\"");
+		assertThat(this.server.reducer.events).isEmpty();
+	}
+
 	@Test
 	void notReadyWithoutConfiguration() throws Exception {
 		this.server.configuration.set(Optional.empty());
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ConnectionTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ConnectionTests.java
@@ -78,7 +78,9 @@
 		AtomicBoolean released = new AtomicBoolean();
 		this.arrived.sink().whenWritable(() -> released.set(true));
 		assertThat(released).isTrue();
-		this.arrived.sink().tokens(this.arrived.sink().acceptedTokens(), List.of("late"));
+		int next = this.arrived.sink().acceptedTokens();
+		assertThat(this.arrived.sink().tokens(next, List.of("late"))).isTrue();
+		assertThat(this.arrived.sink().tokens(next + 1, List.of("later"))).isTrue();
 		assertThat(this.server.reducer.count(RequestEvent.CallerGone.class)).isOne();
 		waitFor(() -> this.server.openCalls.count() == 0);
 	}
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ProblemDocumentTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ProblemDocumentTests.java
@@ -9,6 +9,8 @@
 import io.mulberrylift.core.model.Refusal;
 import io.mulberrylift.core.model.RefusalReason;
 import org.approvaltests.Approvals;
+import org.approvaltests.reporters.QuietReporter;
+import org.approvaltests.reporters.UseReporter;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -16,6 +18,7 @@
 /**
  * Tests of problem documents.
  */
+@UseReporter(QuietReporter.class)
 class ProblemDocumentTests {
 
 	@Test
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/cli/CommandTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/cli/CommandTests.java
@@ -10,6 +10,8 @@
 
 import io.mulberrylift.daemon.settings.InstanceSettings;
 import org.approvaltests.Approvals;
+import org.approvaltests.reporters.QuietReporter;
+import org.approvaltests.reporters.UseReporter;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
@@ -19,6 +21,7 @@
 /**
  * Tests of the command line.
  */
+@UseReporter(QuietReporter.class)
 class CommandTests {
 
 	private static final String CONFIG = Path.of("..", "config").toString();
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/logging/LogTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/logging/LogTests.java
@@ -61,6 +61,7 @@
 	}
 
 	private String text() {
+		this.context.stop();
 		return this.output.toString(StandardCharsets.UTF_8);
 	}
 
