--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/CrashPropertyTests.java
@@ -0,0 +1,153 @@
+package io.mulberrylift.core.promise;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.peer.PeerMessage;
+import io.mulberrylift.core.peer.SuspectNotice;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A request that crashes endpoints takes two at most, however often it is sent.
+ */
+class CrashPropertyTests {
+
+	private static final int MOST_LOST_ENDPOINTS = 2;
+
+	private static final String CRASHER = FleetHistory.REPEATABLE + "-crasher";
+
+	private static final int SENDS = 12;
+
+	private static final long TIMEOUT_MILLIS = 6_000;
+
+	private static final int RUNS = 40;
+
+	@Property(tries = 100, seed = "20261206")
+	void sequentialSendsThroughAnyInstancesTakeTwoEndpoints(@ForAll @LongRange(max = 1_000_000) long seed) {
+		VirtualFleet fleet = started(seed);
+		fleet.caller().sendRepeatable(CRASHER, VirtualFleet.CRASHING_FINGERPRINT, TIMEOUT_MILLIS, SENDS);
+		innocents(fleet);
+		fleet.time().runFor(60_000);
+		assertThat(lost(fleet)).isEqualTo(MOST_LOST_ENDPOINTS);
+		assertThat(fleet.caller().finalWords().get(CRASHER)).contains(RefusalReason.CRASHES_ENDPOINTS);
+		assertThat(fleet.caller().finalWords().get(FleetHistory.REPEATABLE + "-19")).isEqualTo(Optional.empty());
+		assertThat(fleet.history().faults(fleet.time().nowMillis())).isEmpty();
+	}
+
+	@Property(tries = 60, seed = "20261207")
+	void freshKeysForTheSameWorkTakeTwoEndpoints(@ForAll @LongRange(max = 1_000_000) long seed) {
+		VirtualFleet fleet = started(seed);
+		for (int i = 0; i < SENDS; i++) {
+			String key = "crasher-" + i;
+			fleet.time()
+				.after(i * 1_000L,
+						() -> fleet.caller().send(key, VirtualFleet.CRASHING_FINGERPRINT, TIMEOUT_MILLIS, 2));
+		}
+		fleet.time().runFor(60_000);
+		assertThat(lost(fleet)).isEqualTo(MOST_LOST_ENDPOINTS);
+		assertThat(fleet.history().faults(fleet.time().nowMillis())).isEmpty();
+	}
+
+	@Property(tries = 60, seed = "20261208")
+	void concurrentSendsThroughOneInstanceTakeTwoEndpoints(@ForAll @LongRange(max = 1_000_000) long seed,
+			@ForAll @IntRange(min = 2, max = 12) int sends) {
+		VirtualFleet fleet = started(seed);
+		VirtualInstance entry = fleet.serving().get(0);
+		for (int i = 0; i < sends; i++) {
+			fleet.caller()
+				.sendTo(entry, new VirtualCaller.Work(CRASHER + i, VirtualFleet.CRASHING_FINGERPRINT,
+						fleet.time().nowMillis(), TIMEOUT_MILLIS, 1, true));
+		}
+		fleet.time().runFor(30_000);
+		assertThat(lost(fleet)).isLessThanOrEqualTo(MOST_LOST_ENDPOINTS);
+		assertThat(fleet.history().faults(fleet.time().nowMillis())).isEmpty();
+	}
+
+	@Property(tries = 40, seed = "20261209")
+	void newInstancesLearnOfConvictedRequests(@ForAll @LongRange(max = 1_000_000) long seed) {
+		VirtualFleet fleet = started(seed);
+		fleet.caller().sendRepeatable(CRASHER, VirtualFleet.CRASHING_FINGERPRINT, TIMEOUT_MILLIS, SENDS);
+		fleet.time().runFor(30_000);
+		fleet.replaceAll(1_000);
+		fleet.time().runFor(30_000);
+		fleet.caller().sendRepeatable(CRASHER + "-again", VirtualFleet.CRASHING_FINGERPRINT, TIMEOUT_MILLIS, 1);
+		fleet.time().runFor(10_000);
+		assertThat(lost(fleet)).isEqualTo(MOST_LOST_ENDPOINTS);
+	}
+
+	@Test
+	void moreEndpointsAreLostWithoutNotices() {
+		SplittableRandom random = new SplittableRandom(20_261_203);
+		int most = 0;
+		for (int i = 0; i < RUNS; i++) {
+			VirtualFleet fleet = started(random.nextLong());
+			fleet.network().tamper(CrashPropertyTests::withoutNotices);
+			fleet.caller().sendRepeatable(CRASHER, VirtualFleet.CRASHING_FINGERPRINT, TIMEOUT_MILLIS, SENDS);
+			fleet.time().runFor(60_000);
+			most = Math.max(most, lost(fleet));
+		}
+		System.out.printf("promise: sequential crashing sends without notices, at most %d endpoints lost%n", most);
+		assertThat(most).isGreaterThan(MOST_LOST_ENDPOINTS);
+	}
+
+	/**
+	 * Sends through several instances at the same time are not held back; only counted.
+	 */
+	@Test
+	void concurrentSendsThroughAllInstancesAreMeasured() {
+		SplittableRandom random = new SplittableRandom(20_261_203);
+		int most = 0;
+		for (int i = 0; i < RUNS; i++) {
+			VirtualFleet fleet = started(random.nextLong());
+			List<VirtualInstance> entries = fleet.serving();
+			for (int entry = 0; entry < entries.size(); entry++) {
+				// Work under way makes each instance prefer another endpoint.
+				for (int busy = 0; busy < entry; busy++) {
+					sendTo(fleet, entries.get(entry), 7_000 + 10 * entry + busy);
+				}
+				sendTo(fleet, entries.get(entry), VirtualFleet.CRASHING_FINGERPRINT);
+			}
+			fleet.time().runFor(30_000);
+			most = Math.max(most, lost(fleet));
+			assertThat(fleet.history().faults(fleet.time().nowMillis())).isEmpty();
+		}
+		System.out.printf("promise: concurrent crashing sends through 6 instances, at most %d endpoints lost%n", most);
+	}
+
+	private static void sendTo(VirtualFleet fleet, VirtualInstance entry, long fingerprint) {
+		fleet.caller()
+			.sendTo(entry, new VirtualCaller.Work(CRASHER + entry + fingerprint, fingerprint, fleet.time().nowMillis(),
+					TIMEOUT_MILLIS, 1, true));
+	}
+
+	private static VirtualFleet started(long seed) {
+		VirtualFleet fleet = new VirtualFleet(seed, 3, 2, 8);
+		fleet.time().runFor(VirtualFleet.WARM_UP_MILLIS + 2_000);
+		return fleet;
+	}
+
+	private static void innocents(VirtualFleet fleet) {
+		for (int i = 0; i < 20; i++) {
+			String name = FleetHistory.REPEATABLE + "-" + i;
+			long fingerprint = 5_000 + i;
+			fleet.time().after(i * 100L, () -> fleet.caller().sendRepeatable(name, fingerprint, TIMEOUT_MILLIS, 5));
+		}
+	}
+
+	private static int lost(VirtualFleet fleet) {
+		return fleet.history().endpointsLostTo(VirtualFleet.CRASHING_FINGERPRINT);
+	}
+
+	private static PeerMessage withoutNotices(PeerMessage message) {
+		return (message instanceof SuspectNotice) ? null : message;
+	}
+
+}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/FleetHistory.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/FleetHistory.java
@@ -71,6 +71,12 @@
 		return this.offersWhileLeaving;
 	}
 
+	void exited(String process, Set<String> openSends) {
+		if (!openSends.isEmpty()) {
+			this.faults.add(process + " exited before it answered " + openSends);
+		}
+	}
+
 	void endpointLost(long fingerprint) {
 		this.endpointsLost.merge(fingerprint, 1, Integer::sum);
 	}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualEndpoint.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualEndpoint.java
@@ -73,13 +73,21 @@
 		this.brokenConnections.add(onBroken);
 	}
 
-	void crash() {
+	/**
+	 * Ends the process unless it has ended already.
+	 * @return whether it was up
+	 */
+	boolean crash() {
+		if (!this.up) {
+			return false;
+		}
 		this.up = false;
 		this.incarnation++;
 		List<Runnable> connections = List.copyOf(this.brokenConnections);
 		this.brokenConnections.clear();
 		connections.forEach(Runnable::run);
 		this.time.after(RESTART_MILLIS, this::restart);
+		return true;
 	}
 
 	private void restart() {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
@@ -203,6 +203,7 @@
 			this.time.after(2, () -> watch(instance, watch.knownVersion(), watch.waitMillis()));
 		}
 		else if (effect instanceof ControlEffect.Exit) {
+			this.history.exited(instance.toString(), instance.openSends());
 			instance.kill();
 			this.time.after(500, () -> this.platform.drop(instance.identity().id()));
 		}
@@ -265,8 +266,7 @@
 		});
 		long fingerprint = this.requests.get(name).fingerprint();
 		if (fingerprint == CRASHING_FINGERPRINT) {
-			this.history.endpointLost(fingerprint);
-			this.time.after(5, endpoint::crash);
+			this.time.after(5, () -> crash(endpoint, fingerprint));
 		}
 		else if (!endpoint.isHanging()) {
 			this.time.after(20 + this.random.nextLong(200), () -> {
@@ -278,6 +278,12 @@
 		}
 	}
 
+	private void crash(VirtualEndpoint endpoint, long fingerprint) {
+		if (endpoint.crash()) {
+			this.history.endpointLost(fingerprint);
+		}
+	}
+
 	private static void fail(VirtualInstance instance, long attemptId, AttemptFailure failure) {
 		instance.submit(
 				(moment) -> new AttemptEvent.Failed(moment, attemptId, failure, 0, OptionalLong.empty(), "virtual"));
@@ -311,7 +317,7 @@
 					(moment) -> new PlatformEvent.ReadFailed(moment, PlatformEvent.Source.CONFIGURATION, "virtual"));
 			return;
 		}
-		Optional<ConfigurationCheck> check = this.platform.configurationAfter(knownVersion);
+		Optional<ConfigurationCheck> check = this.platform.configurationAfter(instance.identity().id(), knownVersion);
 		if (check.isPresent()) {
 			instance.submit((moment) -> new PlatformEvent.ConfigurationRead(moment, check.get()));
 		}
@@ -324,7 +330,7 @@
 	}
 
 	void shutDown(VirtualInstance instance) {
-		instance.submit(ControlEvent.ShutdownRequested::new);
+		this.time.after(1, () -> instance.submit(ControlEvent.ShutdownRequested::new));
 		this.time.after(700, () -> this.platform.leaving(instance.identity().id()));
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualPlatform.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualPlatform.java
@@ -35,8 +35,6 @@
 
 	private final TreeMap<Long, FleetConfiguration> configurations = new TreeMap<>();
 
-	private final TreeMap<Long, Long> publishedMillis = new TreeMap<>();
-
 	private final Set<Long> rejected = new HashSet<>();
 
 	private final Map<InstanceId, Long> lagMillis = new HashMap<>();
@@ -47,7 +45,7 @@
 
 	private boolean down;
 
-	private long configurationLagMillis;
+	private final Set<InstanceId> staleConfiguration = new HashSet<>();
 
 	VirtualPlatform(VirtualTime time, List<EndpointDescription> endpoints) {
 		this.time = time;
@@ -131,7 +129,6 @@
 
 	void publish(long version, FleetConfiguration configuration) {
 		this.configurations.put(version, configuration);
-		this.publishedMillis.put(version, this.time.nowMillis());
 	}
 
 	void publishRejected(long version, FleetConfiguration configuration) {
@@ -139,17 +136,17 @@
 		publish(version, configuration);
 	}
 
-	void configurationLag(long millis) {
-		this.configurationLagMillis = millis;
+	/**
+	 * Shows a reader no version above the first from now on.
+	 */
+	void staleConfiguration(InstanceId reader) {
+		this.staleConfiguration.add(reader);
 	}
 
-	Optional<ConfigurationCheck> configurationAfter(long version) {
-		Optional<Long> newest = Optional.empty();
-		for (Map.Entry<Long, Long> entry : this.publishedMillis.tailMap(version, false).entrySet()) {
-			boolean visible = entry.getValue() <= this.time.nowMillis() - this.configurationLagMillis;
-			newest = visible ? Optional.of(entry.getKey()) : newest;
-		}
-		return newest.map((found) -> check(new PublishedDocument(found, "v" + found)));
+	Optional<ConfigurationCheck> configurationAfter(InstanceId reader, long version) {
+		long newest = this.staleConfiguration.contains(reader) ? this.configurations.firstKey()
+				: this.configurations.lastKey();
+		return (newest > version) ? Optional.of(check(new PublishedDocument(newest, "v" + newest))) : Optional.empty();
 	}
 
 	ConfigurationCheck check(PublishedDocument document) {
