Pass a seat's floor on only with a fresh list and bind claims to all seats

Cause, found by argument, not by a test: a holder with an old list could hand its floor to a restarted process of an heir whose former process had already held the seat; the heir would then grant keys again that its former process had granted. The floor now goes along only while the last list that named the sender is fresh by two skews. A claimant with an old configuration could win with two of three old seats while five new seats exist; a claim now carries a hash of all its seats, and a holder with other seats refuses. An heir that has resigned could choose its resigned predecessor and both would forward claims to each other; the heir is now the next younger instance.

Also: a keyed request that was convicted before it ran is refused as not run.

Shared types: WitnessMessage.Claim carries electorate.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/WitnessMessage.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/WitnessMessage.java
@@ -38,11 +38,12 @@
 	 * Asks a seat holder for a grant.
 	 *
 	 * @param seat the seat that the receiver is believed to hold
+	 * @param electorate hash of all seats of which the claimant needs a majority
 	 * @param key the key
 	 * @param fingerprint fingerprint of the request
 	 * @param claim the claim
 	 */
-	record Claim(ZoneId seat, KeyId key, long fingerprint, ClaimId claim) implements WitnessMessage {
+	record Claim(ZoneId seat, long electorate, KeyId key, long fingerprint, ClaimId claim) implements WitnessMessage {
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -447,7 +447,8 @@
 	}
 
 	private Refusal convicted(RequestEntry entry) {
-		return Refusal.of(Outcome.FAILED, RefusalReason.CRASHES_ENDPOINTS,
+		Outcome outcome = entry.needsClaim() ? entry.outcomeWithoutAttempt() : Outcome.FAILED;
+		return Refusal.of(outcome, RefusalReason.CRASHES_ENDPOINTS,
 				"Two endpoints were lost while they ran this request");
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Claimant.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Claimant.java
@@ -116,7 +116,8 @@
 			if (claim.round != round) {
 				return;
 			}
-			Claim message = new Claim(seat, claim.key, claim.spec.fingerprint(), round.claim());
+			Claim message = new Claim(seat, SeatTable.electorate(round.seats()), claim.key, claim.spec.fingerprint(),
+					round.claim());
 			this.sender.send(seat, message, widely, effects);
 		}
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
@@ -80,7 +80,7 @@
 
 	private void chooseHeir(Effects effects) {
 		ZoneId seat = this.context.fleet().self().zone();
-		SeatTable.holderWithout(this.context.fleet().list(), seat, this.context.fleet().self().id())
+		SeatTable.heir(this.context.fleet().list(), seat, this.context.fleet().self().id())
 			.map(InstanceDescription::id)
 			.ifPresent((candidate) -> begin(seat, candidate, effects));
 	}
@@ -116,7 +116,7 @@
 		}
 		groups.add(group);
 		long resigned = this.holder.authority().resignationEpochMillis(this.context.now());
-		long floor = this.holder.authority().floorEpochMillis();
+		long floor = this.holder.authority().handoverFloorEpochMillis(this.context.settings(), this.context.now());
 		List<Handover> messages = new ArrayList<>();
 		for (int i = 0; i < groups.size(); i++) {
 			messages.add(new Handover(seat, heirIncarnation, resigned, floor, i, groups.size(), groups.get(i)));
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatAuthority.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatAuthority.java
@@ -44,6 +44,8 @@
 
 	private long firstHeldPublishedEpochMillis;
 
+	private long lastHeldPublishedEpochMillis = Long.MIN_VALUE;
+
 	private long floorEpochMillis;
 
 	private long resetFloorEpochMillis = Long.MIN_VALUE;
@@ -83,6 +85,7 @@
 			this.listedSinceEpochMillis = listedSince;
 			this.holding = false;
 			this.heldUntilLeaving = false;
+			this.lastHeldPublishedEpochMillis = Long.MIN_VALUE;
 			this.inheritance = null;
 		}
 		boolean holder = isHolder();
@@ -93,6 +96,13 @@
 			adoptInheritance(settings);
 		}
 		this.holding = holder;
+		noteHeld();
+	}
+
+	private void noteHeld() {
+		if (this.holding || isNextAfterPredecessor()) {
+			this.lastHeldPublishedEpochMillis = this.list.publishedAtEpochMillis();
+		}
 	}
 
 	private long firstFloor(PromiseSettings settings) {
@@ -116,6 +126,7 @@
 		if (this.holding) {
 			adoptInheritance(settings);
 		}
+		noteHeld();
 	}
 
 	private void adoptInheritance(PromiseSettings settings) {
@@ -173,11 +184,13 @@
 	}
 
 	private boolean holdsByInheritance(PromiseSettings settings, Moment now) {
-		if (this.inheritance == null) {
-			return false;
-		}
-		boolean recent = now.epochMillis() < this.inheritance.resignedEpochMillis() + settings.listFreshnessMillis();
-		return recent && SeatTable.holderWithout(this.list, this.self.zone(), this.inheritance.from())
+		boolean recent = this.inheritance != null
+				&& now.epochMillis() < this.inheritance.resignedEpochMillis() + settings.listFreshnessMillis();
+		return recent && isNextAfterPredecessor();
+	}
+
+	private boolean isNextAfterPredecessor() {
+		return this.inheritance != null && SeatTable.holderWithout(this.list, this.self.zone(), this.inheritance.from())
 			.map((instance) -> instance.id().equals(this.self.id()))
 			.orElse(false);
 	}
@@ -192,6 +205,21 @@
 				: this.floorEpochMillis;
 	}
 
+	/**
+	 * Returns the floor to pass on. A process whose last list with the seat is old may
+	 * have been followed already by a former process of the heir, of whose grants neither
+	 * it nor the heir knows.
+	 * @param settings bounds of clocks and lists
+	 * @param now the current time
+	 * @return the floor in milliseconds since the epoch, {@link Long#MAX_VALUE} when the
+	 * heir must keep its own
+	 */
+	long handoverFloorEpochMillis(PromiseSettings settings, Moment now) {
+		long heldUntilEpochMillis = this.lastHeldPublishedEpochMillis + settings.listFreshnessMillis();
+		boolean fresh = now.epochMillis() + 2 * settings.clockSkewMillis() < heldUntilEpochMillis;
+		return fresh ? floorEpochMillis() : Long.MAX_VALUE;
+	}
+
 	/**
 	 * Returns the time of resignation to pass on: the earliest of a chain of predecessors
 	 * that no list has confirmed yet.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatHolder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatHolder.java
@@ -119,7 +119,7 @@
 		if (settled && known.get().fingerprint() == message.fingerprint()) {
 			return Decision.SETTLED;
 		}
-		if (!holds(message.seat())) {
+		if (!holds(message)) {
 			return Decision.NO_AUTHORITY;
 		}
 		if (known.isPresent()) {
@@ -154,8 +154,10 @@
 		return Decision.GRANTED;
 	}
 
-	private boolean holds(ZoneId seat) {
-		boolean configured = this.configuration != null && this.configuration.witnessZones().contains(seat);
+	private boolean holds(Claim message) {
+		ZoneId seat = message.seat();
+		boolean configured = this.configuration != null && this.configuration.witnessZones().contains(seat)
+				&& SeatTable.electorate(this.configuration.witnessZones()) == message.electorate();
 		return configured && seat.equals(this.context.fleet().self().zone())
 				&& this.authority.mayGrant(this.context.settings(), this.context.now());
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatTable.java
@@ -3,7 +3,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
+import io.mulberrylift.core.hash.Rendezvous;
 import io.mulberrylift.core.model.FleetList;
 import io.mulberrylift.core.model.InstanceDescription;
 import io.mulberrylift.core.model.InstanceId;
@@ -19,6 +21,8 @@
  */
 final class SeatTable {
 
+	private static final String SEPARATOR = "\n";
+
 	private static final Comparator<InstanceDescription> BY_LISTING = Comparator
 		.comparingLong(InstanceDescription::listedSinceEpochMillis)
 		.thenComparing(InstanceDescription::id);
@@ -60,4 +64,30 @@
 			.findFirst();
 	}
 
+	/**
+	 * Returns the instance to which a holder hands its seat.
+	 * @param list the instance list
+	 * @param zone the zone
+	 * @param holder the holder
+	 * @return the next longest listed instance that is not leaving, empty when there is
+	 * none
+	 */
+	static Optional<InstanceDescription> heir(FleetList list, ZoneId zone, InstanceId holder) {
+		return order(list, zone).stream()
+			.dropWhile((instance) -> !instance.id().equals(holder))
+			.skip(1)
+			.filter((instance) -> !instance.leaving())
+			.findFirst();
+	}
+
+	/**
+	 * Returns a hash of all seats.
+	 * @param seats the zones with a seat
+	 * @return the hash, equal for equal seats in any order
+	 */
+	static long electorate(List<ZoneId> seats) {
+		String names = seats.stream().map(ZoneId::value).sorted().collect(Collectors.joining(SEPARATOR));
+		return Rendezvous.score("seats", names);
+	}
+
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/witness/SeatAuthorityTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/witness/SeatAuthorityTests.java
@@ -146,6 +146,42 @@
 		assertThat(this.authority.floorEpochMillis()).isEqualTo(30_000 + FRESHNESS_MILLIS + 2 * SKEW_MILLIS);
 	}
 
+	@Test
+	void floorIsPassedOnOnlyWithAFreshList() {
+		start(1_000);
+		read(list(1, 5_000, entry(SECOND, 2_000, false)), 5_000);
+		long floor = this.authority.floorEpochMillis();
+		long last = 5_000 + FRESHNESS_MILLIS - 2 * SKEW_MILLIS;
+		assertThat(this.authority.handoverFloorEpochMillis(this.settings, at(last - 1))).isEqualTo(floor);
+		assertThat(this.authority.handoverFloorEpochMillis(this.settings, at(last))).isEqualTo(Long.MAX_VALUE);
+	}
+
+	@Test
+	void floorIsPassedOnAfterTheListSaysLeaving() {
+		start(1_000);
+		read(list(1, 5_000, entry(SECOND, 2_000, false)), 5_000);
+		long floor = this.authority.floorEpochMillis();
+		read(list(2, 6_000, entry(SECOND, 2_000, true)), 6_000);
+		assertThat(this.authority.hasSeat()).isTrue();
+		assertThat(this.authority.mayGrant(this.settings, at(6_000))).isFalse();
+		assertThat(this.authority.handoverFloorEpochMillis(this.settings, at(6_000))).isEqualTo(floor);
+	}
+
+	@Test
+	void heirIsYoungerThanTheHolder() {
+		InstanceId third = new InstanceId("a3");
+		FleetList list = list(1, 0, entry(FIRST, 10, false), entry(SECOND, 20, false), entry(third, 30, false));
+		assertThat(SeatTable.heir(list, ZONE, SECOND)).map(InstanceDescription::id).contains(third);
+		assertThat(SeatTable.heir(list, ZONE, third)).isEmpty();
+	}
+
+	@Test
+	void electorateDiffersWithTheSeats() {
+		ZoneId other = new ZoneId("b");
+		assertThat(SeatTable.electorate(List.of(ZONE, other))).isEqualTo(SeatTable.electorate(List.of(other, ZONE)))
+			.isNotEqualTo(SeatTable.electorate(List.of(ZONE)));
+	}
+
 	private void start(long epochMillis) {
 		this.authority.observe(at(epochMillis));
 	}
