Test single scenarios of claims, handovers and late wakes

Cause: the properties show that promises hold, not that the answers are the intended ones: stored answers through any instance, KEY_REUSED as not run, KEY_IN_PROGRESS and later ANSWER_LOST for a lost process, a handover of several parts under loss, repeated releases.

--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/FleetHistory.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/FleetHistory.java
@@ -56,6 +56,10 @@
 		sent.frozenUntilMillis = Math.max(sent.frozenUntilMillis, untilMillis);
 	}
 
+	void ranAfterItsWindow(String send) {
+		this.faults.add(send + " ran after the window of its key");
+	}
+
 	void ran(String send, String endpoint, long atMillis) {
 		this.runs.add(new Run(this.sends.get(send).key, send, endpoint, atMillis));
 	}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
@@ -257,6 +257,11 @@
 			return;
 		}
 		this.history.ran(name, endpoint.id().value(), this.time.nowMillis());
+		this.requests.get(name).key().ifPresent((key) -> {
+			if (this.time.nowMillis() > key.firstSentEpochMillis() + WINDOW_MILLIS) {
+				this.history.ranAfterItsWindow(name);
+			}
+		});
 		boolean[] ended = new boolean[1];
 		endpoint.connected(() -> {
 			if (!ended[0]) {
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
@@ -0,0 +1,156 @@
+package io.mulberrylift.core.promise;
+
+import java.util.List;
+import java.util.Map;
+
+import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.peer.WitnessMessage;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Single scenarios of claims and seats.
+ */
+class WitnessScenarioTests {
+
+	private static final long FREEZE_MILLIS = VirtualFleet.WINDOW_MILLIS + 20_000;
+
+	@Test
+	void processThatWakesLateDoesNotSend() {
+		VirtualFleet fleet = frozenBeforeItSends(true);
+		assertThat(fleet.history().runs()).isZero();
+		assertThat(fleet.history().faults(fleet.time().nowMillis())).isEmpty();
+	}
+
+	@Test
+	void processThatWakesLateSendsWithoutTheCheckBeforeTheFirstByte() {
+		VirtualFleet fleet = frozenBeforeItSends(false);
+		assertThat(fleet.history().faults(fleet.time().nowMillis()))
+			.anyMatch((fault) -> fault.endsWith("ran after the window of its key"));
+	}
+
+	private static VirtualFleet frozenBeforeItSends(boolean leaseChecked) {
+		VirtualFleet fleet = warm(1, 3, 2);
+		if (!leaseChecked) {
+			fleet.skipLeaseChecks();
+		}
+		fleet.observe((instance, effect) -> {
+			if (effect instanceof AttemptEffect.Dispatch) {
+				instance.freeze(FREEZE_MILLIS);
+			}
+		});
+		fleet.caller().send("key", 1, 5_000, 1);
+		fleet.time().runFor(FREEZE_MILLIS + 10_000);
+		return fleet;
+	}
+
+	@Test
+	void handoverOfManyPartsSurvivesLoss() {
+		VirtualFleet fleet = warm(2, 1, 2);
+		Load.start(fleet, 9_000, 10);
+		fleet.time().runFor(11_000);
+		VirtualInstance holder = fleet.serving().get(0);
+		VirtualInstance heir = fleet.serving().get(1);
+		long keys = witness(holder, "keys");
+		fleet.network().quality(0.33, 0.33, 60);
+		fleet.shutDown(holder);
+		fleet.time().runFor(8_000);
+		assertThat(keys).isGreaterThan(800);
+		assertThat(holder.isAlive()).isFalse();
+		assertThat(witness(heir, "keys")).isEqualTo(keys);
+		assertThat(witness(heir, "floorEpochMillis")).isEqualTo(witness(holder, "floorEpochMillis"));
+	}
+
+	@Test
+	void keyWithAnotherBodyIsRefusedAsNotRun() {
+		VirtualFleet fleet = warm(3, 3, 2);
+		VirtualCaller.Work work = new VirtualCaller.Work("key", 1, fleet.time().nowMillis(), 2_000, 1, false);
+		fleet.caller().send(work);
+		fleet.time().runFor(1_000);
+		fleet.caller().send(new VirtualCaller.Work("key", 2, work.firstSentMillis(), 2_000, 1, false));
+		fleet.time().runFor(1_000);
+		assertThat(fleet.history().outcomes()).containsExactlyInAnyOrderEntriesOf(
+				Map.of("answered", 1, label(RefusalReason.KEY_REUSED, Outcome.NOT_RUN), 1));
+		assertThat(fleet.history().runs()).isEqualTo(1);
+	}
+
+	@Test
+	void keyOfALostProcessIsNeverRunAgain() {
+		VirtualFleet fleet = warm(4, 3, 2);
+		fleet.endpoints().forEach((endpoint) -> endpoint.hang(true));
+		VirtualInstance claimant = fleet.serving().get(0);
+		VirtualCaller.Work work = new VirtualCaller.Work("key", 1, fleet.time().nowMillis(), 2_000, 1, false);
+		fleet.caller().sendTo(claimant, work);
+		fleet.time().runFor(500);
+		Fault.KILL.strike(fleet, claimant);
+		fleet.caller().send(work);
+		fleet.time().runFor(15_000);
+		fleet.caller().send(work);
+		fleet.time().runFor(3_000);
+		assertThat(fleet.history().runs()).isEqualTo(1);
+		assertThat(fleet.history().refused(RefusalReason.KEY_IN_PROGRESS)).isEqualTo(1);
+		assertThat(fleet.history().refused(RefusalReason.ANSWER_LOST)).isEqualTo(1);
+	}
+
+	@Test
+	void repeatedSendGetsTheStoredAnswerThroughAnyInstance() {
+		VirtualFleet fleet = warm(5, 3, 3);
+		VirtualCaller.Work work = new VirtualCaller.Work("key", 1, fleet.time().nowMillis(), 2_000, 1, false);
+		for (VirtualInstance instance : fleet.serving()) {
+			fleet.caller().sendTo(instance, work);
+		}
+		fleet.time().runFor(4_000);
+		assertThat(fleet.history().runs()).isEqualTo(1);
+		assertThat(fleet.history().answered()).isEqualTo(9);
+	}
+
+	@Test
+	void keysBelowTheFloorOfMostSeatsAreRefusedAsUnknown() {
+		VirtualFleet fleet = new VirtualFleet(6, 3, 1, 2);
+		fleet.time().runFor(3_000);
+		fleet.caller().send("key", 1, 4_000, 1);
+		fleet.time().runFor(5_000);
+		assertThat(fleet.history().outcomes())
+			.containsExactlyEntriesOf(Map.of(label(RefusalReason.KEY_UNPROVED, Outcome.UNKNOWN), 1));
+	}
+
+	@Test
+	void lostReleasesAreRepeatedWhenAnotherClaimMeetsThem() {
+		VirtualFleet fleet = warm(7, 3, 1);
+		List<VirtualInstance> instances = fleet.serving();
+		boolean[] lossy = { true };
+		fleet.network().tamper((message) -> (lossy[0] && message instanceof WitnessMessage.Release) ? null : message);
+		fleet.endpoints().forEach((endpoint) -> endpoint.leave());
+		fleet.time().runFor(2_000);
+		VirtualCaller.Work work = new VirtualCaller.Work("key", 1, fleet.time().nowMillis(), 3_000, 1, false);
+		fleet.caller().sendTo(instances.get(0), work);
+		fleet.time().runFor(3_000);
+		long before = witness(instances.get(1), "keys");
+		lossy[0] = false;
+		fleet.caller().sendTo(instances.get(1), work);
+		fleet.time().runFor(4_000);
+		assertThat(before).isEqualTo(1);
+		assertThat(instances).allMatch((instance) -> witness(instance, "keys") == 0);
+		assertThat(fleet.history().outcomes())
+			.containsExactlyEntriesOf(Map.of(label(RefusalReason.NO_ENDPOINT, Outcome.NOT_RUN), 2));
+	}
+
+	private static String label(RefusalReason reason, Outcome outcome) {
+		return reason.label() + "/" + outcome.label();
+	}
+
+	private static long witness(VirtualInstance instance, String name) {
+		Map<?, ?> state = (Map<?, ?>) instance.reducer().describe().get("witness");
+		return ((Number) state.get(name)).longValue();
+	}
+
+	private static VirtualFleet warm(long seed, int zones, int instancesPerZone) {
+		VirtualFleet fleet = new VirtualFleet(seed, zones, instancesPerZone, 4);
+		fleet.time().runFor(VirtualFleet.WARM_UP_MILLIS + 2_000);
+		return fleet;
+	}
+
+}
