--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/FleetHistory.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/FleetHistory.java
@@ -56,6 +56,10 @@
 		sent.frozenUntilMillis = Math.max(sent.frozenUntilMillis, untilMillis);
 	}
 
+	void ranAfterItsWindow(String send) {
+		this.faults.add(send + " ran after the window of its key");
+	}
+
 	void ran(String send, String endpoint, long atMillis) {
 		this.runs.add(new Run(this.sends.get(send).key, send, endpoint, atMillis));
 	}
@@ -71,6 +75,12 @@
 		return this.offersWhileLeaving;
 	}
 
+	void exited(String process, Set<String> openSends) {
+		if (!openSends.isEmpty()) {
+			this.faults.add(process + " exited before it answered " + openSends);
+		}
+	}
+
 	void endpointLost(long fingerprint) {
 		this.endpointsLost.merge(fingerprint, 1, Integer::sum);
 	}
