--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Attempt.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Attempt.java
@@ -112,23 +112,38 @@
 	 */
 	Output takeOutput() {
 		int limit = this.generated;
-		boolean truncated = this.cancelled;
-		if (this.faults.truncateAfterTokens() >= 0) {
-			int last = this.body.resumeOffset() + this.faults.truncateAfterTokens();
-			truncated |= this.generated >= last;
+		boolean failed = false;
+		if (this.faults.stopAfterTokens() >= 0) {
+			int last = this.body.resumeOffset() + this.faults.stopAfterTokens();
+			failed = this.generated >= last;
 			limit = Math.min(limit, last);
 		}
 		List<String> lines = new ArrayList<>();
 		if (limit > this.sent) {
 			addTokens(lines, limit);
 		}
-		boolean end = this.ended && !truncated;
-		if (end) {
+		Output.Ending ending = ending(failed);
+		if (ending == Output.Ending.END) {
 			this.heldBack.ifPresent(lines::add);
-			lines.add(Json.write(new EngineMessages.EndLine("end", finishReason(), this.promptTokens, this.cachedTokens,
-					answerTokens())));
+			lines.add(failed ? errorLine() : endLine());
 		}
-		return new Output(Optional.ofNullable(this.stream), lines, end, truncated);
+		return new Output(Optional.ofNullable(this.stream), lines, ending, failed);
+	}
+
+	private Output.Ending ending(boolean failed) {
+		if (this.cancelled || (failed && !this.faults.errorLine())) {
+			return Output.Ending.BREAK;
+		}
+		return (failed || this.ended) ? Output.Ending.END : Output.Ending.NONE;
+	}
+
+	private String endLine() {
+		return Json.write(new EngineMessages.EndLine("end", finishReason(), this.promptTokens, this.cachedTokens,
+				answerTokens()));
+	}
+
+	private static String errorLine() {
+		return Json.write(new EngineMessages.ErrorLine("error", "The engine failed by a fault switch; send again"));
 	}
 
 	private void addTokens(List<String> lines, int limit) {
@@ -163,21 +178,45 @@
 	 *
 	 * @param stream where to, empty while the answer is not begun
 	 * @param lines the lines in order
-	 * @param end whether the stream ends after them
-	 * @param broken whether the connection closes after them
+	 * @param ending what follows them
+	 * @param failed whether the attempt stops running by a fault
 	 */
-	record Output(Optional<LineStream> stream, List<String> lines, boolean end, boolean broken) {
+	record Output(Optional<LineStream> stream, List<String> lines, Ending ending, boolean failed) {
 
 		void send() {
 			this.stream.ifPresent((to) -> {
 				this.lines.forEach(to::send);
-				if (this.broken) {
-					to.breakOff();
+				this.ending.apply(to);
+			});
+		}
+
+		/**
+		 * What becomes of the stream after the lines.
+		 */
+		enum Ending {
+
+			NONE {
+				@Override
+				void apply(LineStream stream) {
 				}
-				else if (this.end) {
-					to.end();
+			},
+
+			END {
+				@Override
+				void apply(LineStream stream) {
+					stream.end();
 				}
-			});
+			},
+
+			BREAK {
+				@Override
+				void apply(LineStream stream) {
+					stream.breakOff();
+				}
+			};
+
+			abstract void apply(LineStream stream);
+
 		}
 
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineFaults.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineFaults.java
@@ -14,15 +14,19 @@
 	private boolean draining;
 
 	synchronized void truncateNext(int afterTokens) {
-		this.nextStream = new StreamFaults(afterTokens, this.nextStream.duplicate(), this.nextStream.reorder());
+		this.nextStream = this.nextStream.withStop(afterTokens, false);
+	}
+
+	synchronized void failNext(int afterTokens) {
+		this.nextStream = this.nextStream.withStop(afterTokens, true);
 	}
 
 	synchronized void duplicateNext() {
-		this.nextStream = new StreamFaults(this.nextStream.truncateAfterTokens(), true, this.nextStream.reorder());
+		this.nextStream = this.nextStream.withDuplicate();
 	}
 
 	synchronized void reorderNext() {
-		this.nextStream = new StreamFaults(this.nextStream.truncateAfterTokens(), this.nextStream.duplicate(), true);
+		this.nextStream = this.nextStream.withReorder();
 	}
 
 	synchronized StreamFaults takeNextStream() {
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineMessages.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineMessages.java
@@ -64,6 +64,9 @@
 	record EndLine(String type, String finishReason, int promptTokens, int cachedTokens, int outputTokens) {
 	}
 
+	record ErrorLine(String type, String detail) {
+	}
+
 	record Busy(String detail, long retryAfterMillis) {
 	}
 
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineRunner.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineRunner.java
@@ -249,7 +249,7 @@
 			if (attempt.attached()) {
 				Attempt.Output output = attempt.takeOutput();
 				outputs.add(output);
-				if (output.broken()) {
+				if (output.failed()) {
 					cancel(attempt);
 				}
 			}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineServer.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineServer.java
@@ -17,9 +17,9 @@
  * <p>
  * Fault switches under {@code /control}: {@code crash}, {@code crash-on-prompt}
  * {@code {"marker"}}, {@code hang}, {@code drain} and {@code refuse} {@code {"on"}},
- * {@code slow} {@code {"factor"}}, {@code truncate} {@code {"afterTokens"}},
- * {@code duplicate} and {@code reorder} for the next stream, {@code cut}
- * {@code {"zones"}}.
+ * {@code slow} {@code {"factor"}}, {@code cut} {@code {"zones"}}, and for the next stream
+ * {@code truncate} and {@code error} {@code {"afterTokens"}}, {@code duplicate} and
+ * {@code reorder}.
  * </p>
  *
  * <p>
@@ -127,6 +127,7 @@
 			return body;
 		}));
 		controls.on("truncate", EngineFaults.After.class, (body) -> this.faults.truncateNext(body.afterTokens()));
+		controls.on("error", EngineFaults.After.class, (body) -> this.faults.failNext(body.afterTokens()));
 		controls.on("duplicate", FaultControls.Switch.class, (body) -> this.faults.duplicateNext());
 		controls.on("reorder", FaultControls.Switch.class, (body) -> this.faults.reorderNext());
 	}
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineServerTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineServerTests.java
@@ -125,6 +125,15 @@
 		await(() -> this.engine.memory().usedTokens() == 0);
 	}
 
+	@Test
+	void failedStreamEndsWithAnErrorLineAndFreesMemory() throws IOException {
+		control("error", "{\"afterTokens\":3}");
+		List<JsonNode> lines = run("a/1/1", LONG_ANSWER_PROMPT, 0);
+		assertThat(lines).extracting((line) -> line.get("type").asText()).endsWith("tokens", "error");
+		assertThat(text(lines)).isEqualTo(AnswerText.text(MODEL, AnswerText.promptHash(LONG_ANSWER_PROMPT), 0, 3));
+		await(() -> this.engine.memory().usedTokens() == 0);
+	}
+
 	@Test
 	void duplicatedAndReorderedChunksCarryTheirOffsets() throws IOException {
 		control("duplicate", "{}");
