--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ProblemDocumentTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ProblemDocumentTests.java
@@ -1,6 +1,10 @@
 package io.mulberrylift.daemon.caller;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
@@ -37,6 +41,14 @@
 		Approvals.verify(documents);
 	}
 
+	@Test
+	void pageNamesEveryReason() throws IOException {
+		List<String> rows = Files.readAllLines(Path.of("..", "docs", "API.md"));
+		assertThat(rows).containsSubsequence(Arrays.stream(RefusalReason.values())
+			.map((reason) -> "| `" + reason.label() + "` | " + reason.httpStatus() + " | " + reason.remedy() + " |")
+			.toList());
+	}
+
 	@Test
 	void retryAfterIsRoundedUpToWholeSeconds() {
 		assertThat(retryAfter(0)).isEqualTo("0");
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/cli/CommandTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/cli/CommandTests.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.mulberrylift.core.model.InstanceId;
 import io.mulberrylift.daemon.settings.InstanceSettings;
 import org.approvaltests.Approvals;
 import org.approvaltests.reporters.QuietReporter;
@@ -76,6 +77,13 @@
 		assertThat(this.output.toString()).contains("instanceId is missing");
 	}
 
+	@Test
+	void serveStartsWithItsSettings() {
+		assertThat(run("serve", "--settings", CONFIG + "/instance.json")).isZero();
+		assertThat(this.started).extracting(InstanceSettings::instanceId)
+			.containsExactly(new InstanceId("regina-hall-1"));
+	}
+
 	@Test
 	void stateOfAnAbsentProcessIsAFault() {
 		assertThat(run("state", "--address", "127.0.0.1:1")).isEqualTo(1);
