Strengthen tests that did not fail with their mechanism off

A trial with each mechanism switched off in a scratch copy left seven tests green. Six are made to fail for it; the seventh showed that slices of a prompt need no care for surrogate pairs, so that code is gone.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptBody.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptBody.java
@@ -93,7 +93,7 @@
 
 	private boolean fill() {
 		if (this.nextChar < this.prompt.length()) {
-			int end = sliceEnd();
+			int end = Math.min(this.prompt.length(), this.nextChar + SLICE_CHARS);
 			String slice = this.prompt.substring(this.nextChar, end);
 			this.pending = ByteBuffer.wrap(quote(slice));
 			this.nextChar = end;
@@ -112,6 +112,7 @@
 			return JsonStringEncoder.getInstance().quoteAsUTF8(slice);
 		}
 		catch (IllegalArgumentException ex) {
+			// A pair that two slices share is unpaired in each and whole when read.
 			return quoteUnpairedSurrogates(slice).getBytes(StandardCharsets.UTF_8);
 		}
 	}
@@ -130,12 +131,6 @@
 		return result.toString();
 	}
 
-	private int sliceEnd() {
-		int end = Math.min(this.prompt.length(), this.nextChar + SLICE_CHARS);
-		boolean splitsPair = end < this.prompt.length() && Character.isHighSurrogate(this.prompt.charAt(end - 1));
-		return (splitsPair) ? end - 1 : end;
-	}
-
 	@Override
 	public boolean isRepeatable() {
 		return false;
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/EndpointHandlerTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/EndpointHandlerTests.java
@@ -34,6 +34,8 @@
 
 	private static final EndpointId SERVICE = new EndpointId("s1");
 
+	private static final long SECOND_READ_MILLIS = 200;
+
 	private static final ZoneId ZONE = new ZoneId("z1");
 
 	private static final HoldDescription HOLD = new HoldDescription(9, new InstanceId("i/1"), 42, 1_000, 500);
@@ -135,6 +137,8 @@
 		})) {
 			readLoad(ENGINE);
 			readLoad(ENGINE);
+			Thread.sleep(SECOND_READ_MILLIS);
+			assertThat(engine.requests()).hasSizeLessThan(2);
 			asked.countDown();
 			this.events.next(EndpointEvent.LoadReported.class);
 			readLoad(ENGINE);
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/FakeExchange.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/FakeExchange.java
@@ -35,6 +35,9 @@
 
 	private Runnable whenWritable;
 
+	private Runnable whenAsked = () -> {
+	};
+
 	private String finishReason = "";
 
 	private ServiceReply reply;
@@ -56,6 +59,10 @@
 
 	@Override
 	public synchronized int acceptedTokens() {
+		Runnable action = this.whenAsked;
+		this.whenAsked = () -> {
+		};
+		action.run();
 		return this.accepted;
 	}
 
@@ -85,6 +92,10 @@
 		action.run();
 	}
 
+	synchronized void whenNextAsked(Runnable action) {
+		this.whenAsked = action;
+	}
+
 	synchronized void pause() {
 		this.paused = true;
 	}
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ModelAttemptTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ModelAttemptTests.java
@@ -183,6 +183,33 @@
 		}
 	}
 
+	@Test
+	void gapIsNamed() throws Exception {
+		try (RawServer engine = streaming(FIRST + "{\"type\":\"tokens\",\"offset\":3,\"text\":[\"d\"]}\n");
+				AttemptBench bench = new AttemptBench(engine.address())) {
+			bench.dispatch(this.exchange);
+			bench.events.next(AttemptEvent.Started.class);
+			assertThat(bench.expectFailure(AttemptFailure.TRUNCATED).detail()).isEqualTo("tokens 2 to 3 are missing");
+		}
+	}
+
+	@Test
+	void chunkThatIsBeingTakenDuringCancelIsDropped() throws Exception {
+		CountDownLatch dispatched = new CountDownLatch(1);
+		try (RawServer engine = engine((request, out) -> {
+			await(dispatched);
+			RawServer.startStream(out);
+			RawServer.chunk(out, FIRST);
+		}); AttemptBench bench = new AttemptBench(engine.address())) {
+			long attemptId = bench.dispatch(this.exchange);
+			this.exchange.whenNextAsked(() -> bench.cancel(attemptId));
+			dispatched.countDown();
+			RecordedEvents.await("cancelled at the engine", () -> engine.requests("DELETE").size() == 1);
+			assertThat(this.exchange.text()).isEmpty();
+			assertThat(bench.events.pending()).isEmpty();
+		}
+	}
+
 	@Test
 	void lineThatIsTooLongIsTruncated() throws Exception {
 		String part = " ".repeat(256 * 1_024);
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ServiceAttemptTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ServiceAttemptTests.java
@@ -80,6 +80,17 @@
 		}
 	}
 
+	@Test
+	void repeatableMethodIsNotRepeatedByTheClient() throws Exception {
+		FakeExchange get = FakeExchange.service(new ServiceCall("GET", "tickets/1", Map.of(), new byte[0]));
+		try (RawServer service = new RawServer((request, out) -> request.socket().close());
+				AttemptBench bench = new AttemptBench(service.address())) {
+			bench.dispatch(get);
+			bench.expectFailure(AttemptFailure.CONNECTION_LOST);
+			assertThat(service.requests()).hasSize(1);
+		}
+	}
+
 	@Test
 	void replyThatIsCutOffIsLost() throws Exception {
 		try (RawServer service = new RawServer((request, out) -> {
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerLinksTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerLinksTests.java
@@ -4,6 +4,7 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Random;
 import java.util.Set;
@@ -127,12 +128,32 @@
 		try (PeerNode a = new PeerNode("a"); PeerNode other = new PeerNode("other"); PeerNode b = new PeerNode("b")) {
 			a.directory.connected(b.id, other.address());
 			a.send(b, new ConfigurationMessage.Pull(1));
+			RecordedEvents.await("tried the other instance", () -> other.server.acceptedConnections() > 1);
 			a.directory.connected(b.id, b.address());
 			assertThat(b.events.next(PeerEvent.Received.class).message()).isEqualTo(new ConfigurationMessage.Pull(1));
 			assertThat(other.events.pending()).isEmpty();
 		}
 	}
 
+	@Test
+	void connectionWithoutAcknowledgementsIsReplaced() throws Exception {
+		InstanceId silent = new InstanceId("silent");
+		try (PeerNode a = new PeerNode("a");
+				ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			listener.setSoTimeout(30_000);
+			a.directory.connected(silent, "127.0.0.1:" + listener.getLocalPort());
+			a.links.handle(new PeerEffect.Send(silent, heartbeat(1)));
+			try (Socket first = listener.accept()) {
+				writeFrame(new DataOutputStream(first.getOutputStream()), 1,
+						PeerCodec.encode(Hello.of(silent, 1, ZONE, "127.0.0.1:1")));
+				RecordedEvents.await("greeted", () -> a.links.connectedPeers() == 1);
+				RecordedEvents.await("closed", () -> a.links.connectedPeers() == 0);
+				a.links.handle(new PeerEffect.Send(silent, heartbeat(2)));
+				listener.accept().close();
+			}
+		}
+	}
+
 	@Test
 	void fullQueueDropsTheOldestDroppableMessages() {
 		OutgoingQueue queue = new OutgoingQueue(100);
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerNode.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerNode.java
@@ -57,7 +57,7 @@
 		PeerShared listening = shared("127.0.0.1:1");
 		this.server = new PeerServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), listening,
 				this.receiver, serverTls);
-		this.links = new PeerLinks(shared(address()), new PeerLinkSettings(1_000, 10, 50, 5_000, 64 * 1_024),
+		this.links = new PeerLinks(shared(address()), new PeerLinkSettings(1_000, 10, 50, 2_500, 64 * 1_024),
 				this.receiver, this.metrics, new Random(SEED), clientTls);
 	}
 
