Refuse sooner when the witnesses cannot answer

Cause: in a cut zone each claim waited up to 3 s although the other seats' holders had been silent for seconds, and some claims ended as expired instead of with the reason. A claim now ends after one round when suspects make a majority impossible, and before its deadline with the last reason. Zone order, gossip and the choice of watchers are no longer computed on every event.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -257,6 +257,7 @@
 	 */
 	public long nextWakeMonotonicMillis(Moment now) {
 		long wake = Math.min(this.requests.nextWakeMonotonicMillis(), this.parts.scheduler().nextWakeMonotonicMillis());
+		wake = Math.min(wake, this.parts.claims().nextWakeMonotonicMillis());
 		return Math.min(wake, now.monotonicMillis() + TICK_INTERVAL_MILLIS);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationSpread.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationSpread.java
@@ -35,6 +35,8 @@
  */
 public final class ConfigurationSpread {
 
+	private static final long TICK_MILLIS = 100;
+
 	private static final int WATCHERS_PER_ZONE = 2;
 
 	private static final long MIN_POLL_MILLIS = 2_000;
@@ -65,6 +67,8 @@
 
 	private int pushes;
 
+	private long nextTickMonotonicMillis = Long.MIN_VALUE;
+
 	/**
 	 * Creates the part.
 	 * @param fleet the shared state, not null
@@ -142,6 +146,10 @@
 	 * @param effects takes the messages
 	 */
 	public void tick(Moment now, Effects effects) {
+		if (now.monotonicMillis() < this.nextTickMonotonicMillis) {
+			return;
+		}
+		this.nextTickMonotonicMillis = now.monotonicMillis() + TICK_MILLIS;
 		this.configuration.readAs(isWatcher(), MIN_POLL_MILLIS + this.random.nextLong(POLL_SPREAD_MILLIS));
 		boolean unknown = this.configuration.highestSeenVersion() == 0;
 		if (unknown && now.monotonicMillis() >= this.nextFirstPullMonotonicMillis) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/CrashGuardPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/isolation/CrashGuardPart.java
@@ -33,6 +33,8 @@
 
 	private static final int MAX_EXPOSED_ENDPOINTS = 2;
 
+	private static final long TICK_MILLIS = 100;
+
 	private static final int MAX_NOTICES_TO_NEWCOMER = 64;
 
 	private final FleetState fleet;
@@ -49,6 +51,8 @@
 
 	private final SuspectGossip gossip;
 
+	private long nextTickMonotonicMillis = Long.MIN_VALUE;
+
 	/**
 	 * Creates the part.
 	 * @param fleet the shared state, not null
@@ -172,6 +176,10 @@
 	 * @param effects takes the notices
 	 */
 	public void tick(Moment now, Effects effects) {
+		if (now.monotonicMillis() < this.nextTickMonotonicMillis) {
+			return;
+		}
+		this.nextTickMonotonicMillis = now.monotonicMillis() + TICK_MILLIS;
 		this.broken.forget(now.monotonicMillis());
 		this.lostMonotonicMillis.values().removeIf((lost) -> now.monotonicMillis() - lost > BrokenRuns.MEMORY_MILLIS);
 		this.gossip.tick(now, effects);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/membership/MembershipPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/membership/MembershipPart.java
@@ -201,11 +201,7 @@
 		return silentFor(instance, LOST_MILLIS);
 	}
 
-	/**
-	 * Returns whether an instance has missed several heartbeats.
-	 * @param instance the instance
-	 * @return true if so; false for an instance that was never heard of
-	 */
+	@Override
 	public boolean isSuspect(InstanceId instance) {
 		return silentFor(instance, SUSPECT_MILLIS);
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Claimant.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Claimant.java
@@ -50,6 +50,8 @@
 
 	private static final long MAX_BACKOFF_MILLIS = 400;
 
+	private static final long TICK_MILLIS = 10;
+
 	private static final int MAX_DOUBLINGS = 5;
 
 	private static final long DISPATCH_MARGIN_MILLIS = 3_000;
@@ -72,6 +74,8 @@
 
 	private long nextSequence = 1;
 
+	private long nextTickMonotonicMillis = Long.MIN_VALUE;
+
 	Claimant(WitnessContext context, SeatSender sender, RandomGenerator random) {
 		this.context = context;
 		this.sender = sender;
@@ -202,13 +206,18 @@
 
 	private void concludeUnproved(PendingClaim claim, Effects effects) {
 		Refusal refusal = ClaimRefusals.unproved(claim.round);
-		if (unprovedMillis(claim) >= MAX_UNPROVED_MILLIS || claim.round.seats().isEmpty()) {
+		if (unprovedMillis(claim) >= MAX_UNPROVED_MILLIS || isHopeless(claim.round)) {
 			deny(claim, refusal, effects);
 			return;
 		}
 		retry(claim, refusal, effects);
 	}
 
+	private boolean isHopeless(ClaimRound round) {
+		long reachable = round.openSeats().stream().filter((seat) -> !this.sender.isSuspect(seat)).count();
+		return round.count(Decision.GRANTED) + reachable < round.majority();
+	}
+
 	private long unprovedMillis(PendingClaim claim) {
 		return now() - claim.firstUnprovedMonotonicMillis;
 	}
@@ -222,6 +231,7 @@
 		}
 		giveUp(claim.round, claim.key, effects);
 		claim.round = null;
+		claim.lastRefusal = refusal;
 		claim.nextRoundMonotonicMillis = nextMonotonicMillis;
 	}
 
@@ -297,22 +307,38 @@
 	}
 
 	void tick(Effects effects) {
+		if (now() < this.nextTickMonotonicMillis) {
+			return;
+		}
+		this.nextTickMonotonicMillis = now() + TICK_MILLIS;
 		for (PendingClaim claim : List.copyOf(this.pending.values())) {
-			if (claim.round == null) {
-				if (now() >= claim.nextRoundMonotonicMillis) {
-					startRound(claim, effects);
-				}
-			}
-			else {
+			if (claim.round != null) {
 				continueRound(claim, effects);
 			}
+			else if (isLastChance(claim)) {
+				deny(claim, claim.lastRefusal, effects);
+			}
+			else if (now() >= claim.nextRoundMonotonicMillis) {
+				startRound(claim, effects);
+			}
 		}
 	}
 
+	private boolean isLastChance(PendingClaim claim) {
+		return claim.lastRefusal != null && now() + LAST_ROUND_MARGIN_MILLIS >= claim.deadlineMonotonicMillis;
+	}
+
+	/**
+	 * Returns when {@link #tick(Effects)} is due next.
+	 * @return the monotonic time in milliseconds, {@link Long#MAX_VALUE} for never
+	 */
+	long nextWakeMonotonicMillis() {
+		return this.pending.isEmpty() ? Long.MAX_VALUE : this.nextTickMonotonicMillis;
+	}
+
 	private void continueRound(PendingClaim claim, Effects effects) {
 		boolean over = now() - claim.round.startedMonotonicMillis() >= ROUND_MILLIS;
-		boolean lastChance = now() + LAST_ROUND_MARGIN_MILLIS >= claim.deadlineMonotonicMillis && claim.rounds > 1;
-		if (over || lastChance) {
+		if (over || isLastChance(claim)) {
 			conclude(claim, effects);
 		}
 		else if (now() >= claim.nextSendMonotonicMillis) {
@@ -343,30 +369,4 @@
 	private record WonClaim(ClaimId claim, KeyId key, long fingerprint, List<ZoneId> seats) {
 	}
 
-	private static final class PendingClaim {
-
-		private final RequestSpec spec;
-
-		private final KeyId key;
-
-		private final long deadlineMonotonicMillis;
-
-		private ClaimRound round;
-
-		private int rounds;
-
-		private long nextSendMonotonicMillis;
-
-		private long nextRoundMonotonicMillis;
-
-		private long firstUnprovedMonotonicMillis;
-
-		private PendingClaim(RequestSpec spec, KeyId key, long deadlineMonotonicMillis) {
-			this.spec = spec;
-			this.key = key;
-			this.deadlineMonotonicMillis = deadlineMonotonicMillis;
-		}
-
-	}
-
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/PeerKnowledge.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/PeerKnowledge.java
@@ -28,6 +28,13 @@
 	 */
 	boolean isSilent(InstanceId instance);
 
+	/**
+	 * Returns whether an instance has missed several heartbeats.
+	 * @param instance the instance
+	 * @return true if so; false for an instance that was never heard of
+	 */
+	boolean isSuspect(InstanceId instance);
+
 	/**
 	 * Returns whether an instance said that it is shutting down.
 	 * @param instance the instance
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/PendingClaim.java
@@ -0,0 +1,41 @@
+package io.mulberrylift.core.witness;
+
+import io.mulberrylift.core.model.Refusal;
+import io.mulberrylift.core.model.RequestSpec;
+import io.mulberrylift.core.peer.WitnessMessage.KeyId;
+
+/**
+ * A request whose key is being claimed.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the reducer. It has a round under way or
+ * waits for the next one, which has a new claim.
+ * </p>
+ */
+final class PendingClaim {
+
+	final RequestSpec spec;
+
+	final KeyId key;
+
+	final long deadlineMonotonicMillis;
+
+	ClaimRound round;
+
+	Refusal lastRefusal;
+
+	int rounds;
+
+	long nextSendMonotonicMillis;
+
+	long nextRoundMonotonicMillis;
+
+	long firstUnprovedMonotonicMillis;
+
+	PendingClaim(RequestSpec spec, KeyId key, long deadlineMonotonicMillis) {
+		this.spec = spec;
+		this.key = key;
+		this.deadlineMonotonicMillis = deadlineMonotonicMillis;
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatAuthority.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatAuthority.java
@@ -40,6 +40,8 @@
 
 	private boolean heldUntilLeaving;
 
+	private boolean listedAsLeaving;
+
 	private long listedSinceEpochMillis = Long.MIN_VALUE;
 
 	private long firstHeldPublishedEpochMillis;
@@ -80,6 +82,7 @@
 		this.list = newList;
 		this.listVoid = false;
 		Optional<InstanceDescription> own = own();
+		this.listedAsLeaving = own.map(InstanceDescription::leaving).orElse(false);
 		long listedSince = own.map(InstanceDescription::listedSinceEpochMillis).orElse(Long.MIN_VALUE);
 		if (listedSince != this.listedSinceEpochMillis) {
 			this.listedSinceEpochMillis = listedSince;
@@ -249,7 +252,7 @@
 	 * @return true if so
 	 */
 	boolean listedAsLeaving() {
-		return own().map(InstanceDescription::leaving).orElse(false);
+		return this.listedAsLeaving;
 	}
 
 	private boolean isHolder() {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatSender.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/SeatSender.java
@@ -54,7 +54,7 @@
 	}
 
 	private List<InstanceId> receivers(ZoneId seat, boolean widely) {
-		List<InstanceDescription> order = SeatTable.order(this.context.fleet().list(), seat);
+		List<InstanceDescription> order = this.context.order(seat);
 		if (widely) {
 			return order.stream().limit(MAX_WIDE_RECEIVERS).map(InstanceDescription::id).toList();
 		}
@@ -67,6 +67,16 @@
 			.toList();
 	}
 
+	/**
+	 * Returns whether nobody is likely to answer for a seat.
+	 * @param seat the seat
+	 * @return true when no instance of its zone is listed or the first in order has
+	 * missed several heartbeats
+	 */
+	boolean isSuspect(ZoneId seat) {
+		return receivers(seat, false).stream().allMatch(this.context.peers()::isSuspect);
+	}
+
 	/**
 	 * Sends a message without an answer to a seat now and, more widely, a few times
 	 * later.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessContext.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessContext.java
@@ -1,5 +1,8 @@
 package io.mulberrylift.core.witness;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -8,7 +11,10 @@
 import io.mulberrylift.core.effect.Effects;
 import io.mulberrylift.core.effect.PeerEffect;
 import io.mulberrylift.core.fleet.FleetState;
+import io.mulberrylift.core.model.FleetList;
+import io.mulberrylift.core.model.InstanceDescription;
 import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.model.ZoneId;
 import io.mulberrylift.core.peer.WitnessMessage;
 import io.mulberrylift.core.time.Moment;
 
@@ -29,6 +35,10 @@
 
 	private LocalReceiver localReceiver;
 
+	private final Map<ZoneId, List<InstanceDescription>> orders = new HashMap<>();
+
+	private FleetList orderedList;
+
 	private Moment now = new Moment(0, 0);
 
 	WitnessContext(FleetState fleet, PeerKnowledge peers) {
@@ -66,6 +76,20 @@
 		return this.fleet.configuration().map((configuration) -> configuration.witnessZones().size());
 	}
 
+	/**
+	 * Returns the instances of a zone in the order of {@link SeatTable}.
+	 * @param zone the zone
+	 * @return the instances, empty when none is listed
+	 */
+	List<InstanceDescription> order(ZoneId zone) {
+		FleetList list = this.fleet.list();
+		if (list != this.orderedList) {
+			this.orderedList = list;
+			this.orders.clear();
+		}
+		return this.orders.computeIfAbsent(zone, (key) -> SeatTable.order(list, key));
+	}
+
 	boolean isSelf(InstanceId instance) {
 		return instance.equals(this.fleet.self().id());
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessPart.java
@@ -141,6 +141,14 @@
 		this.sender.tick(effects);
 	}
 
+	/**
+	 * Returns when {@link #tick(Effects)} is due next without other events.
+	 * @return the monotonic time in milliseconds, {@link Long#MAX_VALUE} for never
+	 */
+	public long nextWakeMonotonicMillis() {
+		return this.claimant.nextWakeMonotonicMillis();
+	}
+
 	/**
 	 * Returns whether the process may end as far as the seat is concerned.
 	 * @return true when the seat was taken over, none is held or waiting is useless
