--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/isolation/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of the isolation of crashing requests.
+ */
+package io.mulberrylift.core.isolation;
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of membership.
+ */
+package io.mulberrylift.core.membership;
