--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
@@ -26,6 +26,16 @@
 		}
 	},
 
+	/** The process dies, starts again and reads an old list at first. */
+	RESTART_WITH_OLD_LIST {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			RESTART.strike(fleet, at);
+			fleet.platform().lag(at.identity().id(), 6_000);
+			fleet.time().after(2_000, () -> fleet.platform().lag(at.identity().id(), 0));
+		}
+	},
+
 	/** The process stands still for less than a list is fresh. */
 	FREEZE_SHORT {
 		@Override
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Load.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Load.java
@@ -1,7 +1,8 @@
 package io.mulberrylift.core.promise;
 
 /**
- * Sends fresh keys at a steady rate, some of them twice at nearly the same time.
+ * Sends fresh keys at a steady rate, some of them twice at nearly the same time and some
+ * again seconds later.
  */
 final class Load {
 
@@ -11,6 +12,12 @@
 
 	private static final int DOUBLE_SEND_EVERY = 3;
 
+	private static final int LATE_SEND_EVERY = 4;
+
+	private static final long MIN_LATE_SEND_DELAY_MILLIS = 1_000;
+
+	private static final long MAX_LATE_SEND_DELAY_MILLIS = 10_000;
+
 	private static final long MAX_DOUBLE_SEND_DELAY_MILLIS = 400;
 
 	private Load() {
@@ -22,16 +29,20 @@
 			String key = "key-" + number;
 			long fingerprint = 1_000 + number;
 			int copies = (number % DOUBLE_SEND_EVERY == 0) ? 2 : 1;
-			fleet.time().after(at, () -> send(fleet, key, fingerprint, copies));
+			boolean late = number % LATE_SEND_EVERY == 0;
+			fleet.time().after(at, () -> send(fleet, key, fingerprint, copies, late));
 			number++;
 		}
 	}
 
-	private static void send(VirtualFleet fleet, String key, long fingerprint, int copies) {
-		long firstSentMillis = fleet.time().nowMillis();
+	private static void send(VirtualFleet fleet, String key, long fingerprint, int copies, boolean late) {
+		VirtualCaller.Work work = new VirtualCaller.Work(key, fingerprint, fleet.time().nowMillis(), TIMEOUT_MILLIS,
+				SENDS, false);
+		if (late) {
+			long delay = fleet.random().nextLong(MIN_LATE_SEND_DELAY_MILLIS, MAX_LATE_SEND_DELAY_MILLIS);
+			fleet.time().after(delay, () -> fleet.caller().send(work));
+		}
 		for (int i = 0; i < copies; i++) {
-			VirtualCaller.Work work = new VirtualCaller.Work(key, fingerprint, firstSentMillis, TIMEOUT_MILLIS, SENDS,
-					false);
 			long delay = (i == 0) ? 0 : fleet.random().nextLong(MAX_DOUBLE_SEND_DELAY_MILLIS);
 			fleet.time().after(delay, () -> fleet.caller().send(work));
 		}
