--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
@@ -138,6 +138,37 @@
 		}
 	},
 
+	/**
+	 * The process hands over, starts again under its old listing, grants and dies.
+	 */
+	RESTART_AFTER_HANDOVER {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			InstanceId id = at.identity().id();
+			fleet.shutDownAndStartAgain(at);
+			fleet.time().after(9_000, () -> fleet.process(id).ifPresent((process) -> KILL.strike(fleet, process)));
+		}
+	},
+
+	/**
+	 * An instance that was dropped unseen hands over by its old list to one that has held
+	 * the seat and started again meanwhile.
+	 */
+	HANDOVER_BY_OLD_LIST {
+		@Override
+		void strike(VirtualFleet fleet, VirtualInstance at) {
+			fleet.platform().holdList(at.identity().id());
+			fleet.time().after(100, () -> fleet.platform().drop(at.identity().id()));
+			fleet.time()
+				.after(6_000,
+						() -> fleet.serving()
+							.stream()
+							.filter((other) -> other != at && other.identity().zone().equals(at.identity().zone()))
+							.forEach((other) -> RESTART.strike(fleet, other)));
+			fleet.time().after(8_500, () -> fleet.shutDown(at));
+		}
+	},
+
 	/** All instances are replaced one after the other. */
 	REPLACE_ALL {
 		@Override
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/VirtualFleet.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiConsumer;
 
@@ -74,6 +76,8 @@
 
 	private final Map<String, RequestSpec> requests = new HashMap<>();
 
+	private final Set<InstanceId> startAgain = new HashSet<>();
+
 	private final List<ZoneId> zones;
 
 	private BiConsumer<VirtualInstance, Effect> observer = (instance, effect) -> {
@@ -157,6 +161,13 @@
 		return this.requests;
 	}
 
+	/**
+	 * Returns the living process of an instance.
+	 */
+	Optional<VirtualInstance> process(InstanceId id) {
+		return Optional.ofNullable(this.instances.get(id)).filter(VirtualInstance::isAlive);
+	}
+
 	/**
 	 * Returns the living processes in the order of their names.
 	 */
@@ -205,8 +216,25 @@
 		else if (effect instanceof ControlEffect.Exit) {
 			this.history.exited(instance.toString(), instance.openSends());
 			instance.kill();
-			this.time.after(500, () -> this.platform.drop(instance.identity().id()));
+			afterExit(instance.identity());
+		}
+	}
+
+	private void afterExit(InstanceIdentity exited) {
+		if (this.startAgain.remove(exited.id())) {
+			this.time.after(300, () -> startAs(exited.id(), exited.zone()));
 		}
+		else {
+			this.time.after(500, () -> this.platform.drop(exited.id()));
+		}
+	}
+
+	/**
+	 * Shuts an instance down and starts it again without a word to the platform.
+	 */
+	void shutDownAndStartAgain(VirtualInstance instance) {
+		this.startAgain.add(instance.identity().id());
+		this.time.after(1, () -> instance.submit(ControlEvent.ShutdownRequested::new));
 	}
 
 	private VirtualEndpoint endpoint(String name) {
