Serve requests end to end through separate processes

Cause: parts were tested alone. The demonstration starts six processes and sends streamed, whole and plain-service requests through them. Found by the first run: the engine stand-in listed model@version but looked models up by name, so every model request was refused as not loaded; it now looks versions up by model. A key from before the witness seats' floor can never be granted, so the demonstration makes a new key for each send until one is granted.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/ControlHandler.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/ControlHandler.java
@@ -8,6 +8,7 @@
 import io.mulberrylift.daemon.logging.LogEffectHandler;
 import io.mulberrylift.daemon.loop.EffectHandler;
 import io.mulberrylift.daemon.metrics.CountEffectHandler;
+import org.slf4j.LoggerFactory;
 
 /**
  * Writes the reducer's log lines, counts for it and learns that it is done.
@@ -20,7 +21,8 @@
 
 	private final EffectHandler<ControlEffect.Count> counts;
 
-	private final EffectHandler<ControlEffect.Log> lines = new LogEffectHandler();
+	private final EffectHandler<ControlEffect.Log> lines = new LogEffectHandler(
+			LoggerFactory.getLogger("io.mulberrylift"));
 
 	private final CountDownLatch exit = new CountDownLatch(1);
 
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerCodecTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerCodecTests.java
@@ -47,7 +47,7 @@
 		return Stream.of(new Heartbeat(ZONE, 1, 2, 3, true, 4),
 				new SuspectNotice(-5, new EndpointId("e"), 6, false, true), new ConfigurationMessage.Pull(7),
 				new ConfigurationMessage.Push(new PublishedDocument(8, "{\"a\":1}")),
-				new WitnessMessage.Claim(ZONE, KEY, 9, CLAIM),
+				new WitnessMessage.Claim(ZONE, 14, KEY, 9, CLAIM),
 				new WitnessMessage.Verdict(ZONE, CLAIM, WitnessMessage.Decision.RUNNING, Optional.of(CLAIM), ANSWER),
 				new WitnessMessage.Verdict(ZONE, CLAIM, WitnessMessage.Decision.GRANTED, Optional.empty(),
 						Optional.empty()),
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/StandIns.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/StandIns.java
@@ -2,6 +2,7 @@
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
+import io.mulberrylift.testkit.fleet.DemoCommand;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -19,8 +20,8 @@
  * </p>
  */
 @Command(name = "standins", description = "Runs stand-ins of the platform and the endpoints.",
-		mixinStandardHelpOptions = true,
-		subcommands = { EngineCommand.class, ServiceCommand.class, PlatformCommand.class, HelpCommand.class })
+		mixinStandardHelpOptions = true, subcommands = { EngineCommand.class, ServiceCommand.class,
+				PlatformCommand.class, DemoCommand.class, HelpCommand.class })
 public final class StandIns implements Runnable {
 
 	@Spec
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/OrderBook.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/OrderBook.java
@@ -4,15 +4,18 @@
 import java.util.TreeSet;
 
 /**
- * What an engine serves by the orders that it obeyed.
+ * What an engine serves by the orders that it obeyed. Models are listed as
+ * {@code name@version}, adapters by name.
  *
  * <p>
- * Invariant: when orders are checked, the highest fencing number never goes down. Safe
- * for use by several threads.
+ * Invariants: one version of a model is loaded at a time; when orders are checked, the
+ * highest fencing number never goes down. Safe for use by several threads.
  * </p>
  */
 final class OrderBook {
 
+	private static final String VERSION_SEPARATOR = "@";
+
 	private final boolean checksFencing;
 
 	private final Set<String> models = new TreeSet<>();
@@ -34,6 +37,10 @@
 		if (order.kind() == EngineMessages.OrderKind.CHANGE_ROLE) {
 			this.role = order.subject();
 		}
+		else if (order.kind() == EngineMessages.OrderKind.LOAD_MODEL) {
+			this.models.removeIf((loaded) -> isVersionOf(loaded, order.subject()));
+			this.models.add(order.subject() + VERSION_SEPARATOR + order.version());
+		}
 		else {
 			this.models.add(order.subject());
 		}
@@ -45,7 +52,11 @@
 	}
 
 	synchronized boolean serves(String model) {
-		return this.models.contains(model);
+		return this.models.stream().anyMatch((loaded) -> isVersionOf(loaded, model));
+	}
+
+	private static boolean isVersionOf(String loaded, String model) {
+		return loaded.equals(model) || loaded.startsWith(model + VERSION_SEPARATOR);
 	}
 
 }
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
@@ -8,6 +8,7 @@
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.model.LoadReport;
 import io.mulberrylift.testkit.engine.EngineListener;
+import io.mulberrylift.testkit.engine.EngineLoad;
 import io.mulberrylift.testkit.engine.EngineModel;
 import io.mulberrylift.testkit.engine.EngineRequest;
 import io.mulberrylift.testkit.engine.EngineSettings;
@@ -56,8 +57,9 @@
 	}
 
 	private LoadReport snapshot() {
-		return new LoadReport(this.id, 1, this.model.runningRequests(), this.model.queuedRequests(),
-				this.model.queuedPromptTokens(), this.model.memory().usedTokens(), false, Set.of(FleetShape.MODEL), 0);
+		EngineLoad load = this.model.load();
+		return new LoadReport(this.id, 1, load.runningRequests(), load.queuedRequests(), load.queuedPromptTokens(),
+				load.usedMemoryTokens(), false, Set.of(FleetShape.MODEL), 0);
 	}
 
 	/**
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/DemoAnswer.java
@@ -0,0 +1,28 @@
+package io.mulberrylift.testkit.fleet;
+
+/**
+ * What a caller received.
+ *
+ * @param httpStatus the status
+ * @param firstTokenMillis time to the first token in milliseconds, -1 when there is none
+ * @param totalMillis time to the end of the answer in milliseconds
+ * @param ended whether the explicit end of the answer was seen
+ * @param text the beginning of the answer
+ */
+record DemoAnswer(int httpStatus, long firstTokenMillis, long totalMillis, boolean ended, String text) {
+
+	private static final int SHOWN_CHARS = 60;
+
+	boolean isGood() {
+		return this.httpStatus == 200 && this.ended;
+	}
+
+	@Override
+	public String toString() {
+		int shownChars = isGood() ? Math.min(SHOWN_CHARS, this.text.length()) : this.text.length();
+		String shown = this.text.substring(0, shownChars).replace('\n', ' ');
+		String firstToken = (this.firstTokenMillis >= 0) ? ", first token after " + this.firstTokenMillis + " ms" : "";
+		return "status " + this.httpStatus + firstToken + ", end after " + this.totalMillis + " ms: " + shown;
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetProcesses.java
@@ -0,0 +1,285 @@
+package io.mulberrylift.testkit.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mulberrylift.core.model.WorkKind;
+import io.mulberrylift.testkit.platform.ListedEndpoint;
+import io.mulberrylift.testkit.platform.ListedInstance;
+
+/**
+ * Starts and ends the processes of a small fleet on the loopback address: the platform's
+ * stand-in, endpoints and entry instances.
+ *
+ * <p>
+ * Not safe for use by several threads but for the maps' contents, which are read only
+ * between changes. Closing ends every process that this object has started.
+ * </p>
+ */
+public final class FleetProcesses implements AutoCloseable {
+
+	private static final String STANDINS = "io.mulberrylift.testkit.command.StandIns";
+
+	private static final String DAEMON = "io.mulberrylift.daemon.MulberryliftMain";
+
+	private static final Pattern STANDIN_READY = Pattern.compile("^listening (\\S+) (\\S+)$");
+
+	private static final Pattern INSTANCE_READY = Pattern
+		.compile("serves callers on port (\\d+), operators on port (\\d+) and instances on port (\\d+)");
+
+	private static final String HOST = "127.0.0.1";
+
+	private static final long READY_POLL_MILLIS = 50;
+
+	private static final long READY_TIMEOUT_MILLIS = 60_000;
+
+	private final JsonCalls calls = new JsonCalls();
+
+	private final Consumer<String> output;
+
+	private final Path directory;
+
+	private final ManagedProcess platform;
+
+	private final Map<String, ManagedProcess> endpoints = new LinkedHashMap<>();
+
+	private final Map<String, InstanceProcess> instances = new LinkedHashMap<>();
+
+	/**
+	 * Starts the platform's stand-in.
+	 * @param directory where settings and histories are written
+	 * @param output takes each line of output of the processes
+	 * @throws IOException if it cannot be started
+	 */
+	public FleetProcesses(Path directory, Consumer<String> output) throws IOException {
+		this.directory = Files.createDirectories(directory);
+		this.output = output;
+		this.platform = startStandIn("platform", List.of("platform", "--id", "platform"));
+	}
+
+	private ManagedProcess startStandIn(String name, List<String> arguments) throws IOException {
+		return ManagedProcess.start(name, STANDINS, arguments, STANDIN_READY, this.output);
+	}
+
+	/**
+	 * Publishes a configuration.
+	 * @param document its text
+	 * @return its version
+	 * @throws IOException if the platform refuses
+	 */
+	public long publish(String document) throws IOException {
+		return this.calls.post(platformAddress(), "/control/configuration", Map.of("document", document))
+			.path("version")
+			.asLong();
+	}
+
+	/**
+	 * Starts an engine and lists it.
+	 * @param id its identity
+	 * @param zone its zone
+	 * @param model the model that it serves
+	 * @param options further options of the stand-in
+	 * @throws IOException if it cannot be started
+	 */
+	public void startEngine(String id, String zone, String model, String... options) throws IOException {
+		List<String> arguments = new ArrayList<>(
+				List.of("engine", "--id", id, "--zone", zone, "--model", model, "--history", history(id)));
+		arguments.addAll(List.of(options));
+		ManagedProcess engine = startStandIn(id, arguments);
+		this.endpoints.put(id, engine);
+		listEndpoint(new ListedEndpoint(id, WorkKind.MODEL, zone, engine.readyGroup(2), Set.of(modelName(model)),
+				FleetDefaults.ENGINE_MEMORY_TOKENS, true, false));
+	}
+
+	private static String modelName(String model) {
+		int separator = model.indexOf('@');
+		return (separator < 0) ? model : model.substring(0, separator);
+	}
+
+	/**
+	 * Starts a plain service's runner and lists it.
+	 * @param id its identity
+	 * @param zone its zone
+	 * @param service the service that it runs
+	 * @throws IOException if it cannot be started
+	 */
+	public void startService(String id, String zone, String service) throws IOException {
+		ManagedProcess runner = startStandIn(id, List.of("service", "--id", id, "--history", history(id)));
+		this.endpoints.put(id, runner);
+		listEndpoint(
+				new ListedEndpoint(id, WorkKind.SERVICE, zone, runner.readyGroup(2), Set.of(service), 0, false, false));
+	}
+
+	private void listEndpoint(ListedEndpoint endpoint) throws IOException {
+		changeList(Map.of("addEndpoints", List.of(endpoint)));
+	}
+
+	/**
+	 * Starts an instance, lists it and waits until it is ready.
+	 * @param id its identity
+	 * @param zone its zone
+	 * @throws IOException if it cannot be started
+	 */
+	public void startInstance(String id, String zone) throws IOException {
+		Path settings = this.directory.resolve(id + ".json");
+		Files.writeString(settings, FleetDefaults.instanceSettings(id, zone, platformAddress()));
+		ManagedProcess process = ManagedProcess.start(id, DAEMON, List.of("serve", "--settings", settings.toString()),
+				INSTANCE_READY, this.output);
+		InstanceProcess instance = new InstanceProcess(process, HOST + ":" + process.readyGroup(1),
+				HOST + ":" + process.readyGroup(2), HOST + ":" + process.readyGroup(3));
+		this.instances.put(id, instance);
+		changeList(Map.of("addInstances",
+				List.of(new ListedInstance(id, zone, instance.peerAddress(), false, System.currentTimeMillis()))));
+		awaitReady(instance);
+	}
+
+	private void awaitReady(InstanceProcess instance) throws IOException {
+		for (long waitedMillis = 0; waitedMillis < READY_TIMEOUT_MILLIS; waitedMillis += READY_POLL_MILLIS) {
+			if (this.calls.status(instance.operatorAddress(), "/readyz") == 200) {
+				return;
+			}
+			Pauses.sleep(READY_POLL_MILLIS);
+		}
+		throw new IOException(instance.process().name() + " is not ready: " + instance.process().output());
+	}
+
+	/**
+	 * Changes the instance list.
+	 * @param change the members of the platform's list change
+	 * @throws IOException if the platform refuses
+	 */
+	public void changeList(Map<String, ?> change) throws IOException {
+		this.calls.post(platformAddress(), "/control/instances", change);
+	}
+
+	/**
+	 * Removes a process from the list and ends it at once.
+	 * @param id the instance or endpoint
+	 * @throws IOException if the platform refuses
+	 */
+	public void killAndDrop(String id) throws IOException {
+		process(id).kill();
+		this.instances.remove(id);
+		this.endpoints.remove(id);
+		changeList(Map.of("remove", Set.of(id)));
+	}
+
+	/**
+	 * Sets a switch of the platform.
+	 * @param name the switch
+	 * @param body its body
+	 * @throws IOException if the platform refuses
+	 */
+	public void controlPlatform(String name, Object body) throws IOException {
+		this.calls.post(platformAddress(), "/control/" + name, body);
+	}
+
+	/**
+	 * Sets a switch of an endpoint.
+	 * @param id the endpoint
+	 * @param name the switch
+	 * @param body its body
+	 * @throws IOException if the endpoint refuses
+	 */
+	public void controlEndpoint(String id, String name, Object body) throws IOException {
+		this.calls.post(endpointAddress(id), "/control/" + name, body);
+	}
+
+	/**
+	 * Reads a page of an endpoint.
+	 * @param id the endpoint
+	 * @param path the path
+	 * @return the document
+	 * @throws IOException if the call fails
+	 */
+	public JsonNode readEndpoint(String id, String path) throws IOException {
+		return this.calls.get(endpointAddress(id), path);
+	}
+
+	/**
+	 * Reads a page of an instance's operators' port.
+	 * @param id the instance
+	 * @param path the path
+	 * @return the document
+	 * @throws IOException if the call fails
+	 */
+	public JsonNode readInstance(String id, String path) throws IOException {
+		return this.calls.get(instance(id).operatorAddress(), path);
+	}
+
+	/**
+	 * Returns a process.
+	 * @param id the instance or endpoint
+	 * @return the process
+	 * @throws IllegalArgumentException if it is not known
+	 */
+	public ManagedProcess process(String id) {
+		if (this.instances.containsKey(id)) {
+			return this.instances.get(id).process();
+		}
+		if (this.endpoints.containsKey(id)) {
+			return this.endpoints.get(id);
+		}
+		throw new IllegalArgumentException("No process " + id);
+	}
+
+	/**
+	 * Returns an instance.
+	 * @param id the instance
+	 * @return its process and addresses
+	 */
+	public InstanceProcess instance(String id) {
+		return this.instances.get(id);
+	}
+
+	/**
+	 * Returns the instances.
+	 * @return identities in the order of their starts
+	 */
+	public List<String> instanceIds() {
+		return List.copyOf(this.instances.keySet());
+	}
+
+	/**
+	 * Returns the endpoints.
+	 * @return identities in the order of their starts
+	 */
+	public List<String> endpointIds() {
+		return List.copyOf(this.endpoints.keySet());
+	}
+
+	/**
+	 * Returns where an endpoint writes its history.
+	 * @param id the endpoint
+	 * @return the file's path
+	 */
+	public String history(String id) {
+		return this.directory.resolve(id + ".history.jsonl").toString();
+	}
+
+	private String endpointAddress(String id) {
+		return this.endpoints.get(id).readyGroup(2);
+	}
+
+	private String platformAddress() {
+		return this.platform.readyGroup(2);
+	}
+
+	@Override
+	public void close() {
+		this.instances.values().forEach((instance) -> instance.process().close());
+		this.endpoints.values().forEach(ManagedProcess::close);
+		this.platform.close();
+		this.calls.close();
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
@@ -0,0 +1,218 @@
+package io.mulberrylift.testkit.fleet;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * One process of the fleet, watched by its output.
+ *
+ * <p>
+ * Safe for use by several threads. The last {@value #KEPT_LINES} lines of output are
+ * kept. The process is signalled by its own id only.
+ * </p>
+ */
+public final class ManagedProcess implements AutoCloseable {
+
+	private static final int KEPT_LINES = 200;
+
+	private static final long READY_SECONDS = 60;
+
+	private static final long END_SECONDS = 10;
+
+	private final String name;
+
+	private final Process process;
+
+	private final Pattern readyLine;
+
+	private final CountDownLatch readyOrEnded = new CountDownLatch(1);
+
+	private final Deque<String> lines = new ArrayDeque<>();
+
+	private volatile Matcher ready;
+
+	private ManagedProcess(String name, Process process, Pattern readyLine) {
+		this.name = name;
+		this.process = process;
+		this.readyLine = readyLine;
+	}
+
+	/**
+	 * Starts a Java process with this process's class path and waits until it is ready.
+	 * @param name name for messages
+	 * @param mainClass the class to run
+	 * @param arguments its arguments
+	 * @param readyLine the line of output that says that it is ready
+	 * @param output takes each line of output
+	 * @return the process
+	 * @throws IOException if it cannot be started or ends before it is ready
+	 */
+	public static ManagedProcess start(String name, String mainClass, List<String> arguments, Pattern readyLine,
+			Consumer<String> output) throws IOException {
+		ProcessBuilder builder = new ProcessBuilder(JavaCommand.of(mainClass, arguments));
+		builder.redirectErrorStream(true);
+		ManagedProcess managed = new ManagedProcess(name, builder.start(), readyLine);
+		Thread reader = new Thread(() -> managed.read(output), "output-" + name);
+		reader.setDaemon(true);
+		reader.start();
+		managed.awaitReady();
+		return managed;
+	}
+
+	private void read(Consumer<String> output) {
+		try (BufferedReader reader = new BufferedReader(
+				new InputStreamReader(this.process.getInputStream(), StandardCharsets.UTF_8))) {
+			for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+				keep(line);
+				output.accept(this.name + " | " + line);
+			}
+		}
+		catch (IOException ex) {
+			keep("output ended: " + ex.getMessage());
+		}
+		this.readyOrEnded.countDown();
+	}
+
+	private void keep(String line) {
+		synchronized (this.lines) {
+			this.lines.addLast(line);
+			if (this.lines.size() > KEPT_LINES) {
+				this.lines.removeFirst();
+			}
+		}
+		Matcher matcher = this.readyLine.matcher(line);
+		if (this.ready == null && matcher.find()) {
+			this.ready = matcher;
+			this.readyOrEnded.countDown();
+		}
+	}
+
+	private void awaitReady() throws IOException {
+		try {
+			if (!this.readyOrEnded.await(READY_SECONDS, TimeUnit.SECONDS) || this.ready == null) {
+				close();
+				throw new IOException(this.name + " did not become ready; its output: " + output());
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("Interrupted while " + this.name + " started", ex);
+		}
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name for messages
+	 */
+	public String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns a part of the line that said that the process is ready.
+	 * @param group number of the group in the pattern
+	 * @return the text
+	 */
+	public String readyGroup(int group) {
+		return this.ready.group(group);
+	}
+
+	/**
+	 * Returns the last lines of output.
+	 * @return the lines joined by line ends
+	 */
+	public String output() {
+		synchronized (this.lines) {
+			return String.join("\n", this.lines);
+		}
+	}
+
+	/**
+	 * Ends the process at once.
+	 */
+	public void kill() {
+		this.process.destroyForcibly();
+		await();
+	}
+
+	/**
+	 * Asks the process to end gracefully.
+	 */
+	public void terminate() {
+		this.process.destroy();
+	}
+
+	/**
+	 * Waits for the end of the process.
+	 * @param timeoutMillis longest wait in milliseconds
+	 * @return its exit code, empty when it still runs
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public Optional<Integer> awaitExit(long timeoutMillis) throws InterruptedException {
+		boolean ended = this.process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
+		return ended ? Optional.of(this.process.exitValue()) : Optional.empty();
+	}
+
+	/**
+	 * Stops the process so that it does not run until {@link #wake()}.
+	 * @throws IOException if the signal cannot be sent
+	 */
+	public void freeze() throws IOException {
+		signal("STOP");
+	}
+
+	/**
+	 * Lets a frozen process run on.
+	 * @throws IOException if the signal cannot be sent
+	 */
+	public void wake() throws IOException {
+		signal("CONT");
+	}
+
+	private void signal(String signal) throws IOException {
+		Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start();
+		try {
+			if (kill.waitFor() != 0) {
+				throw new IOException("Signal " + signal + " could not be sent to " + this.name);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("Interrupted while " + this.name + " was signalled", ex);
+		}
+	}
+
+	/**
+	 * Returns whether the process runs.
+	 * @return false once it has ended
+	 */
+	public boolean isAlive() {
+		return this.process.isAlive();
+	}
+
+	private void await() {
+		try {
+			this.process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void close() {
+		kill();
+	}
+
+}
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineServerTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineServerTests.java
@@ -171,7 +171,7 @@
 		assertThat(this.client.status("POST", url("/engine/v1/orders"), order("audit", 5))).isEqualTo(200);
 		assertThat(this.client.status("POST", url("/engine/v1/orders"), order("late", 4))).isEqualTo(409);
 		JsonNode load = get("/engine/v1/load");
-		assertThat(load.get("loadedModels")).extracting(JsonNode::asText).containsExactlyInAnyOrder(MODEL, "audit");
+		assertThat(load.get("loadedModels")).extracting(JsonNode::asText).containsExactlyInAnyOrder(MODEL, "audit@1");
 	}
 
 	@Test
