--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/metrics/PromptLengthClass.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/PromptLengthClass.java
@@ -1,4 +1,4 @@
-package io.mulberrylift.daemon.metrics;
+package io.mulberrylift.core.model;
 
 import java.util.Arrays;
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/Mulberrylift.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/Mulberrylift.java
@@ -3,6 +3,7 @@
 import java.util.ServiceLoader;
 
 import io.mulberrylift.daemon.settings.InstanceSettings;
+import io.mulberrylift.testkit.load.LoadCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IFactory;
@@ -16,7 +17,8 @@
  */
 @Command(name = "mulberrylift", description = "Serves language-model work that carries deadlines.",
 		mixinStandardHelpOptions = true, versionProvider = VersionProvider.class,
-		subcommands = { ServeCommand.class, CheckCommand.class, StateCommand.class, VersionCommand.class },
+		subcommands = {
+				ServeCommand.class, CheckCommand.class, StateCommand.class, LoadCommand.class, VersionCommand.class },
 		exitCodeListHeading = "%nExit codes:%n",
 		exitCodeList = { "0:The command did what it was asked.",
 				"1:A fault, such as a file that cannot be read or a process that does not answer.",
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
@@ -4,6 +4,7 @@
 import java.net.URI;
 import java.security.SecureRandom;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -139,12 +140,17 @@
 	@Provides
 	@Singleton
 	HttpServer httpServer(ExchangeTable exchanges, EventLoop loop, FleetView view, CallerMetrics callerMetrics,
-			MetricRegistry metrics, OpenCalls openCalls, ScheduledExecutorService timer, OperatorView operators) {
+			MetricRegistry metrics, OpenCalls openCalls, ScheduledExecutorService timer, OperatorView operators,
+			PeerCuts cuts) {
 		CallerGateway gateway = new CallerGateway(exchanges, loop, view, callerMetrics, InstantSource.system());
 		CallerServlet servlet = new CallerServlet(gateway, openCalls, this.settings.limits().maxBodyBytes(),
 				this.settings.limits().bodyTimeoutMillis(), timer);
 		OperatorSetup operatorSetup = new OperatorSetup(metrics, operators, operators, operators);
-		return new HttpServer(this.settings, metrics, servlet, List.of(operatorSetup::configure));
+		List<HttpServer.HttpSetup> setups = new ArrayList<>(List.of(operatorSetup::configure));
+		if (this.settings.faultSwitches()) {
+			setups.add((environment) -> FaultServlet.register(environment, cuts));
+		}
+		return new HttpServer(this.settings, metrics, servlet, setups);
 	}
 
 	@Provides
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/metrics/CallerMetrics.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/metrics/CallerMetrics.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.daemon.metrics;
 
 import com.codahale.metrics.MetricRegistry;
+import io.mulberrylift.core.model.PromptLengthClass;
 import io.mulberrylift.core.model.RefusalReason;
 
 /**
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettings.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettings.java
@@ -20,11 +20,14 @@
  * @param platform where the platform is found
  * @param limits limits on what callers may send
  * @param log how log lines are written
+ * @param faultSwitches whether operators may cut connections to other instances, for
+ * tests of failures
  */
 public record InstanceSettings(@JsonProperty(required = true) InstanceId instanceId,
 		@JsonProperty(required = true) ZoneId zone, @JsonProperty(required = true) CallerListenSettings callers,
 		@JsonProperty(required = true) ListenSettings operators, @JsonProperty(required = true) ListenSettings peers,
-		@JsonProperty(required = true) PlatformSettings platform, LimitSettings limits, LogSettings log) {
+		@JsonProperty(required = true) PlatformSettings platform, LimitSettings limits, LogSettings log,
+		boolean faultSwitches) {
 
 	/**
 	 * Creates the settings. Absent limits and log settings take their defaults.
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/metrics/MetricsTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/metrics/MetricsTests.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.mulberrylift.core.effect.ControlEffect;
+import io.mulberrylift.core.model.PromptLengthClass;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/StandIns.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/StandIns.java
@@ -3,6 +3,8 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import io.mulberrylift.testkit.fleet.DemoCommand;
+import io.mulberrylift.testkit.load.LoadCommand;
+import io.mulberrylift.testkit.soak.SoakCommand;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -21,7 +23,7 @@
  */
 @Command(name = "standins", description = "Runs stand-ins of the platform and the endpoints.",
 		mixinStandardHelpOptions = true, subcommands = { EngineCommand.class, ServiceCommand.class,
-				PlatformCommand.class, DemoCommand.class, HelpCommand.class })
+				PlatformCommand.class, DemoCommand.class, LoadCommand.class, SoakCommand.class, HelpCommand.class })
 public final class StandIns implements Runnable {
 
 	@Spec
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetDefaults.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetDefaults.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.testkit.fleet;
 
+import java.util.List;
+
 /**
  * Settings and configuration of demonstration fleets.
  */
@@ -9,8 +11,7 @@
 	public static final long ENGINE_MEMORY_TOKENS = 400_000;
 
 	/** Zones of the demonstration fleet. */
-	public static final java.util.List<String> ZONES = java.util.List.of("regina-hall", "moosejaw-hall",
-			"weyburn-hall");
+	public static final List<String> ZONES = List.of("regina-hall", "moosejaw-hall", "weyburn-hall");
 
 	private FleetDefaults() {
 	}
@@ -30,7 +31,8 @@
 				  "callers": {"host": "127.0.0.1", "port": 0},
 				  "operators": {"host": "127.0.0.1", "port": 0},
 				  "peers": {"host": "127.0.0.1", "port": 0},
-				  "platform": {"baseUrl": "http://%s"}
+				  "platform": {"baseUrl": "http://%s"},
+				  "faultSwitches": true
 				}
 				""".formatted(id, zone, platformAddress);
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetProcesses.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetProcesses.java
@@ -194,6 +194,16 @@
 		this.calls.post(endpointAddress(id), "/control/" + name, body);
 	}
 
+	/**
+	 * Cuts an instance off from others.
+	 * @param id the instance
+	 * @param others the instances it cannot reach, empty to heal
+	 * @throws IOException if the instance refuses
+	 */
+	public void cutInstance(String id, Set<String> others) throws IOException {
+		this.calls.post(instance(id).operatorAddress(), "/admin/cut", Map.of("instances", others));
+	}
+
 	/**
 	 * Reads a page of an endpoint.
 	 * @param id the endpoint
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakCommand.java
@@ -0,0 +1,168 @@
+package io.mulberrylift.testkit.soak;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.stream.Stream;
+
+import io.mulberrylift.testkit.fleet.FleetProcesses;
+import io.mulberrylift.testkit.history.CheckLimits;
+import io.mulberrylift.testkit.history.HistoryChecker;
+import io.mulberrylift.testkit.history.HistoryEvent;
+import io.mulberrylift.testkit.history.HistoryReader;
+import io.mulberrylift.testkit.history.HistoryWriter;
+import io.mulberrylift.testkit.history.Promise;
+import io.mulberrylift.testkit.history.Violation;
+import io.mulberrylift.testkit.load.LoadGenerator;
+import io.mulberrylift.testkit.load.LoadPlan;
+import io.mulberrylift.testkit.load.LoadStatistics;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/**
+ * Runs nine instances in three zones under load with random faults and judges what
+ * happened from the histories of callers and endpoints.
+ *
+ * <p>
+ * Used by one thread.
+ * </p>
+ */
+@Command(name = "soak", description = "Runs nine instances under load with random faults and judges the histories.",
+		mixinStandardHelpOptions = true)
+public final class SoakCommand implements Callable<Integer> {
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private static final long WARM_UP_MILLIS = 15_000;
+
+	private static final long SETTLE_MILLIS = 8_000;
+
+	private static final long DEADLINE_GRACE_MILLIS = 1_000;
+
+	private static final long LEAVING_LIMIT_MILLIS = 3_000;
+
+	private static final int MAX_SHOWN_VIOLATIONS = 50;
+
+	@Spec
+	private CommandSpec spec;
+
+	@Option(names = "--seconds", defaultValue = "600", description = "How long load and faults last.")
+	private long seconds;
+
+	@Option(names = "--rate", defaultValue = "30", description = "Requests per second.")
+	private double ratePerSecond;
+
+	@Option(names = "--seed", defaultValue = "1", description = "Seed of load and faults.")
+	private long seed;
+
+	@Option(names = "--time-scale", defaultValue = "10", description = "How many times faster engines run.")
+	private String timeScale;
+
+	@Option(names = "--faults", split = ",",
+			description = "Faults to inject, all when absent: ${COMPLETION-CANDIDATES}.")
+	private List<SoakFault> faults = List.of(SoakFault.values());
+
+	@Option(names = "--directory", description = "Where histories and output are written, a new one when absent.")
+	private Path directory;
+
+	private final Map<SoakFault, Integer> injected = new EnumMap<>(SoakFault.class);
+
+	private final Disturbances disturbances = new Disturbances();
+
+	@Override
+	public Integer call() throws Exception {
+		Path target = (this.directory != null) ? Files.createDirectories(this.directory)
+				: Files.createTempDirectory("mulberrylift-soak");
+		try (PrintWriter log = new PrintWriter(Files.newBufferedWriter(target.resolve("processes.log")));
+				FleetProcesses processes = new FleetProcesses(target, (line) -> write(log, line))) {
+			SoakFleet fleet = new SoakFleet(processes, this.timeScale);
+			fleet.start();
+			Thread.sleep(WARM_UP_MILLIS);
+			Path callers = target.resolve("callers.history.jsonl");
+			LoadGenerator generator = run(fleet, callers);
+			Thread.sleep(SETTLE_MILLIS);
+			return judge(target, generator) ? 0 : 1;
+		}
+	}
+
+	private static void write(PrintWriter log, String line) {
+		synchronized (log) {
+			log.println(System.currentTimeMillis() + " " + line);
+			log.flush();
+		}
+	}
+
+	private LoadGenerator run(SoakFleet fleet, Path callers) throws Exception {
+		LoadPlan plan = new LoadPlan(this.seed, this.ratePerSecond, this.seconds * MILLIS_PER_SECOND, "outlook",
+				"council-notification", List.of("highways", "rm-sherwood"), 200_000);
+		try (HistoryWriter history = HistoryWriter.appendTo(callers)) {
+			LoadGenerator generator = new LoadGenerator(plan, fleet::callerAddresses, history);
+			CompletableFuture<LoadStatistics> load = CompletableFuture.supplyAsync(() -> runLoad(generator));
+			injectFaults(fleet, load);
+			out().print(load.get().table());
+			return generator;
+		}
+	}
+
+	private static LoadStatistics runLoad(LoadGenerator generator) {
+		try {
+			return generator.run();
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new CompletionException(ex);
+		}
+	}
+
+	private void injectFaults(SoakFleet fleet, CompletableFuture<LoadStatistics> load) throws Exception {
+		SplittableRandom random = new SplittableRandom(this.seed);
+		long endMillis = System.currentTimeMillis() + this.seconds * MILLIS_PER_SECOND;
+		while (System.currentTimeMillis() < endMillis && !load.isDone() && !this.faults.isEmpty()) {
+			SoakFault fault = this.faults.get(random.nextInt(this.faults.size()));
+			out().println("fault " + fault);
+			out().flush();
+			fault.inject(fleet, this.disturbances, random);
+			this.injected.merge(fault, 1, Integer::sum);
+			Thread.sleep(500 + random.nextInt(3_000));
+		}
+	}
+
+	private boolean judge(Path target, LoadGenerator generator) throws IOException {
+		List<Path> files;
+		try (Stream<Path> all = Files.list(target)) {
+			files = all.filter((file) -> file.toString().endsWith(".history.jsonl")).toList();
+		}
+		List<HistoryEvent> history = HistoryReader.read(files);
+		List<Violation> violations = HistoryChecker.check(history,
+				new CheckLimits(DEADLINE_GRACE_MILLIS, LEAVING_LIMIT_MILLIS, System.currentTimeMillis()));
+		List<Violation> judged = violations.stream().filter((violation) -> !isExcused(violation, generator)).toList();
+		out().println("faults injected " + this.injected);
+		out().println("history events " + history.size() + ", deadline cases of disturbed instances left out "
+				+ (violations.size() - judged.size()) + ", violations " + judged.size());
+		judged.stream().limit(MAX_SHOWN_VIOLATIONS).forEach((violation) -> out().println(violation));
+		out().println("directory " + target);
+		out().flush();
+		return judged.isEmpty();
+	}
+
+	private boolean isExcused(Violation violation, LoadGenerator generator) {
+		return violation.promise() == Promise.ANSWERED_BY_DEADLINE && generator.find(violation.subject())
+			.map((send) -> this.disturbances.overlaps(send.address(), send.sentEpochMillis(),
+					send.deadlineEpochMillis() + DEADLINE_GRACE_MILLIS))
+			.orElse(false);
+	}
+
+	private PrintWriter out() {
+		return this.spec.commandLine().getOut();
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakFault.java
@@ -0,0 +1,182 @@
+package io.mulberrylift.testkit.soak;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import io.mulberrylift.testkit.fleet.FleetDefaults;
+import io.mulberrylift.testkit.fleet.InstanceProcess;
+
+/**
+ * The faults of a soak run. Each begins, lasts and is mended in one call.
+ */
+enum SoakFault {
+
+	/** An instance is killed and replaced by a new one in its zone. */
+	KILL_INSTANCE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.processes().instanceIds(), random);
+			String address = fleet.processes().instance(id).callerAddress();
+			disturbances.add(address, System.currentTimeMillis() - MAX_TIMEOUT_MILLIS, Long.MAX_VALUE);
+			fleet.forget(address);
+			fleet.processes().killAndDrop(id);
+			fleet.startInstance(fleet.zone(id));
+		}
+	},
+
+	/** An instance is frozen for some seconds and wakes. */
+	FREEZE_INSTANCE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			InstanceProcess instance = fleet.processes().instance(pick(fleet.processes().instanceIds(), random));
+			long from = System.currentTimeMillis();
+			instance.process().freeze();
+			Thread.sleep(1_000 + random.nextInt(7_000));
+			instance.process().wake();
+			disturbances.add(instance.callerAddress(), from, System.currentTimeMillis() + WAKE_MILLIS);
+		}
+	},
+
+	/** An instance leaves gracefully after its replacement has come. */
+	REPLACE_INSTANCE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.processes().instanceIds(), random);
+			fleet.startInstance(fleet.zone(id));
+			fleet.processes().changeList(Map.of("leaving", Set.of(id)));
+			fleet.forget(fleet.processes().instance(id).callerAddress());
+			fleet.processes().process(id).terminate();
+			Optional<Integer> exit = fleet.processes().process(id).awaitExit(MAX_TIMEOUT_MILLIS);
+			if (exit.isEmpty()) {
+				throw new IllegalStateException("Instance " + id + " did not end after a graceful shutdown");
+			}
+			fleet.processes().killAndDrop(id);
+		}
+	},
+
+	/** An engine crashes and another one takes its place. */
+	KILL_ENGINE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.endpoints("engine"), random);
+			fleet.processes().killAndDrop(id);
+			fleet.startEngine(fleet.zone(id));
+		}
+	},
+
+	/** A runner of the plain service crashes and another one takes its place. */
+	KILL_SERVICE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.endpoints("notify"), random);
+			fleet.processes().killAndDrop(id);
+			fleet.startService(fleet.zone(id));
+		}
+	},
+
+	/** An engine is marked as leaving and ends once it is idle. */
+	DRAIN_ENGINE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.endpoints("engine"), random);
+			fleet.startEngine(fleet.zone(id));
+			fleet.processes().changeList(Map.of("leaving", Set.of(id)));
+			for (int polls = 0; polls < MAX_POLLS && busy(fleet, id); polls++) {
+				Thread.sleep(POLL_MILLIS);
+			}
+			fleet.processes().killAndDrop(id);
+		}
+
+		private boolean busy(SoakFleet fleet, String id) throws IOException {
+			var load = fleet.processes().readEndpoint(id, "/engine/v1/load?cacheAfter=0");
+			return load.path("runningRequests").asInt() + load.path("queuedRequests").asInt() > 0;
+		}
+	},
+
+	/** An engine cuts its next stream short. */
+	TRUNCATE_STREAM {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.endpoints("engine"), random);
+			fleet.processes().controlEndpoint(id, "truncate", Map.of("afterTokens", random.nextInt(20)));
+		}
+	},
+
+	/** An engine accepts and stays silent for some seconds. */
+	HANG_ENGINE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String id = pick(fleet.endpoints("engine"), random);
+			fleet.processes().controlEndpoint(id, "hang", Map.of("on", true));
+			Thread.sleep(1_000 + random.nextInt(4_000));
+			fleet.processes().controlEndpoint(id, "hang", Map.of("on", false));
+		}
+	},
+
+	/** The platform answers with an old state. */
+	STALE_PLATFORM {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			switchPlatform(fleet, "stale", random);
+		}
+	},
+
+	/** The platform does not answer. */
+	PLATFORM_DOWN {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			switchPlatform(fleet, "down", random);
+		}
+	},
+
+	/** A zone is cut off from the other zones and the platform. */
+	CUT_ZONE {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			String zone = pick(FleetDefaults.ZONES, random);
+			fleet.cut(zone, true);
+			Thread.sleep(1_000 + random.nextInt(12_000));
+			fleet.cut(zone, false);
+		}
+	},
+
+	/** A new configuration is published. */
+	PUBLISH {
+		@Override
+		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
+			fleet.processes().publish(FleetDefaults.configuration());
+		}
+	};
+
+	private static final long MAX_TIMEOUT_MILLIS = 90_000;
+
+	private static final long WAKE_MILLIS = 1_000;
+
+	private static final long POLL_MILLIS = 250;
+
+	private static final int MAX_POLLS = 240;
+
+	/**
+	 * Injects the fault and mends it.
+	 * @param fleet the fleet
+	 * @param disturbances takes the times in which an instance cannot answer
+	 * @param random source of choices
+	 * @throws Exception if a process cannot be started or reached
+	 */
+	abstract void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception;
+
+	private static String pick(List<String> candidates, RandomGenerator random) {
+		return candidates.get(random.nextInt(candidates.size()));
+	}
+
+	private static void switchPlatform(SoakFleet fleet, String name, RandomGenerator random) throws Exception {
+		fleet.processes().controlPlatform(name, Map.of("on", true));
+		Thread.sleep(1_000 + random.nextInt(8_000));
+		fleet.processes().controlPlatform(name, Map.of("on", false));
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakFleet.java
@@ -0,0 +1,137 @@
+package io.mulberrylift.testkit.soak;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.mulberrylift.testkit.fleet.FleetDefaults;
+import io.mulberrylift.testkit.fleet.FleetProcesses;
+
+/**
+ * Nine instances, six engines and three runners of a plain service in three zones.
+ *
+ * <p>
+ * Not safe for use by several threads but for {@link #callerAddresses()}.
+ * </p>
+ */
+final class SoakFleet {
+
+	private static final int INSTANCES_PER_ZONE = 3;
+
+	private static final int ENGINES_PER_ZONE = 2;
+
+	private static final String MODEL = "outlook@1";
+
+	private static final String SERVICE = "council-notification";
+
+	private final FleetProcesses processes;
+
+	private final String timeScale;
+
+	private final Map<String, String> zones = new HashMap<>();
+
+	private final List<String> callerAddresses = new CopyOnWriteArrayList<>();
+
+	private int started;
+
+	SoakFleet(FleetProcesses processes, String timeScale) {
+		this.processes = processes;
+		this.timeScale = timeScale;
+	}
+
+	void start() throws IOException {
+		this.processes.publish(FleetDefaults.configuration());
+		for (String zone : FleetDefaults.ZONES) {
+			for (int i = 0; i < ENGINES_PER_ZONE; i++) {
+				startEngine(zone);
+			}
+			startService(zone);
+		}
+		for (int i = 0; i < INSTANCES_PER_ZONE; i++) {
+			for (String zone : FleetDefaults.ZONES) {
+				startInstance(zone);
+			}
+		}
+	}
+
+	String startEngine(String zone) throws IOException {
+		String id = name("engine", zone);
+		this.processes.startEngine(id, zone, MODEL, "--time-scale", this.timeScale);
+		return id;
+	}
+
+	void startService(String zone) throws IOException {
+		this.processes.startService(name("notify", zone), zone, SERVICE);
+	}
+
+	void startInstance(String zone) throws IOException {
+		String id = name("entry", zone);
+		this.processes.startInstance(id, zone);
+		this.callerAddresses.add(this.processes.instance(id).callerAddress());
+	}
+
+	private String name(String kind, String zone) {
+		String id = kind + "-" + zone + "-" + ++this.started;
+		this.zones.put(id, zone);
+		return id;
+	}
+
+	void forget(String address) {
+		this.callerAddresses.remove(address);
+	}
+
+	String zone(String id) {
+		return this.zones.get(id);
+	}
+
+	List<String> instancesOutside(String zone) {
+		return this.processes.instanceIds().stream().filter((id) -> !zone(id).equals(zone)).toList();
+	}
+
+	List<String> instancesIn(String zone) {
+		return this.processes.instanceIds().stream().filter((id) -> zone(id).equals(zone)).toList();
+	}
+
+	/**
+	 * Cuts a zone off from the other zones and the platform, or heals it.
+	 * @param zone the zone
+	 * @param cut whether to cut
+	 * @throws IOException if a process refuses the switch
+	 */
+	void cut(String zone, boolean cut) throws IOException {
+		for (String inside : instancesIn(zone)) {
+			this.processes.cutInstance(inside, cut ? Set.copyOf(instancesOutside(zone)) : Set.of());
+		}
+		for (String outside : instancesOutside(zone)) {
+			this.processes.cutInstance(outside, cut ? Set.copyOf(instancesIn(zone)) : Set.of());
+		}
+		List<String> others = new ArrayList<>(FleetDefaults.ZONES);
+		others.remove(zone);
+		for (String endpoint : this.processes.endpointIds()) {
+			List<String> unreachable = zone(endpoint).equals(zone) ? others : List.of(zone);
+			this.processes.controlEndpoint(endpoint, "cut", Map.of("zones", cut ? unreachable : List.of()));
+		}
+		this.processes.controlPlatform("cut", Map.of("zones", cut ? List.of(zone) : List.of()));
+	}
+
+	List<String> endpoints(String kind) {
+		return this.processes.endpointIds().stream().filter((id) -> id.startsWith(kind)).toList();
+	}
+
+	/**
+	 * Returns where callers send.
+	 * @return addresses of the instances that the balancer knows
+	 */
+	List<String> callerAddresses() {
+		return this.callerAddresses;
+	}
+
+	FleetProcesses processes() {
+		return this.processes;
+	}
+
+}
