--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/AttemptBench.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/AttemptBench.java
@@ -65,12 +65,20 @@
 		return dispatch(exchange, 30_000, 0);
 	}
 
+	long dispatchWithoutHolds(FakeExchange exchange) {
+		return dispatch(exchange, 30_000, 0, List.of());
+	}
+
 	long dispatch(FakeExchange exchange, long timeoutMillis, long notAfterMillis) {
+		return dispatch(exchange, timeoutMillis, notAfterMillis, List.of(new AttemptEffect.MemberHold(ENDPOINT, 9)));
+	}
+
+	private long dispatch(FakeExchange exchange, long timeoutMillis, long notAfterMillis,
+			List<AttemptEffect.MemberHold> holds) {
 		this.exchanges.add(exchange);
 		this.lastAttemptId++;
-		this.handler.handle(
-				new AttemptEffect.Dispatch(this.lastAttemptId, exchange.spec().requestId(), ENDPOINT, 3, timeoutMillis,
-						exchange.acceptedTokens(), notAfterMillis, List.of(new AttemptEffect.MemberHold(ENDPOINT, 9))));
+		this.handler.handle(new AttemptEffect.Dispatch(this.lastAttemptId, exchange.spec().requestId(), ENDPOINT, 3,
+				timeoutMillis, exchange.acceptedTokens(), notAfterMillis, holds));
 		return this.lastAttemptId;
 	}
 
