--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineClock.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineClock.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.testkit.engine;
 
+import java.util.function.LongSupplier;
+
 /**
  * Time of a model that runs as a process: real time multiplied by a scale, without the
  * time for which the process hung.
@@ -14,18 +16,22 @@
 
 	private final double scale;
 
-	private long originNanos = System.nanoTime();
+	private final LongSupplier nanoTime;
+
+	private long originNanos;
 
 	private long frozenAtNanos;
 
 	private boolean frozen;
 
-	EngineClock(double scale) {
+	EngineClock(double scale, LongSupplier nanoTime) {
 		this.scale = scale;
+		this.nanoTime = nanoTime;
+		this.originNanos = nanoTime.getAsLong();
 	}
 
 	long micros() {
-		long nowNanos = this.frozen ? this.frozenAtNanos : System.nanoTime();
+		long nowNanos = this.frozen ? this.frozenAtNanos : this.nanoTime.getAsLong();
 		return (long) ((nowNanos - this.originNanos) / NANOS_PER_MICRO * this.scale);
 	}
 
@@ -47,10 +53,10 @@
 
 	void freeze(boolean on) {
 		if (on && !this.frozen) {
-			this.frozenAtNanos = System.nanoTime();
+			this.frozenAtNanos = this.nanoTime.getAsLong();
 		}
 		else if (!on && this.frozen) {
-			this.originNanos += System.nanoTime() - this.frozenAtNanos;
+			this.originNanos += this.nanoTime.getAsLong() - this.frozenAtNanos;
 		}
 		this.frozen = on;
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineRunner.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/EngineRunner.java
@@ -59,7 +59,7 @@
 		this.endpoint = options.id();
 		this.history = history;
 		this.crash = crash;
-		this.clock = new EngineClock(options.timeScale());
+		this.clock = new EngineClock(options.timeScale(), System::nanoTime);
 		this.model = new EngineModel(options.settings(), this);
 		this.thread = new Thread(this::run, "engine-" + options.id());
 		this.thread.setDaemon(true);
