--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/history/HistoryCheckerTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/history/HistoryCheckerTests.java
@@ -69,6 +69,12 @@
 		assertBroken(Promise.WHOLE_OWN_ANSWER, "send-1");
 	}
 
+	@Test
+	void answerWithoutASendIsFound() {
+		answer(20, "send-9", AnswerResult.FAILED, 0);
+		assertBroken(Promise.WHOLE_OWN_ANSWER, "send-9");
+	}
+
 	@Test
 	void secondAnswerToOneSendIsFound() {
 		model(10, "send-1", 7);
