Check service paths and single endings more strictly in tests

With the guard against a second ending switched off, onlyTheFirstEndReachesTheCaller still passed, as it read only the first JSON value of the body; it now compares the body's end.

--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CompletionTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CompletionTests.java
@@ -115,7 +115,8 @@
 		};
 		HttpResponse<String> response = this.server.post("/v1/completions", PROMPT.formatted(""));
 		assertThat(response.statusCode()).isEqualTo(504);
-		assertThat(CallerJson.mapper().readTree(response.body()).path("reason").asText()).isEqualTo("deadline-passed");
+		assertThat(response.body())
+			.endsWith("\"reason\":\"deadline-passed\",\"remedy\":\"" + RefusalReason.DEADLINE_PASSED.remedy() + "\"}");
 	}
 
 	@Test
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/KeyTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/KeyTests.java
@@ -47,6 +47,20 @@
 		assertThat(first[1]).isNotEqualTo(second[1]);
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "", "/a", "s//a", "s/./a", "s/a/..", "s/%2e%2E/a", "s/a%2Fb", "s/a%5Cb", "s/..;/a",
+			"s/%252e/a", "s/a//", "s/%zz" })
+	void pathsThatReadOtherwiseAreNotParsed(String rest) {
+		assertThat(ServicePath.parse(ServicePath.PREFIX + rest, "")).isEmpty();
+	}
+
+	@Test
+	void plainPathsAreParsed() {
+		assertThat(ServicePath.parse("/v1/services/s", "")).hasValue(new ServicePath("s", "", ""));
+		assertThat(ServicePath.parse("/v1/services/s/a%20b/c/", "d=e").orElseThrow().pathAndQuery())
+			.isEqualTo("a%20b/c/?d=e");
+	}
+
 	@Test
 	void promptTokensAreRoundedUp() {
 		assertThat(PromptHashes.promptTokens("")).isZero();
