Refuse caller paths in an unusual form

/v1/services without a slash and paths with parameters were taken for text completions, since everything that was no service and no chat path was.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerRoute.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerRoute.java
@@ -51,13 +51,14 @@
 	/**
 	 * Returns the route of a path.
 	 * @param path the raw path, one that the servlet is mapped to
-	 * @return the route
+	 * @return the route; that of services also for paths in an unusual form, which it
+	 * refuses
 	 */
 	static CallerRoute of(String path) {
-		if (path.startsWith(ServicePath.PREFIX)) {
-			return SERVICE;
+		if (path.equals(COMPLETION_PATH)) {
+			return COMPLETION;
 		}
-		return (path.equals(CHAT_PATH)) ? CHAT : COMPLETION;
+		return (path.equals(CHAT_PATH)) ? CHAT : SERVICE;
 	}
 
 	/**
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ServicePath.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/ServicePath.java
@@ -21,11 +21,14 @@
 	 * Reads a raw path. Paths that a service could read as another path (with dot
 	 * segments, empty segments, encoded separators or parameters) are not accepted, since
 	 * a path decides whether its call may run more than once.
-	 * @param rawPath the raw path, starting with {@link #PREFIX}
+	 * @param rawPath the raw path
 	 * @param query the raw query, empty for none
 	 * @return the target, empty when the path is not accepted
 	 */
 	static Optional<ServicePath> parse(String rawPath, String query) {
+		if (!rawPath.startsWith(PREFIX)) {
+			return Optional.empty();
+		}
 		String rest = rawPath.substring(PREFIX.length());
 		int slash = rest.indexOf('/');
 		String service = (slash < 0) ? rest : rest.substring(0, slash);
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CheckTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/CheckTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -104,6 +105,12 @@
 		assertRefused(server.send(request), "body-too-large");
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "/v1/services", "/v1/completions;a", "/v1/chat/completions;a" })
+	void pathsInUnusualFormAreRefused(String path) throws Exception {
+		assertRefused(server.post(path, BODY), "bad-request");
+	}
+
 	@Test
 	void unsupportedMethodIsRefused() throws Exception {
 		assertRefused(server.send(server.request("/v1/completions").GET()), "bad-request");
