--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
@@ -70,7 +70,7 @@
 
 	void tick(Effects effects) {
 		boolean leaving = this.shuttingDown || this.holder.authority().listedAsLeaving();
-		if (leaving && this.heir == null && this.holder.authority().hasSeat()) {
+		if (leaving && this.heir == null && hasSeat()) {
 			chooseHeir(effects);
 		}
 		if (this.context.now().monotonicMillis() >= this.nextSendMonotonicMillis) {
@@ -208,8 +208,11 @@
 		if (this.heir != null) {
 			return isConfirmed() || waitedMillis >= PATIENCE_MILLIS;
 		}
-		boolean nothingToHand = !this.holder.authority().hasSeat() || this.context.seats().isEmpty();
-		return nothingToHand || waitedMillis >= NO_HEIR_PATIENCE_MILLIS;
+		return !hasSeat() || waitedMillis >= NO_HEIR_PATIENCE_MILLIS;
+	}
+
+	private boolean hasSeat() {
+		return this.holder.authority().hasSeat() && this.context.isWitnessZone(this.context.fleet().self().zone());
 	}
 
 	private record Sender(InstanceId instance, long incarnation) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessContext.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/WitnessContext.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Optional;
 
 import io.mulberrylift.core.configuration.PromiseSettings;
 import io.mulberrylift.core.effect.ControlEffect.Part;
@@ -72,8 +71,8 @@
 			.orElse(PromiseSettings.DEFAULTS);
 	}
 
-	Optional<Integer> seats() {
-		return this.fleet.configuration().map((configuration) -> configuration.witnessZones().size());
+	boolean isWitnessZone(ZoneId zone) {
+		return this.fleet.configuration().map((known) -> known.witnessZones().contains(zone)).orElse(false);
 	}
 
 	/**
