--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/Fault.java
@@ -144,9 +144,10 @@
 	RESTART_AFTER_HANDOVER {
 		@Override
 		void strike(VirtualFleet fleet, VirtualInstance at) {
-			InstanceId id = at.identity().id();
-			fleet.shutDownAndStartAgain(at);
-			fleet.time().after(9_000, () -> fleet.process(id).ifPresent((process) -> KILL.strike(fleet, process)));
+			VirtualInstance holder = oldestOfZone(fleet, at);
+			InstanceId id = holder.identity().id();
+			fleet.shutDownAndStartAgain(holder);
+			fleet.time().after(11_000, () -> fleet.process(id).ifPresent((process) -> KILL.strike(fleet, process)));
 		}
 	},
 
@@ -204,6 +205,14 @@
 
 	abstract void strike(VirtualFleet fleet, VirtualInstance at);
 
+	private static VirtualInstance oldestOfZone(VirtualFleet fleet, VirtualInstance at) {
+		return fleet.serving()
+			.stream()
+			.filter((other) -> other.identity().zone().equals(at.identity().zone()))
+			.findFirst()
+			.orElse(at);
+	}
+
 	private static void dropAndListAgain(VirtualFleet fleet, InstanceId id, ZoneId zone, long dropMillis,
 			long listMillis) {
 		fleet.time().after(dropMillis, () -> fleet.platform().drop(id));
