Send a handover at once and test an heir that starts again

Cause: a scenario test showed that the first part of a handover left up to 300 ms after the resignation, because the time of the next repetition was also counted while there was no heir.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/Handovers.java
@@ -55,7 +55,7 @@
 
 	private boolean[] confirmed = new boolean[0];
 
-	private long nextSendMonotonicMillis;
+	private long nextSendMonotonicMillis = Long.MIN_VALUE;
 
 	Handovers(WitnessContext context, SeatHolder holder) {
 		this.context = context;
@@ -73,7 +73,7 @@
 		if (leaving && this.heir == null && hasSeat()) {
 			chooseHeir(effects);
 		}
-		if (this.context.now().monotonicMillis() >= this.nextSendMonotonicMillis) {
+		if (this.heir != null && this.context.now().monotonicMillis() >= this.nextSendMonotonicMillis) {
 			sendOpenParts(effects);
 		}
 	}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
@@ -64,6 +64,28 @@
 		assertThat(witness(heir, "floorEpochMillis")).isEqualTo(witness(holder, "floorEpochMillis"));
 	}
 
+	@Test
+	void restartedHeirDoesNotTakeTheHandoverAgain() {
+		VirtualFleet fleet = warm(8, 1, 3);
+		VirtualInstance holder = fleet.serving().get(0);
+		VirtualInstance heir = fleet.serving().get(1);
+		VirtualInstance claimant = fleet.serving().get(2);
+		fleet.network().tamper((message) -> (message instanceof WitnessMessage.HandoverTaken) ? null : message);
+		fleet.shutDownAndStartAgain(holder);
+		fleet.time().runFor(50);
+		VirtualCaller.Work work = new VirtualCaller.Work("key", 1, fleet.time().nowMillis(), 2_000, 1, false);
+		fleet.caller().sendTo(claimant, work);
+		fleet.time().runFor(100);
+		Fault.RESTART.strike(fleet, heir);
+		fleet.time().runFor(2_000);
+		Fault.KILL.strike(fleet, claimant);
+		fleet.time().runFor(1_000);
+		fleet.caller().sendTo(fleet.process(heir.identity().id()).orElseThrow(), work);
+		fleet.time().runFor(5_000);
+		assertThat(fleet.history().runs()).isEqualTo(1);
+		assertThat(fleet.history().faults(fleet.time().nowMillis())).isEmpty();
+	}
+
 	@Test
 	void keyWithAnotherBodyIsRefusedAsNotRun() {
 		VirtualFleet fleet = warm(3, 3, 2);
