Sharpen two scenarios that passed with their mechanism off

Cause: trials with the mechanism off did not fail: the heir knew the keys by settlements already, and the second send came after the inherited right had ended.

--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
@@ -50,6 +50,8 @@
 	@Test
 	void handoverOfManyPartsSurvivesLoss() {
 		VirtualFleet fleet = warm(2, 1, 2);
+		// The heir learns of the holder's keys by the handover only.
+		fleet.network().tamper((message) -> (message instanceof WitnessMessage.Settled) ? null : message);
 		Load.start(fleet, 9_000, 10);
 		fleet.time().runFor(11_000);
 		VirtualInstance holder = fleet.serving().get(0);
@@ -77,9 +79,8 @@
 		fleet.caller().sendTo(claimant, work);
 		fleet.time().runFor(100);
 		Fault.RESTART.strike(fleet, heir);
-		fleet.time().runFor(2_000);
 		Fault.KILL.strike(fleet, claimant);
-		fleet.time().runFor(1_000);
+		fleet.time().runFor(1_500);
 		fleet.caller().sendTo(fleet.process(heir.identity().id()).orElseThrow(), work);
 		fleet.time().runFor(5_000);
 		assertThat(fleet.history().runs()).isEqualTo(1);
