Route by predicted answer time and keep long prompts on a share of the engines

Cause: every engine that processes a long prompt makes each decode step of its neighbours last a whole chunk, and instances that choose by lagging reports all choose the same engine.

The policy slack predicts first token and end per endpoint from learned speeds, aged reports and cached prefixes, refuses what cannot end in time, and sends prompts above routing.longPromptTokens only to routing.longEnginePercent of the engines, which all instances choose alike. Work sent since the last report counts once per live instance.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
@@ -89,6 +89,7 @@
 		checkRange("routing.crossZonePenaltyMillis", routing.crossZonePenaltyMillis(), 0, MAX_TIMEOUT_MILLIS, problems);
 		checkRange("routing.longPromptTokens", routing.longPromptTokens(), 1, Integer.MAX_VALUE, problems);
 		checkRange("routing.maxQueuedRequests", routing.maxQueuedRequests(), 1, Integer.MAX_VALUE, problems);
+		checkRange("routing.longEnginePercent", routing.longEnginePercent(), 1, 100, problems);
 	}
 
 	private static void checkRange(String key, long value, long least, long greatest,
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
@@ -8,11 +8,13 @@
  * endpoint is preferred
  * @param longPromptTokens length from which a prompt counts as long, in tokens
  * @param maxQueuedRequests most requests waiting in one instance
+ * @param longEnginePercent share of the engines that long prompts may fill, in percent
  */
-public record RoutingSettings(String policy, long crossZonePenaltyMillis, int longPromptTokens, int maxQueuedRequests) {
+public record RoutingSettings(String policy, long crossZonePenaltyMillis, int longPromptTokens, int maxQueuedRequests,
+		int longEnginePercent) {
 
 	/** Values used when the document names none. */
-	public static final RoutingSettings DEFAULTS = new RoutingSettings(null, 0, 0, 0);
+	public static final RoutingSettings DEFAULTS = new RoutingSettings(null, 0, 0, 0, 0);
 
 	/**
 	 * Creates the settings. Absent values, null or 0, take their defaults.
@@ -20,8 +22,9 @@
 	public RoutingSettings {
 		policy = (policy != null) ? policy : "slack";
 		crossZonePenaltyMillis = (crossZonePenaltyMillis != 0) ? crossZonePenaltyMillis : 10;
-		longPromptTokens = (longPromptTokens != 0) ? longPromptTokens : 32_000;
+		longPromptTokens = (longPromptTokens != 0) ? longPromptTokens : 8_000;
 		maxQueuedRequests = (maxQueuedRequests != 0) ? maxQueuedRequests : 2_000;
+		longEnginePercent = (longEnginePercent != 0) ? longEnginePercent : 45;
 	}
 
 }
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/AnswerLengths.java
@@ -0,0 +1,68 @@
+package io.mulberrylift.core.scheduling;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Lengths of answers by profile, learned as a high quantile of the share of the allowed
+ * length that answers use.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by the scheduler. Before the first answer of
+ * a profile half of the allowed length is expected.
+ * </p>
+ */
+final class AnswerLengths {
+
+	private static final double QUANTILE = 0.9;
+
+	private static final double STEP = 0.02;
+
+	private static final double INITIAL_SHARE = 0.5;
+
+	private static final double MEAN_SHARE = 0.05;
+
+	private final Map<String, Double> shares = new HashMap<>();
+
+	private final Map<String, Double> meanShares = new HashMap<>();
+
+	void learn(PendingRequest request, AttemptReport report) {
+		int allowedTokens = request.spec().maxOutputTokens();
+		if (!report.whole() || allowedTokens == 0) {
+			return;
+		}
+		double observed = (double) report.outputTokens() / allowedTokens;
+		double meanShare = meanShare(request);
+		this.meanShares.put(request.spec().profile(), meanShare + MEAN_SHARE * (observed - meanShare));
+		double share = share(request);
+		double next = (observed > share) ? share + STEP * QUANTILE : share - STEP * (1 - QUANTILE);
+		this.shares.put(request.spec().profile(), Math.min(1, Math.max(0, next)));
+	}
+
+	private double meanShare(PendingRequest request) {
+		return this.meanShares.getOrDefault(request.spec().profile(), INITIAL_SHARE);
+	}
+
+	/**
+	 * Returns the mean length of answers to such requests.
+	 * @param request the request
+	 * @return output tokens still to be generated
+	 */
+	double meanTokens(PendingRequest request) {
+		return Math.max(1, meanShare(request) * request.spec().maxOutputTokens() - request.resumeOffsetTokens());
+	}
+
+	private double share(PendingRequest request) {
+		return this.shares.getOrDefault(request.spec().profile(), INITIAL_SHARE);
+	}
+
+	/**
+	 * Returns the length that most answers to such requests do not exceed.
+	 * @param request the request
+	 * @return output tokens still to be generated
+	 */
+	double expectedTokens(PendingRequest request) {
+		return Math.max(1, share(request) * request.spec().maxOutputTokens() - request.resumeOffsetTokens());
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/EndpointLoad.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/EndpointLoad.java
@@ -20,6 +20,8 @@
 
 	private final EndpointState state;
 
+	private final FleetLoad fleet;
+
 	private final Map<Long, RunningWork> running = new LinkedHashMap<>();
 
 	private final PrefixIndex prefixes = new PrefixIndex();
@@ -38,8 +40,9 @@
 
 	private long incarnation;
 
-	EndpointLoad(EndpointState state) {
+	EndpointLoad(EndpointState state, FleetLoad fleet) {
 		this.state = state;
+		this.fleet = fleet;
 	}
 
 	EndpointState state() {
@@ -124,10 +127,13 @@
 
 	/**
 	 * Returns the prompt tokens of all instances that the endpoint has yet to process.
+	 * Since the last report the other instances are taken to have sent as much each as
+	 * this one.
 	 * @param nowMonotonicMillis the current time
 	 * @return number of tokens
 	 */
 	long prefillTokens(long nowMonotonicMillis) {
+		int instances = this.fleet.liveInstances();
 		long own = 0;
 		long sinceReport = 0;
 		for (RunningWork work : this.running.values()) {
@@ -138,7 +144,7 @@
 		}
 		double doneTokens = this.speed.prefillTokensPerMilli()
 				* Math.max(0, nowMonotonicMillis - this.reportedMonotonicMillis);
-		return Math.max(own, Math.max(0, this.reportedPrefillTokens + sinceReport - (long) doneTokens));
+		return Math.max(own, Math.max(0, this.reportedPrefillTokens + instances * sinceReport - (long) doneTokens));
 	}
 
 	private long remainingTokens(RunningWork work, long nowMonotonicMillis) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/FleetLoad.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/FleetLoad.java
@@ -11,6 +11,7 @@
 import io.mulberrylift.core.fleet.EndpointState;
 import io.mulberrylift.core.fleet.FleetState;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.model.FleetList;
 
 /**
  * What this instance believes of the load of all endpoints.
@@ -28,11 +29,20 @@
 
 	private final Map<EndpointId, EndpointLoad> loads = new HashMap<>();
 
+	private final LongLane longLane;
+
+	private final AnswerLengths answers = new AnswerLengths();
+
+	private FleetList countedList;
+
+	private int liveInstances = 1;
+
 	private int turn;
 
 	FleetLoad(FleetState fleet, RandomGenerator random) {
 		this.fleet = Objects.requireNonNull(fleet, "fleet");
 		this.random = Objects.requireNonNull(random, "random");
+		this.longLane = new LongLane(fleet);
 	}
 
 	RoutingSettings settings() {
@@ -43,6 +53,32 @@
 		return this.fleet;
 	}
 
+	LongLane longLane() {
+		return this.longLane;
+	}
+
+	AnswerLengths answers() {
+		return this.answers;
+	}
+
+	/**
+	 * Returns how many entry instances share the endpoints, this one included.
+	 * @return number of instances, at least 1
+	 */
+	int liveInstances() {
+		FleetList list = this.fleet.list();
+		if (list != this.countedList) {
+			this.countedList = list;
+			this.liveInstances = (int) Math.max(1,
+					list.instances().stream().filter((instance) -> !instance.leaving()).count());
+		}
+		return this.liveInstances;
+	}
+
+	boolean isLong(PendingRequest request) {
+		return request.spec().promptTokens() > settings().longPromptTokens();
+	}
+
 	RandomGenerator random() {
 		return this.random;
 	}
@@ -64,7 +100,7 @@
 	EndpointLoad load(EndpointState state) {
 		EndpointLoad known = this.loads.get(state.id());
 		if (known == null || known.state() != state) {
-			known = new EndpointLoad(state);
+			known = new EndpointLoad(state, this);
 			this.loads.put(state.id(), known);
 		}
 		return known;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
@@ -28,6 +28,8 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
+	private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
+
 	private static final long RETRY_ASSIGN_MILLIS = 20;
 
 	private final FleetLoad fleet;
@@ -64,10 +66,32 @@
 			return Optional.of(Refusal.of(Outcome.NOT_RUN, RefusalReason.PROMPT_TOO_LONG, request.spec().totalTokens()
 					+ " tokens exceed the memory of " + GangPlanner.MAX_MEMBERS + " engines"));
 		}
+		if (policy().predictsEnd()) {
+			Optional<Refusal> refusal = refuseUnreachable(request, candidates, now.monotonicMillis());
+			if (refusal.isPresent()) {
+				return refusal;
+			}
+		}
 		this.queue.put(request.requestId(), request);
 		return Optional.empty();
 	}
 
+	private Optional<Refusal> refuseUnreachable(PendingRequest request, List<EndpointLoad> candidates,
+			long nowMonotonicMillis) {
+		double endMillis = SlackRouting.earliestEndMillis(request, candidates, this.fleet, nowMonotonicMillis);
+		double lateMillis = nowMonotonicMillis + endMillis - request.deadlineMonotonicMillis();
+		if (lateMillis <= 0) {
+			return Optional.empty();
+		}
+		long retryAfterMillis = Math.round(Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(lateMillis, RETRY_AFTER_MILLIS)));
+		return Optional.of(Refusal.retryable(Outcome.NOT_RUN, RefusalReason.DEADLINE_UNREACHABLE,
+				"The predicted end lies " + Math.round(lateMillis) + " ms after the deadline", retryAfterMillis));
+	}
+
+	private RoutingPolicy policy() {
+		return RoutingPolicy.ofLabel(this.fleet.settings().policy()).orElse(RoutingPolicy.SLACK);
+	}
+
 	@Override
 	public void requeue(PendingRequest request, Moment now) {
 		this.queue.put(request.requestId(), request);
@@ -101,24 +125,28 @@
 		}
 		candidates
 			.removeIf((candidate) -> candidate.state().description().memoryTokens() < request.spec().totalTokens());
-		RoutingPolicy policy = RoutingPolicy.ofLabel(this.fleet.settings().policy()).orElse(RoutingPolicy.SLACK);
-		EndpointLoad chosen = policy.choose(request, candidates, this.fleet, nowMonotonicMillis);
-		return Optional
-			.of(new Assignment(request.requestId(), chosen.state().id(), List.of(), 0, request.profile().priority()));
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		EndpointLoad chosen = policy().choose(request, candidates, this.fleet, nowMonotonicMillis);
+		return Optional.ofNullable(chosen)
+			.map((endpoint) -> new Assignment(request.requestId(), endpoint.state().id(), List.of(), 0,
+					request.profile().priority()));
 	}
 
 	private void take(PendingRequest request, Assignment assignment, long nowMonotonicMillis) {
 		this.queue.remove(request.requestId());
 		EndpointLoad load = this.fleet.loadOrNull(assignment.endpoint());
 		int prefillTokens = request.spec().promptTokens() - load.cachedTokens(request.spec());
-		RunningWork work = new RunningWork(request, assignment, prefillTokens, nowMonotonicMillis);
+		boolean besideLong = load.prefillTokens(nowMonotonicMillis) > Prediction.LONG_BACKLOG_TOKENS;
+		RunningWork work = new RunningWork(request, assignment, prefillTokens, besideLong, nowMonotonicMillis);
 		this.running.put(request.requestId(), work);
 		load.dispatched(work);
 		assignment.members()
 			.stream()
 			.filter((member) -> !member.equals(assignment.endpoint()))
 			.forEach((member) -> this.fleet.loadOrNull(member)
-				.dispatched(new RunningWork(request, assignment, 0, nowMonotonicMillis)));
+				.dispatched(new RunningWork(request, assignment, 0, false, nowMonotonicMillis)));
 	}
 
 	@Override
@@ -143,7 +171,8 @@
 		EndpointLoad load = this.fleet.loadOrNull(report.endpoint());
 		if (load != null) {
 			load.ended(report.requestId());
-			load.speed().learn(report, work.assignment().members().isEmpty());
+			load.speed().learn(report, work.assignment().members().isEmpty(), work.besideLong());
+			this.fleet.answers().learn(work.request(), report);
 		}
 		work.assignment().members().forEach((member) -> {
 			EndpointLoad memberLoad = this.fleet.loadOrNull(member);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
@@ -68,7 +68,12 @@
 		@Override
 		EndpointLoad choose(PendingRequest request, List<EndpointLoad> candidates, FleetLoad fleet,
 				long nowMonotonicMillis) {
-			return least(candidates, fleet, (candidate) -> candidate.prefillTokens(nowMonotonicMillis));
+			return SlackRouting.choose(request, candidates, fleet, nowMonotonicMillis);
+		}
+
+		@Override
+		boolean predictsEnd() {
+			return true;
 		}
 	};
 
@@ -101,11 +106,19 @@
 	 * @param candidates endpoints that can run it, not empty
 	 * @param fleet the loads of all endpoints
 	 * @param nowMonotonicMillis the current time
-	 * @return the endpoint
+	 * @return the endpoint, null when none may take the request now
 	 */
 	abstract EndpointLoad choose(PendingRequest request, List<EndpointLoad> candidates, FleetLoad fleet,
 			long nowMonotonicMillis);
 
+	/**
+	 * Returns whether requests are refused that are predicted to miss their deadline.
+	 * @return true if so
+	 */
+	boolean predictsEnd() {
+		return false;
+	}
+
 	private static EndpointLoad least(List<EndpointLoad> candidates, FleetLoad fleet,
 			ToDoubleFunction<EndpointLoad> cost) {
 		int first = fleet.random().nextInt(candidates.size());
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RunningWork.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RunningWork.java
@@ -15,14 +15,18 @@
 
 	private final int prefillTokens;
 
+	private final boolean besideLong;
+
 	private final long dispatchedMonotonicMillis;
 
 	private boolean firstTokenSeen;
 
-	RunningWork(PendingRequest request, Assignment assignment, int prefillTokens, long dispatchedMonotonicMillis) {
+	RunningWork(PendingRequest request, Assignment assignment, int prefillTokens, boolean besideLong,
+			long dispatchedMonotonicMillis) {
 		this.request = request;
 		this.assignment = assignment;
 		this.prefillTokens = prefillTokens;
+		this.besideLong = besideLong;
 		this.dispatchedMonotonicMillis = dispatchedMonotonicMillis;
 	}
 
@@ -42,6 +46,14 @@
 		return this.prefillTokens;
 	}
 
+	/**
+	 * Returns whether a long prompt was being processed at dispatch.
+	 * @return true if so
+	 */
+	boolean besideLong() {
+		return this.besideLong;
+	}
+
 	long dispatchedMonotonicMillis() {
 		return this.dispatchedMonotonicMillis;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SpeedEstimate.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SpeedEstimate.java
@@ -15,6 +15,10 @@
 
 	private static final double INITIAL_DECODE_GAP_MILLIS = 25;
 
+	private static final double INITIAL_BUSY_GAP_MILLIS = 100;
+
+	private static final double GAP_SHARE = 0.1;
+
 	private static final double FOLLOW_SHARE = 0.3;
 
 	private static final double RELUCTANT_SHARE = 0.02;
@@ -25,14 +29,16 @@
 
 	private double prefillTokensPerMilli = INITIAL_PREFILL_TOKENS_PER_MILLI;
 
+	private double busyGapMillis = INITIAL_BUSY_GAP_MILLIS;
+
 	private double decodeGapMillis = INITIAL_DECODE_GAP_MILLIS;
 
-	void learn(AttemptReport report, boolean alone) {
-		if (!report.whole() || report.firstTokenMillis() <= 0) {
+	void learn(AttemptReport report, boolean alone, boolean besideLong) {
+		if (report.firstTokenMillis() <= 0) {
 			return;
 		}
 		int prefillTokens = report.promptTokens() - report.cachedTokens();
-		if (prefillTokens >= LEAST_PREFILL_TOKENS && alone) {
+		if (report.whole() && prefillTokens >= LEAST_PREFILL_TOKENS && alone) {
 			double observed = (double) prefillTokens / report.firstTokenMillis();
 			double share = (observed > this.prefillTokensPerMilli) ? FOLLOW_SHARE : RELUCTANT_SHARE;
 			this.prefillTokensPerMilli += share * (observed - this.prefillTokensPerMilli);
@@ -40,9 +46,19 @@
 		if (report.outputTokens() >= LEAST_OUTPUT_TOKENS) {
 			double observed = (double) (report.durationMillis() - report.firstTokenMillis())
 					/ (report.outputTokens() - 1);
-			double share = (observed < this.decodeGapMillis) ? FOLLOW_SHARE : RELUCTANT_SHARE;
-			this.decodeGapMillis = Math.max(1, this.decodeGapMillis + share * (observed - this.decodeGapMillis));
+			learnGap(observed, besideLong);
+		}
+	}
+
+	private void learnGap(double observedMillis, boolean besideLong) {
+		if (besideLong) {
+			this.busyGapMillis += GAP_SHARE * (observedMillis - this.busyGapMillis);
 		}
+		else {
+			this.decodeGapMillis += GAP_SHARE * (observedMillis - this.decodeGapMillis);
+		}
+		this.decodeGapMillis = Math.max(1, this.decodeGapMillis);
+		this.busyGapMillis = Math.max(this.decodeGapMillis, this.busyGapMillis);
 	}
 
 	/**
@@ -61,4 +77,12 @@
 		return this.decodeGapMillis;
 	}
 
+	/**
+	 * Returns the time between two output tokens beside a long prompt.
+	 * @return milliseconds
+	 */
+	double busyGapMillis() {
+		return this.busyGapMillis;
+	}
+
 }
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentRun.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentRun.java
@@ -66,7 +66,7 @@
 		Map<String, WorkspaceSettings> workspaces = IntStream.range(0, FleetShape.WORKSPACES)
 			.mapToObj((i) -> "workspace-" + i)
 			.collect(Collectors.toMap(Function.identity(), (name) -> new WorkspaceSettings(1, 0, null)));
-		RoutingSettings routing = new RoutingSettings(policy.label(), 0, 0, 0);
+		RoutingSettings routing = new RoutingSettings(policy.label(), 0, 0, 0, 0);
 		return new FleetConfiguration(shape.zones(), Map.of(FleetShape.MODEL, new ModelSettings(null, null, 0, 0)),
 				Map.of(), profiles, workspaces, routing, null, null);
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
@@ -134,11 +134,9 @@
 
 	@Override
 	public void generated(long atMicros, long requestId, int offset, int count) {
-		if (offset == 0) {
-			AttemptObserver observer = this.observers.get(requestId);
-			if (observer != null) {
-				observer.firstToken();
-			}
+		AttemptObserver observer = this.observers.get(requestId);
+		if (observer != null) {
+			observer.generated(offset + count);
 		}
 	}
 
@@ -156,9 +154,10 @@
 	interface AttemptObserver {
 
 		/**
-		 * The first token was generated.
+		 * Tokens were generated.
+		 * @param position how many in all
 		 */
-		void firstToken();
+		void generated(int position);
 
 		/**
 		 * The answer is whole.
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEntry.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEntry.java
@@ -217,12 +217,11 @@
 	private void submit(int engine, EngineRequest request, AttemptEffect.Dispatch dispatch) {
 		boolean accepted = this.engines.get(engine).submit(request, new SimulatedEngine.AttemptObserver() {
 			@Override
-			public void firstToken() {
-				fromEngine(engine, (now) -> {
-					SimulatedEntry.this.recorder.firstToken(dispatch.requestId(),
-							SimulatedEntry.this.queue.nowMicros());
-					return new AttemptEvent.Started(now, dispatch.attemptId());
-				});
+			public void generated(int position) {
+				SimulatedEntry.this.reducer.advance(dispatch.attemptId(), position);
+				if (position == 1) {
+					fromEngine(engine, (now) -> started(now, dispatch));
+				}
 			}
 
 			@Override
@@ -240,6 +239,11 @@
 		}
 	}
 
+	private Event started(Moment now, AttemptEffect.Dispatch dispatch) {
+		this.recorder.firstToken(dispatch.requestId(), this.queue.nowMicros());
+		return new AttemptEvent.Started(now, dispatch.attemptId());
+	}
+
 	private void readLoad(int engine) {
 		SimulatedEngine simulated = this.engines.get(engine);
 		simulated.apply((model) -> {
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/WorkProfile.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/WorkProfile.java
@@ -13,7 +13,7 @@
 	SHORT(8, 15_000, 256),
 
 	/** Prompts up to 100,000 tokens. */
-	MEDIUM(5, 60_000, 512),
+	MEDIUM(5, 120_000, 512),
 
 	/** Longer prompts. */
 	LONG(2, 300_000, 1_024);
