Hold large prompts at the entry until an engine has room, in order of slack

A prompt that takes more than a tenth of an engine's memory now waits at the entry until an engine for long prompts has the memory and at most 100,000 prompt tokens ahead. Waiting requests go by the latest time at which they may start, later for workspaces ahead of their weighted share. One that has used a quarter of its time keeps an engine free. Gangs run on an engine for long prompts and may take memory from any. Workspace limits on tokens are divided by the number of live instances. A request that can no longer end in time is not sent.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
@@ -24,7 +24,7 @@
 		crossZonePenaltyMillis = (crossZonePenaltyMillis != 0) ? crossZonePenaltyMillis : 10;
 		longPromptTokens = (longPromptTokens != 0) ? longPromptTokens : 8_000;
 		maxQueuedRequests = (maxQueuedRequests != 0) ? maxQueuedRequests : 2_000;
-		longEnginePercent = (longEnginePercent != 0) ? longEnginePercent : 45;
+		longEnginePercent = (longEnginePercent != 0) ? longEnginePercent : 55;
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/FleetLoad.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/FleetLoad.java
@@ -23,6 +23,8 @@
  */
 final class FleetLoad {
 
+	private static final double USABLE_SPEED_SHARE = 0.3;
+
 	private final FleetState fleet;
 
 	private final RandomGenerator random;
@@ -75,6 +77,21 @@
 		return this.liveInstances;
 	}
 
+	/**
+	 * Returns how many prompt tokens the engines for long prompts get through together
+	 * beside their other work.
+	 * @return tokens per millisecond, positive
+	 */
+	double longTokensPerMilli() {
+		double tokensPerMilli = 0;
+		for (EndpointLoad load : this.loads.values()) {
+			if (this.longLane.contains(load.state())) {
+				tokensPerMilli += load.speed().prefillTokensPerMilli();
+			}
+		}
+		return (tokensPerMilli > 0) ? tokensPerMilli * USABLE_SPEED_SHARE : SpeedEstimate.TYPICAL_TOKENS_PER_MILLI;
+	}
+
 	boolean isLong(PendingRequest request) {
 		return request.spec().promptTokens() > settings().longPromptTokens();
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/GangPlanner.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/GangPlanner.java
@@ -3,6 +3,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import io.mulberrylift.core.model.EndpointId;
 
@@ -40,7 +42,7 @@
 		return members(request, candidates) <= Math.min(MAX_MEMBERS, candidates.size());
 	}
 
-	private static int members(PendingRequest request, List<EndpointLoad> candidates) {
+	static int members(PendingRequest request, List<EndpointLoad> candidates) {
 		double usable = Math.max(1, USABLE_MEMORY_SHARE * largestMemoryTokens(candidates));
 		return (int) Math.ceil(request.spec().totalTokens() / usable);
 	}
@@ -55,24 +57,32 @@
 
 	/**
 	 * Chooses the members with the least prompt work ahead among those with enough free
-	 * memory.
+	 * memory; the first of them runs the request.
 	 * @param request the request
 	 * @param candidates engines that serve it
+	 * @param mayRun the engines that may run it; any may lend memory
 	 * @param nowMonotonicMillis the current time
 	 * @return the assignment, empty when too few engines have enough free memory
 	 */
-	static Optional<Assignment> plan(PendingRequest request, List<EndpointLoad> candidates, long nowMonotonicMillis) {
+	static Optional<Assignment> plan(PendingRequest request, List<EndpointLoad> candidates,
+			Predicate<EndpointLoad> mayRun, long nowMonotonicMillis) {
 		int members = members(request, candidates);
 		long memberTokens = (request.spec().totalTokens() + members - 1) / members;
-		List<EndpointId> chosen = candidates.stream()
+		Comparator<EndpointLoad> byBacklog = Comparator
+			.comparingLong((candidate) -> candidate.prefillTokens(nowMonotonicMillis));
+		List<EndpointLoad> fitting = candidates.stream()
 			.filter((candidate) -> candidate.freeMemoryTokens() >= memberTokens)
-			.sorted(Comparator.comparingLong((candidate) -> candidate.prefillTokens(nowMonotonicMillis)))
-			.limit(members)
-			.map((candidate) -> candidate.state().id())
+			.sorted(byBacklog)
 			.toList();
-		if (chosen.size() < members) {
+		Optional<EndpointLoad> runner = fitting.stream().filter(mayRun).findFirst();
+		if (runner.isEmpty() || fitting.size() < members) {
 			return Optional.empty();
 		}
+		List<EndpointId> chosen = Stream
+			.concat(runner.stream(), fitting.stream().filter((candidate) -> candidate != runner.get()))
+			.limit(members)
+			.map((candidate) -> candidate.state().id())
+			.toList();
 		return Optional
 			.of(new Assignment(request.requestId(), chosen.get(0), chosen, memberTokens, request.profile().priority()));
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.mulberrylift.core.configuration.WorkspaceSettings;
 import io.mulberrylift.core.event.EndpointEvent;
+import io.mulberrylift.core.fairness.TokenAllowance;
 import io.mulberrylift.core.fleet.FleetState;
 import io.mulberrylift.core.model.Outcome;
 import io.mulberrylift.core.model.Refusal;
@@ -17,7 +19,8 @@
 import io.mulberrylift.core.time.Moment;
 
 /**
- * Runs requests in order of arrival on the endpoint that the configured policy chooses.
+ * Runs requests on the endpoints that the configured policy chooses, in order of arrival
+ * or, under a policy that predicts their end, in order of slack.
  *
  * <p>
  * Not safe for use by several threads; owned by the reducer. A request is either queued
@@ -38,6 +41,10 @@
 
 	private final Map<Long, RunningWork> running = new HashMap<>();
 
+	private final SlackOrder order;
+
+	private final TokenAllowance allowance = new TokenAllowance();
+
 	private long lastAssignMonotonicMillis;
 
 	/**
@@ -48,6 +55,7 @@
 	 */
 	public PolicyScheduler(FleetState fleet, RandomGenerator random) {
 		this.fleet = new FleetLoad(Objects.requireNonNull(fleet, "fleet"), random);
+		this.order = new SlackOrder(this.fleet);
 	}
 
 	@Override
@@ -72,13 +80,44 @@
 				return refusal;
 			}
 		}
-		this.queue.put(request.requestId(), request);
-		return Optional.empty();
+		Optional<Refusal> refusal = refuseOverAllowance(request, now.monotonicMillis());
+		if (refusal.isEmpty()) {
+			this.queue.put(request.requestId(), request);
+		}
+		return refusal;
+	}
+
+	private Optional<Refusal> refuseOverAllowance(PendingRequest request, long nowMonotonicMillis) {
+		WorkspaceSettings settings = this.fleet.fleet()
+			.configuration()
+			.orElseThrow()
+			.workspaces()
+			.get(request.spec().workspace().value());
+		if (settings == null) {
+			return Optional.empty();
+		}
+		long waitMillis = this.allowance.take(request.spec().workspace(), request.spec().totalTokens(),
+				settings.maxTokensPerSecond(), this.fleet.liveInstances(), nowMonotonicMillis);
+		if (waitMillis == 0) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(Refusal.retryable(Outcome.NOT_RUN, RefusalReason.OVERLOADED, "Workspace " + request.spec().workspace()
+					+ " has used its " + settings.maxTokensPerSecond() + " tokens per second", waitMillis));
+	}
+
+	private long heldTokens() {
+		long tokens = 0;
+		for (PendingRequest request : this.queue.values()) {
+			tokens += request.spec().promptTokens();
+		}
+		return tokens;
 	}
 
 	private Optional<Refusal> refuseUnreachable(PendingRequest request, List<EndpointLoad> candidates,
 			long nowMonotonicMillis) {
-		double endMillis = SlackRouting.earliestEndMillis(request, candidates, this.fleet, nowMonotonicMillis);
+		double endMillis = SlackRouting.earliestEndMillis(request, candidates, this.fleet, heldTokens(),
+				nowMonotonicMillis);
 		double lateMillis = nowMonotonicMillis + endMillis - request.deadlineMonotonicMillis();
 		if (lateMillis <= 0) {
 			return Optional.empty();
@@ -104,7 +143,7 @@
 		}
 		this.lastAssignMonotonicMillis = now.monotonicMillis();
 		List<Assignment> assignments = new ArrayList<>();
-		for (PendingRequest request : List.copyOf(this.queue.values())) {
+		for (PendingRequest request : waiting()) {
 			if (request.notBeforeMonotonicMillis() <= now.monotonicMillis()) {
 				plan(request, now.monotonicMillis()).ifPresent((assignment) -> {
 					take(request, assignment, now.monotonicMillis());
@@ -115,14 +154,38 @@
 		return assignments;
 	}
 
+	private List<PendingRequest> waiting() {
+		return policy().predictsEnd() ? this.order.sort(this.queue.values()) : List.copyOf(this.queue.values());
+	}
+
 	private Optional<Assignment> plan(PendingRequest request, long nowMonotonicMillis) {
 		List<EndpointLoad> candidates = this.fleet.candidates(request, nowMonotonicMillis);
-		if (candidates.isEmpty()) {
+		if (candidates.isEmpty() || cannotEnd(request, candidates, nowMonotonicMillis)) {
 			return Optional.empty();
 		}
-		if (!GangPlanner.fitsOne(request, candidates)) {
-			return GangPlanner.plan(request, candidates, nowMonotonicMillis);
+		boolean fitsOne = GangPlanner.fitsOne(request, candidates);
+		int members = fitsOne ? 1 : GangPlanner.members(request, candidates);
+		boolean large = policy().predictsEnd() && SlackRouting.isLarge(request, candidates.get(0));
+		if (large) {
+			this.order.removeReserved(candidates);
+		}
+		Optional<Assignment> assignment = fitsOne ? planOne(request, candidates, nowMonotonicMillis)
+				: GangPlanner.plan(request, candidates, (candidate) -> policy().mayRun(request, candidate, this.fleet),
+						nowMonotonicMillis);
+		if (assignment.isEmpty() && large && this.order.isUrgent(request, nowMonotonicMillis)) {
+			candidates.removeIf((candidate) -> !policy().mayRun(request, candidate, this.fleet));
+			this.order.reserve(candidates, members);
 		}
+		return assignment;
+	}
+
+	private boolean cannotEnd(PendingRequest request, List<EndpointLoad> candidates, long nowMonotonicMillis) {
+		return policy().predictsEnd() && nowMonotonicMillis + SlackRouting.leastMillis(request, candidates) > request
+			.deadlineMonotonicMillis();
+	}
+
+	private Optional<Assignment> planOne(PendingRequest request, List<EndpointLoad> candidates,
+			long nowMonotonicMillis) {
 		candidates
 			.removeIf((candidate) -> candidate.state().description().memoryTokens() < request.spec().totalTokens());
 		if (candidates.isEmpty()) {
@@ -142,6 +205,7 @@
 		RunningWork work = new RunningWork(request, assignment, prefillTokens, besideLong, nowMonotonicMillis);
 		this.running.put(request.requestId(), work);
 		load.dispatched(work);
+		this.order.charge(request, prefillTokens, nowMonotonicMillis);
 		assignment.members()
 			.stream()
 			.filter((member) -> !member.equals(assignment.endpoint()))
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
@@ -71,6 +71,11 @@
 			return SlackRouting.choose(request, candidates, fleet, nowMonotonicMillis);
 		}
 
+		@Override
+		boolean mayRun(PendingRequest request, EndpointLoad candidate, FleetLoad fleet) {
+			return SlackRouting.mayTake(request, candidate, fleet);
+		}
+
 		@Override
 		boolean predictsEnd() {
 			return true;
@@ -119,6 +124,17 @@
 		return false;
 	}
 
+	/**
+	 * Returns whether an endpoint may run a request at all.
+	 * @param request the request
+	 * @param candidate the endpoint
+	 * @param fleet the loads of all endpoints
+	 * @return true if so
+	 */
+	boolean mayRun(PendingRequest request, EndpointLoad candidate, FleetLoad fleet) {
+		return true;
+	}
+
 	private static EndpointLoad least(List<EndpointLoad> candidates, FleetLoad fleet,
 			ToDoubleFunction<EndpointLoad> cost) {
 		int first = fleet.random().nextInt(candidates.size());
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SlackRouting.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SlackRouting.java
@@ -14,6 +14,14 @@
 
 	private static final double DECODE_WEIGHT = 0.02;
 
+	private static final double LARGE_MEMORY_SHARE = 0.1;
+
+	private static final double RESERVED_MEMORY_SHARE = 0.02;
+
+	private static final double EMPTY_MEMORY_SHARE = 0.9;
+
+	private static final long MAX_BACKLOG_TOKENS = 100_000;
+
 	private static final double LATE_WEIGHT = 10;
 
 	private SlackRouting() {
@@ -35,7 +43,7 @@
 		int first = fleet.random().nextInt(candidates.size());
 		for (int i = 0; i < candidates.size(); i++) {
 			EndpointLoad candidate = candidates.get((first + i) % candidates.size());
-			if (!mayTake(request, candidate, fleet)) {
+			if (!mayTake(request, candidate, fleet) || !hasRoom(request, candidate, nowMonotonicMillis)) {
 				continue;
 			}
 			double cost = costMillis(request, candidate, fleet, budgetMillis, nowMonotonicMillis);
@@ -47,10 +55,33 @@
 		return best;
 	}
 
-	private static boolean mayTake(PendingRequest request, EndpointLoad candidate, FleetLoad fleet) {
+	static boolean mayTake(PendingRequest request, EndpointLoad candidate, FleetLoad fleet) {
 		return !fleet.isLong(request) || fleet.longLane().contains(candidate.state());
 	}
 
+	/**
+	 * Returns whether a request takes so much of an engine's memory that it waits for
+	 * room before it is sent.
+	 * @param request the request
+	 * @param candidate the engine
+	 * @return true if so
+	 */
+	static boolean isLarge(PendingRequest request, EndpointLoad candidate) {
+		return request.spec().totalTokens() > LARGE_MEMORY_SHARE * candidate.state().description().memoryTokens();
+	}
+
+	private static boolean hasRoom(PendingRequest request, EndpointLoad candidate, long nowMonotonicMillis) {
+		if (!isLarge(request, candidate)) {
+			return true;
+		}
+		long memoryTokens = candidate.state().description().memoryTokens();
+		long totalTokens = request.spec().totalTokens();
+		long free = candidate.freeMemoryTokens();
+		boolean fits = free >= totalTokens && (free - totalTokens >= RESERVED_MEMORY_SHARE * memoryTokens
+				|| free >= memoryTokens * EMPTY_MEMORY_SHARE);
+		return fits && candidate.prefillTokens(nowMonotonicMillis) <= MAX_BACKLOG_TOKENS;
+	}
+
 	private static double costMillis(PendingRequest request, EndpointLoad candidate, FleetLoad fleet,
 			double budgetMillis, long nowMonotonicMillis) {
 		double zoneMillis = fleet.inOwnZone(candidate) ? 0 : fleet.settings().crossZonePenaltyMillis();
@@ -58,6 +89,9 @@
 				fleet.settings().longPromptTokens(), nowMonotonicMillis);
 		double decodeMillis = Prediction.decodeMillis(candidate, fleet.answers().meanTokens(request), firstMillis,
 				nowMonotonicMillis);
+		if (candidate.freeMemoryTokens() < request.spec().totalTokens()) {
+			firstMillis += candidate.prefillTokens(nowMonotonicMillis) / candidate.speed().prefillTokensPerMilli();
+		}
 		double lateMillis = Math.max(0, firstMillis + decodeMillis - budgetMillis);
 		return firstMillis + DECODE_WEIGHT * decodeMillis + LATE_WEIGHT * lateMillis;
 	}
@@ -67,16 +101,19 @@
 	 * @param request the request
 	 * @param candidates endpoints that can run it
 	 * @param fleet the loads of all endpoints
+	 * @param heldTokens prompt tokens of large requests that wait at this instance
 	 * @param nowMonotonicMillis the current time
 	 * @return milliseconds from now
 	 */
 	static double earliestEndMillis(PendingRequest request, List<EndpointLoad> candidates, FleetLoad fleet,
-			long nowMonotonicMillis) {
+			long heldTokens, long nowMonotonicMillis) {
 		double earliest = Double.MAX_VALUE;
+		double heldMillis = isLarge(request, candidates.get(0))
+				? heldTokens * fleet.liveInstances() / fleet.longTokensPerMilli() : 0;
 		double answerTokens = fleet.answers().expectedTokens(request);
 		for (EndpointLoad candidate : candidates) {
 			if (mayTake(request, candidate, fleet)) {
-				double firstMillis = Prediction.firstTokenMillis(request, candidate,
+				double firstMillis = heldMillis + Prediction.firstTokenMillis(request, candidate,
 						fleet.settings().longPromptTokens(), nowMonotonicMillis);
 				double decodeMillis = Prediction.decodeMillis(candidate, answerTokens, firstMillis, nowMonotonicMillis);
 				earliest = Math.min(earliest, firstMillis + decodeMillis);
@@ -85,4 +122,20 @@
 		return earliest;
 	}
 
+	/**
+	 * Returns the time that a request takes at least, on an idle engine at the highest
+	 * learned speed and with a cached prefix.
+	 * @param request the request
+	 * @param candidates endpoints that can run it, not empty
+	 * @return milliseconds
+	 */
+	static double leastMillis(PendingRequest request, List<EndpointLoad> candidates) {
+		double least = Double.MAX_VALUE;
+		for (EndpointLoad candidate : candidates) {
+			int prefillTokens = request.spec().promptTokens() - candidate.cachedTokens(request.spec());
+			least = Math.min(least, prefillTokens / candidate.speed().prefillTokensPerMilli());
+		}
+		return least / GangPlanner.MAX_MEMBERS;
+	}
+
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SpeedEstimate.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SpeedEstimate.java
@@ -11,7 +11,8 @@
  */
 final class SpeedEstimate {
 
-	private static final double INITIAL_PREFILL_TOKENS_PER_MILLI = 6;
+	/** Prefill speed expected of an unknown engine, in tokens per millisecond. */
+	static final double TYPICAL_TOKENS_PER_MILLI = 6;
 
 	private static final double INITIAL_DECODE_GAP_MILLIS = 25;
 
@@ -27,7 +28,7 @@
 
 	private static final int LEAST_OUTPUT_TOKENS = 8;
 
-	private double prefillTokensPerMilli = INITIAL_PREFILL_TOKENS_PER_MILLI;
+	private double prefillTokensPerMilli = TYPICAL_TOKENS_PER_MILLI;
 
 	private double busyGapMillis = INITIAL_BUSY_GAP_MILLIS;
 
