Let brief prompts go first on the engine and admit short ones with a margin

Cause: in a burst a prompt of a thousand tokens waited behind prompts of up to eight thousand with the same priority.

Admission counts the answer time of short prompts 1.5 times.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/GangPlanner.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/GangPlanner.java
@@ -61,11 +61,12 @@
 	 * @param request the request
 	 * @param candidates engines that serve it
 	 * @param mayRun the engines that may run it; any may lend memory
+	 * @param priority priority on the engines
 	 * @param nowMonotonicMillis the current time
 	 * @return the assignment, empty when too few engines have enough free memory
 	 */
 	static Optional<Assignment> plan(PendingRequest request, List<EndpointLoad> candidates,
-			Predicate<EndpointLoad> mayRun, long nowMonotonicMillis) {
+			Predicate<EndpointLoad> mayRun, int priority, long nowMonotonicMillis) {
 		int members = members(request, candidates);
 		long memberTokens = (request.spec().totalTokens() + members - 1) / members;
 		Comparator<EndpointLoad> byBacklog = Comparator
@@ -83,8 +84,7 @@
 			.limit(members)
 			.map((candidate) -> candidate.state().id())
 			.toList();
-		return Optional
-			.of(new Assignment(request.requestId(), chosen.get(0), chosen, memberTokens, request.profile().priority()));
+		return Optional.of(new Assignment(request.requestId(), chosen.get(0), chosen, memberTokens, priority));
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
@@ -171,7 +171,7 @@
 		}
 		Optional<Assignment> assignment = fitsOne ? planOne(request, candidates, nowMonotonicMillis)
 				: GangPlanner.plan(request, candidates, (candidate) -> policy().mayRun(request, candidate, this.fleet),
-						nowMonotonicMillis);
+						policy().enginePriority(request), nowMonotonicMillis);
 		if (assignment.isEmpty() && large && this.order.isUrgent(request, nowMonotonicMillis)) {
 			candidates.removeIf((candidate) -> !policy().mayRun(request, candidate, this.fleet));
 			this.order.reserve(candidates, members);
@@ -194,7 +194,7 @@
 		EndpointLoad chosen = policy().choose(request, candidates, this.fleet, nowMonotonicMillis);
 		return Optional.ofNullable(chosen)
 			.map((endpoint) -> new Assignment(request.requestId(), endpoint.state().id(), List.of(), 0,
-					request.profile().priority()));
+					policy().enginePriority(request)));
 	}
 
 	private void take(PendingRequest request, Assignment assignment, long nowMonotonicMillis) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
@@ -76,6 +76,11 @@
 			return SlackRouting.mayTake(request, candidate, fleet);
 		}
 
+		@Override
+		int enginePriority(PendingRequest request) {
+			return SlackRouting.enginePriority(request);
+		}
+
 		@Override
 		boolean predictsEnd() {
 			return true;
@@ -124,6 +129,15 @@
 		return false;
 	}
 
+	/**
+	 * Returns the priority of a request towards other work on its engine.
+	 * @param request the request
+	 * @return the priority, higher goes first
+	 */
+	int enginePriority(PendingRequest request) {
+		return request.profile().priority();
+	}
+
 	/**
 	 * Returns whether an endpoint may run a request at all.
 	 * @param request the request
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SlackRouting.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/SlackRouting.java
@@ -14,6 +14,12 @@
 
 	private static final double DECODE_WEIGHT = 0.02;
 
+	private static final double SHORT_DECODE_FACTOR = 1.5;
+
+	private static final int BRIEF_PROMPT_TOKENS = 2_000;
+
+	private static final int PRIORITY_STEP = 10;
+
 	private static final double LARGE_MEMORY_SHARE = 0.1;
 
 	private static final double RESERVED_MEMORY_SHARE = 0.02;
@@ -59,6 +65,17 @@
 		return !fleet.isLong(request) || fleet.longLane().contains(candidate.state());
 	}
 
+	/**
+	 * Returns the priority on the engine: that of the profile, and within a profile brief
+	 * prompts first.
+	 * @param request the request
+	 * @return the priority, higher goes first
+	 */
+	static int enginePriority(PendingRequest request) {
+		int brief = (request.spec().promptTokens() <= BRIEF_PROMPT_TOKENS) ? 1 : 0;
+		return request.profile().priority() * PRIORITY_STEP + brief;
+	}
+
 	/**
 	 * Returns whether a request takes so much of an engine's memory that it waits for
 	 * room before it is sent.
@@ -110,13 +127,14 @@
 		double earliest = Double.MAX_VALUE;
 		double heldMillis = isLarge(request, candidates.get(0))
 				? heldTokens * fleet.liveInstances() / fleet.longTokensPerMilli() : 0;
+		double decodeFactor = fleet.isLong(request) ? 1 : SHORT_DECODE_FACTOR;
 		double answerTokens = fleet.answers().expectedTokens(request);
 		for (EndpointLoad candidate : candidates) {
 			if (mayTake(request, candidate, fleet)) {
 				double firstMillis = heldMillis + Prediction.firstTokenMillis(request, candidate,
 						fleet.settings().longPromptTokens(), nowMonotonicMillis);
 				double decodeMillis = Prediction.decodeMillis(candidate, answerTokens, firstMillis, nowMonotonicMillis);
-				earliest = Math.min(earliest, firstMillis + decodeMillis);
+				earliest = Math.min(earliest, firstMillis + decodeFactor * decodeMillis);
 			}
 		}
 		return earliest;
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/PolicySchedulerTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/PolicySchedulerTests.java
@@ -144,6 +144,17 @@
 		assertThat(assignment.memberTokens()).isLessThanOrEqualTo(SchedulingFixture.MEMORY_TOKENS);
 	}
 
+	@Test
+	void briefPromptsGoFirstWithinAProfileAndGangsKeepItsPriority() {
+		Assignment brief = this.fixture.admitAndAssign(this.fixture.request(1_000, MINUTE_MILLIS), 0).get(0);
+		Assignment other = this.fixture.admitAndAssign(this.fixture.request(5_000, MINUTE_MILLIS), 0).get(0);
+		assertThat(brief.priority()).isGreaterThan(other.priority());
+		Assignment gang = SchedulingFixture.slack(3, 34)
+			.admitAndAssign(this.fixture.request(220_000, 10 * MINUTE_MILLIS), 0)
+			.get(0);
+		assertThat(gang.priority()).isEqualTo(other.priority());
+	}
+
 	@Test
 	void gangWaitsUntilEveryMemberHasMemory() {
 		this.fixture.report(2, 0, 1, 0, 60_000);
