--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/RoutingPolicy.java
@@ -68,7 +68,22 @@
 		@Override
 		EndpointLoad choose(PendingRequest request, List<EndpointLoad> candidates, FleetLoad fleet,
 				long nowMonotonicMillis) {
-			return least(candidates, fleet, (candidate) -> candidate.prefillTokens(nowMonotonicMillis));
+			return SlackRouting.choose(request, candidates, fleet, nowMonotonicMillis);
+		}
+
+		@Override
+		boolean mayRun(PendingRequest request, EndpointLoad candidate, FleetLoad fleet) {
+			return SlackRouting.mayTake(request, candidate, fleet);
+		}
+
+		@Override
+		int enginePriority(PendingRequest request) {
+			return SlackRouting.enginePriority(request);
+		}
+
+		@Override
+		boolean predictsEnd() {
+			return true;
 		}
 	};
 
@@ -101,11 +116,39 @@
 	 * @param candidates endpoints that can run it, not empty
 	 * @param fleet the loads of all endpoints
 	 * @param nowMonotonicMillis the current time
-	 * @return the endpoint
+	 * @return the endpoint, null when none may take the request now
 	 */
 	abstract EndpointLoad choose(PendingRequest request, List<EndpointLoad> candidates, FleetLoad fleet,
 			long nowMonotonicMillis);
 
+	/**
+	 * Returns whether requests are refused that are predicted to miss their deadline.
+	 * @return true if so
+	 */
+	boolean predictsEnd() {
+		return false;
+	}
+
+	/**
+	 * Returns the priority of a request towards other work on its engine.
+	 * @param request the request
+	 * @return the priority, higher goes first
+	 */
+	int enginePriority(PendingRequest request) {
+		return request.profile().priority();
+	}
+
+	/**
+	 * Returns whether an endpoint may run a request at all.
+	 * @param request the request
+	 * @param candidate the endpoint
+	 * @param fleet the loads of all endpoints
+	 * @return true if so
+	 */
+	boolean mayRun(PendingRequest request, EndpointLoad candidate, FleetLoad fleet) {
+		return true;
+	}
+
 	private static EndpointLoad least(List<EndpointLoad> candidates, FleetLoad fleet,
 			ToDoubleFunction<EndpointLoad> cost) {
 		int first = fleet.random().nextInt(candidates.size());
