Run the parts that act by time alone at most each 10 ms

Cause: each event ran every periodic part, whose cost grows with the number of endpoints, and the number of events grows with it too: processor time grew with the square of the fleet. Ruled out: the routing of requests (the measured instance serves none).

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -46,6 +46,8 @@
 
 	private static final long TICK_INTERVAL_MILLIS = 100;
 
+	private static final long HOUSEKEEPING_INTERVAL_MILLIS = 10;
+
 	private final FleetState fleet;
 
 	private final ReducerParts parts;
@@ -62,6 +64,8 @@
 
 	private final Effects effects = new Effects();
 
+	private long nextHousekeepingMonotonicMillis = Long.MIN_VALUE;
+
 	private boolean shuttingDown;
 
 	private boolean exited;
@@ -237,6 +241,23 @@
 
 	private void settle(Moment now) {
 		this.requests.expire(now, this.effects);
+		if (now.monotonicMillis() >= this.nextHousekeepingMonotonicMillis) {
+			this.nextHousekeepingMonotonicMillis = now.monotonicMillis() + HOUSEKEEPING_INTERVAL_MILLIS;
+			keepHouse(now);
+		}
+		this.parts.claims().tick(this.effects);
+		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
+		this.requests.assign(now, this.effects);
+		this.parts.memory().takeOutcomes().forEach((outcome) -> this.requests.reserved(outcome, now, this.effects));
+		exitWhenIdle();
+	}
+
+	/**
+	 * Runs the parts that act by time alone. Their cost grows with the fleet, so that
+	 * they do not run at each event.
+	 * @param now the current time
+	 */
+	private void keepHouse(Moment now) {
 		this.listPolling.tick(now, this.effects);
 		this.parts.membership().tick(this.requests.inProgress(), now, this.effects);
 		this.parts.configurationSpread().tick(now, this.effects);
@@ -245,11 +266,6 @@
 		this.parts.memory().tick(now, this.effects);
 		this.orders.tick(now, this.effects);
 		this.parts.crashGuard().tick(now, this.effects);
-		this.parts.claims().tick(this.effects);
-		this.parts.claims().takeOutcomes().forEach((outcome) -> this.requests.claimed(outcome, now, this.effects));
-		this.requests.assign(now, this.effects);
-		this.parts.memory().takeOutcomes().forEach((outcome) -> this.requests.reserved(outcome, now, this.effects));
-		exitWhenIdle();
 	}
 
 	private void exitWhenIdle() {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/configuration/RoutingSettingsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/configuration/RoutingSettingsTests.java
@@ -16,7 +16,7 @@
 	private static List<String> problems(RoutingSettings routing) {
 		FleetConfiguration configuration = new FleetConfiguration(List.of(new ZoneId("zone")), null, null,
 				Map.of("short", new ProfileSettings(1, 1, 1, true, false, 0)),
-				Map.of("yard", new WorkspaceSettings(1, 0, null)), routing, null, null);
+				Map.of("yard", new WorkspaceSettings(1, 0, null)), routing, null, null, null);
 		return ConfigurationChecks.problems(configuration).stream().map(ConfigurationProblem::key).toList();
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/SchedulingFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/SchedulingFixture.java
@@ -65,7 +65,7 @@
 
 	void limitWorkspace(long maxTokensPerSecond) {
 		this.fleet.configure(++this.configurationVersion, new FleetConfiguration(null, null, null, null,
-				Map.of("yard", new WorkspaceSettings(1, maxTokensPerSecond, null)), this.routing, null, null));
+				Map.of("yard", new WorkspaceSettings(1, maxTokensPerSecond, null)), this.routing, null, null, null));
 	}
 
 	static Moment at(long millis) {
