--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -8,25 +8,20 @@
 
 import io.mulberrylift.core.configuration.FleetConfiguration;
 import io.mulberrylift.core.configuration.ProfileSettings;
-import io.mulberrylift.core.effect.AttemptEffect;
 import io.mulberrylift.core.effect.ControlEffect.Part;
 import io.mulberrylift.core.effect.Effects;
 import io.mulberrylift.core.effect.RequestEffect;
 import io.mulberrylift.core.event.AttemptEvent;
 import io.mulberrylift.core.event.RequestEvent;
-import io.mulberrylift.core.fleet.EndpointState;
 import io.mulberrylift.core.fleet.FleetState;
 import io.mulberrylift.core.isolation.CrashGuard;
 import io.mulberrylift.core.isolation.CrashVerdict;
 import io.mulberrylift.core.memory.ReservationOutcome;
 import io.mulberrylift.core.memory.Reservations;
-import io.mulberrylift.core.model.AttemptFailure;
-import io.mulberrylift.core.model.Outcome;
 import io.mulberrylift.core.model.Refusal;
 import io.mulberrylift.core.model.RefusalReason;
 import io.mulberrylift.core.model.RequestSpec;
 import io.mulberrylift.core.scheduling.Assignment;
-import io.mulberrylift.core.scheduling.AttemptReport;
 import io.mulberrylift.core.scheduling.Scheduler;
 import io.mulberrylift.core.time.Moment;
 import io.mulberrylift.core.witness.ClaimOutcome;
@@ -49,12 +44,8 @@
 
 	private static final long MARGIN_DIVISOR = 10;
 
-	private static final long DISPATCH_LEASE_MILLIS = 2_000;
-
 	private static final long CRASH_GUARD_DELAY_MILLIS = 200;
 
-	private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
-
 	private final FleetState fleet;
 
 	private final Scheduler scheduler;
@@ -69,7 +60,7 @@
 
 	private final RequestTable table = new RequestTable();
 
-	private long nextAttemptId = 1;
+	private final AttemptRuns attempts;
 
 	private boolean shuttingDown;
 
@@ -90,6 +81,7 @@
 		this.reservations = Objects.requireNonNull(reservations, "reservations");
 		this.crashGuard = Objects.requireNonNull(crashGuard, "crashGuard");
 		this.retryPolicy = Objects.requireNonNull(retryPolicy, "retryPolicy");
+		this.attempts = new AttemptRuns(fleet, scheduler, crashGuard, this.table);
 	}
 
 	/**
@@ -114,7 +106,7 @@
 		this.table.add(entry, entry.deadlineMonotonicMillis - marginMillis(spec));
 		effects.count(Part.REQUEST, "arrived");
 		if (this.shuttingDown) {
-			end(entry, refusal(entry, RefusalReason.SHUTTING_DOWN, ""), event.at(), effects);
+			end(entry, RequestRefusals.inProgress(entry, RefusalReason.SHUTTING_DOWN, ""), event.at(), effects);
 			return;
 		}
 		begin(entry, event.at(), effects);
@@ -132,13 +124,13 @@
 	private void admit(RequestEntry entry, Moment now, Effects effects) {
 		CrashVerdict verdict = this.crashGuard.verdict(entry.spec.fingerprint());
 		if (verdict == CrashVerdict.CONVICTED) {
-			end(entry, convicted(entry), now, effects);
+			end(entry, RequestRefusals.convicted(entry), now, effects);
 			return;
 		}
 		entry.suspected = verdict == CrashVerdict.SUSPECTED;
 		Optional<Refusal> refusal = this.scheduler.admit(entry.pending(now.monotonicMillis()), now);
 		if (refusal.isPresent()) {
-			end(entry, withOutcome(refusal.get(), entry), now, effects);
+			end(entry, RequestRefusals.withOutcome(refusal.get(), entry), now, effects);
 			return;
 		}
 		entry.phase = RequestPhase.QUEUED;
@@ -157,7 +149,7 @@
 			effects.count(Part.REQUEST, "caller.gone");
 			boolean mayHaveRun = entry.possiblyRan || entry.phase == RequestPhase.RUNNING;
 			if (!(entry.claimed && mayHaveRun)) {
-				end(entry, refusal(entry, RefusalReason.CALLER_GONE, ""), event.at(), effects);
+				end(entry, RequestRefusals.inProgress(entry, RefusalReason.CALLER_GONE, ""), event.at(), effects);
 			}
 		});
 	}
@@ -192,9 +184,7 @@
 	 */
 	public void finished(AttemptEvent.Finished event, Effects effects) {
 		this.table.findByAttempt(event.attemptId()).ifPresent((entry) -> {
-			attemptEnded(entry, true, event.promptTokens(), event.cachedTokens(), event.outputTokens(), event.at());
-			endpoint(entry).ifPresent((endpoint) -> endpoint.circuitBreaker().succeeded());
-			this.crashGuard.attemptEnded(entry.attemptId, false, event.at(), effects);
+			this.attempts.finish(entry, event, effects);
 			if (entry.claimed) {
 				this.claims.settle(entry.requestId(), event.answer(), event.at(), effects);
 			}
@@ -212,40 +202,22 @@
 	public void failed(AttemptEvent.Failed event, Effects effects) {
 		this.table.findByAttempt(event.attemptId()).ifPresent((entry) -> {
 			advanced(event.attemptId(), event.deliveredTokens());
-			attemptEnded(entry, false, 0, 0, entry.deliveredTokens, event.at());
-			judgeEndpoint(entry, event);
-			boolean connectionLost = event.failure() == AttemptFailure.CONNECTION_LOST;
-			this.crashGuard.attemptEnded(entry.attemptId, connectionLost, event.at(), effects);
-			entry.possiblyRan |= event.failure().possiblyRan();
+			this.attempts.fail(entry, event, effects);
 			this.reservations.free(entry.requestId(), event.at(), effects);
-			effects.count(Part.REQUEST, "attempt.failed");
 			retryOrEnd(entry, event, effects);
 		});
 	}
 
-	private void judgeEndpoint(RequestEntry entry, AttemptEvent.Failed event) {
-		endpoint(entry).ifPresent((endpoint) -> {
-			switch (event.failure()) {
-				case DRAINING -> {
-					endpoint.drain();
-					endpoint.circuitBreaker().abandoned();
-				}
-				case TURNED_AWAY, REJECTED -> endpoint.circuitBreaker().abandoned();
-				default -> endpoint.circuitBreaker().failed(event.at().monotonicMillis());
-			}
-		});
-	}
-
 	private void retryOrEnd(RequestEntry entry, AttemptEvent.Failed event, Effects effects) {
 		Moment now = event.at();
 		if (this.crashGuard.verdict(entry.spec.fingerprint()) == CrashVerdict.CONVICTED) {
-			end(entry, convicted(entry), now, effects);
+			end(entry, RequestRefusals.convicted(entry), now, effects);
 			return;
 		}
 		Optional<Long> delayMillis = this.retryPolicy.delayBeforeRetry(entry, event,
 				this.fleet.configuration().orElseThrow().retry());
 		if (delayMillis.isEmpty()) {
-			end(entry, RequestRefusals.afterFailure(entry, event, DEFAULT_RETRY_AFTER_MILLIS), now, effects);
+			end(entry, RequestRefusals.afterFailure(entry, event), now, effects);
 			return;
 		}
 		effects.count(Part.REQUEST, "retried");
@@ -262,13 +234,8 @@
 	 */
 	public void expire(Moment now, Effects effects) {
 		for (RequestEntry entry : this.table.takeExpired(now.monotonicMillis())) {
-			Outcome outcome = (entry.possiblyRan || entry.phase == RequestPhase.RUNNING) ? Outcome.EXPIRED
-					: entry.outcomeWithoutAttempt();
 			effects.count(Part.REQUEST, "expired");
-			end(entry,
-					Refusal.retryable(outcome, RefusalReason.DEADLINE_PASSED,
-							"The deadline of " + entry.spec.timeoutMillis() + " ms passed", DEFAULT_RETRY_AFTER_MILLIS),
-					now, effects);
+			end(entry, RequestRefusals.expired(entry), now, effects);
 		}
 	}
 
@@ -315,7 +282,7 @@
 			dispatch(entry, now, effects);
 		}
 		else {
-			this.scheduler.ended(report(entry, false, 0, 0, 0, now), now);
+			this.attempts.unassign(entry, now);
 			entry.phase = RequestPhase.QUEUED;
 			long notBefore = now.monotonicMillis()
 					+ this.retryPolicy.reservationDelayMillis(this.fleet.configuration().orElseThrow().retry());
@@ -355,34 +322,22 @@
 		if (heldBackByCrashGuard(entry, now, effects)) {
 			return;
 		}
-		entry.phase = RequestPhase.RUNNING;
-		entry.attemptId = this.nextAttemptId++;
-		entry.attemptsMade++;
-		entry.dispatchedMonotonicMillis = now.monotonicMillis();
-		entry.firstTokenMillis = -1;
-		this.table.attemptStarted(entry);
+		this.attempts.start(entry, now, effects);
 		this.retryPolicy.attemptStarted(entry, this.fleet.configuration().orElseThrow().retry());
-		endpoint(entry).ifPresent(EndpointState::attemptStarted);
-		this.crashGuard.attemptStarted(entry.attemptId, entry.spec.fingerprint(), entry.endpoint);
-		long leftMillis = entry.deadlineMonotonicMillis - now.monotonicMillis();
-		long notAfter = now.monotonicMillis() + Math.min(leftMillis, DISPATCH_LEASE_MILLIS);
-		effects.count(Part.REQUEST, "dispatched");
-		effects.add(new AttemptEffect.Dispatch(entry.attemptId, entry.requestId(), entry.endpoint,
-				entry.assignment.priority(), leftMillis, entry.deliveredTokens, notAfter, entry.holds));
 	}
 
 	private boolean heldBackByCrashGuard(RequestEntry entry, Moment now, Effects effects) {
 		CrashVerdict verdict = this.crashGuard.verdict(entry.spec.fingerprint());
 		if (verdict == CrashVerdict.CONVICTED) {
 			entry.phase = RequestPhase.RESERVING;
-			end(entry, convicted(entry), now, effects);
+			end(entry, RequestRefusals.convicted(entry), now, effects);
 			return true;
 		}
 		boolean newlySuspected = verdict == CrashVerdict.SUSPECTED && !entry.suspected;
 		if (!newlySuspected && this.crashGuard.mayStart(entry.spec.fingerprint(), entry.endpoint, now)) {
 			return false;
 		}
-		this.scheduler.ended(report(entry, false, 0, 0, 0, now), now);
+		this.attempts.unassign(entry, now);
 		this.reservations.free(entry.requestId(), now, effects);
 		entry.suspected = verdict == CrashVerdict.SUSPECTED;
 		entry.phase = RequestPhase.QUEUED;
@@ -390,30 +345,12 @@
 		return true;
 	}
 
-	private void attemptEnded(RequestEntry entry, boolean whole, int promptTokens, int cachedTokens, int outputTokens,
-			Moment now) {
-		this.table.attemptEnded(entry);
-		endpoint(entry).ifPresent(EndpointState::attemptEnded);
-		this.scheduler.ended(report(entry, whole, promptTokens, cachedTokens, outputTokens, now), now);
-	}
-
-	private AttemptReport report(RequestEntry entry, boolean whole, int promptTokens, int cachedTokens,
-			int outputTokens, Moment now) {
-		return new AttemptReport(entry.requestId(), entry.endpoint, whole, promptTokens, cachedTokens, outputTokens,
-				entry.firstTokenMillis, now.monotonicMillis() - entry.dispatchedMonotonicMillis);
-	}
-
 	private void end(RequestEntry entry, Refusal refusal, Moment now, Effects effects) {
-		boolean running = entry.phase == RequestPhase.RUNNING && this.table.byAttemptOrNull(entry.attemptId) != null;
-		if (running) {
-			entry.possiblyRan = true;
-			attemptEnded(entry, false, 0, 0, entry.deliveredTokens, now);
-			endpoint(entry).ifPresent((endpoint) -> endpoint.circuitBreaker().abandoned());
-			this.crashGuard.attemptEnded(entry.attemptId, false, now, effects);
-			effects.add(new AttemptEffect.Cancel(entry.attemptId, entry.endpoint));
+		if (this.attempts.isRunning(entry)) {
+			this.attempts.cancel(entry, now, effects);
 		}
 		else if (entry.phase == RequestPhase.RESERVING) {
-			this.scheduler.ended(report(entry, false, 0, 0, 0, now), now);
+			this.attempts.unassign(entry, now);
 		}
 		this.scheduler.remove(entry.requestId());
 		endClaim(entry, now, effects);
@@ -441,29 +378,7 @@
 	}
 
 	private void refuseUnentered(RequestSpec spec, RefusalReason reason, String detail, Effects effects) {
-		boolean earlierSendPossible = !spec.repeatable() && spec.key().isPresent();
-		Outcome outcome = earlierSendPossible ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-		refuse(spec.requestId(), Refusal.retryable(outcome, reason, detail, DEFAULT_RETRY_AFTER_MILLIS), effects);
-	}
-
-	private Refusal convicted(RequestEntry entry) {
-		Outcome outcome = entry.needsClaim() ? entry.outcomeWithoutAttempt() : Outcome.FAILED;
-		return Refusal.of(outcome, RefusalReason.CRASHES_ENDPOINTS,
-				"Two endpoints were lost while they ran this request");
-	}
-
-	private Refusal refusal(RequestEntry entry, RefusalReason reason, String detail) {
-		Outcome outcome = (entry.phase == RequestPhase.RUNNING) ? Outcome.UNKNOWN : entry.outcomeWithoutAttempt();
-		return Refusal.retryable(outcome, reason, detail, DEFAULT_RETRY_AFTER_MILLIS);
-	}
-
-	private Refusal withOutcome(Refusal refusal, RequestEntry entry) {
-		return new Refusal(entry.outcomeWithoutAttempt(), refusal.reason(), refusal.detail(),
-				refusal.retryAfterMillis());
-	}
-
-	private Optional<EndpointState> endpoint(RequestEntry entry) {
-		return this.fleet.endpoint(entry.endpoint);
+		refuse(spec.requestId(), RequestRefusals.unentered(spec, reason, detail), effects);
 	}
 
 	private static double weight(FleetConfiguration configuration, RequestSpec spec) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestRefusals.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestRefusals.java
@@ -7,19 +7,59 @@
 import io.mulberrylift.core.model.Outcome;
 import io.mulberrylift.core.model.Refusal;
 import io.mulberrylift.core.model.RefusalReason;
+import io.mulberrylift.core.model.RequestSpec;
 
 /**
- * Chooses the final word for a request whose last attempt failed.
+ * Chooses the final word for requests that get no whole answer.
  */
 final class RequestRefusals {
 
+	private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
 	private RequestRefusals() {
 	}
 
-	static Refusal afterFailure(RequestEntry entry, AttemptEvent.Failed event, long defaultRetryAfterMillis) {
+	/**
+	 * Refuses a request that never entered the table.
+	 * @param spec the request
+	 * @param reason the typed reason
+	 * @param detail what exactly was wrong
+	 * @return the refusal; it does not say "not run" when an earlier send of the key may
+	 * exist
+	 */
+	static Refusal unentered(RequestSpec spec, RefusalReason reason, String detail) {
+		boolean earlierSendPossible = !spec.repeatable() && spec.key().isPresent();
+		Outcome outcome = earlierSendPossible ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+		return Refusal.retryable(outcome, reason, detail, DEFAULT_RETRY_AFTER_MILLIS);
+	}
+
+	static Refusal inProgress(RequestEntry entry, RefusalReason reason, String detail) {
+		Outcome outcome = (entry.phase == RequestPhase.RUNNING) ? Outcome.UNKNOWN : entry.outcomeWithoutAttempt();
+		return Refusal.retryable(outcome, reason, detail, DEFAULT_RETRY_AFTER_MILLIS);
+	}
+
+	static Refusal expired(RequestEntry entry) {
+		boolean mayHaveRun = entry.possiblyRan || entry.phase == RequestPhase.RUNNING;
+		Outcome outcome = mayHaveRun ? Outcome.EXPIRED : entry.outcomeWithoutAttempt();
+		return Refusal.retryable(outcome, RefusalReason.DEADLINE_PASSED,
+				"The deadline of " + entry.spec.timeoutMillis() + " ms passed", DEFAULT_RETRY_AFTER_MILLIS);
+	}
+
+	static Refusal convicted(RequestEntry entry) {
+		Outcome outcome = entry.needsClaim() ? entry.outcomeWithoutAttempt() : Outcome.FAILED;
+		return Refusal.of(outcome, RefusalReason.CRASHES_ENDPOINTS,
+				"Two endpoints were lost while they ran this request");
+	}
+
+	static Refusal withOutcome(Refusal refusal, RequestEntry entry) {
+		return new Refusal(entry.outcomeWithoutAttempt(), refusal.reason(), refusal.detail(),
+				refusal.retryAfterMillis());
+	}
+
+	static Refusal afterFailure(RequestEntry entry, AttemptEvent.Failed event) {
 		boolean comingBackHelps = event.failure().retryHelps() && (entry.spec.repeatable() || !entry.possiblyRan);
 		OptionalLong retryAfterMillis = comingBackHelps
-				? OptionalLong.of(event.retryAfterMillis().orElse(defaultRetryAfterMillis)) : OptionalLong.empty();
+				? OptionalLong.of(event.retryAfterMillis().orElse(DEFAULT_RETRY_AFTER_MILLIS)) : OptionalLong.empty();
 		return new Refusal(outcome(entry, event.failure()), reason(event.failure()), event.detail(), retryAfterMillis);
 	}
 
