Add TLS between instances as a setting

peers.tls names a key store and a trust store with their passwords and is off by default. The daemon wires it into the contexts of both directions. Before it starts, serve opens every store that the settings name (callers' too) and reports key, value, allowed and remedy with exit code 3; passwords are never shown. Checking the files in the settings reader was ruled out: it is a pure function of the text, and check runs on other machines.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/ServeCommand.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/ServeCommand.java
@@ -2,12 +2,15 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 
 import ch.qos.logback.classic.LoggerContext;
+import io.mulberrylift.core.configuration.ConfigurationProblem;
 import io.mulberrylift.daemon.logging.LogSetup;
 import io.mulberrylift.daemon.settings.InstanceSettings;
 import io.mulberrylift.daemon.settings.InstanceSettingsReader;
+import io.mulberrylift.daemon.settings.KeyStoreChecks;
 import io.mulberrylift.daemon.settings.SettingsCheck;
 import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
@@ -46,10 +49,19 @@
 	public Integer call() throws Exception {
 		SettingsCheck<InstanceSettings> check = InstanceSettingsReader.read(Files.readString(this.settingsFile));
 		if (check instanceof SettingsCheck.Invalid<InstanceSettings> invalid) {
-			FileReports.print(this.spec.commandLine().getErr(), this.settingsFile, invalid.problems());
-			return ExitCode.INVALID_FILE;
+			return reportInvalid(invalid.problems());
 		}
 		InstanceSettings settings = ((SettingsCheck.Valid<InstanceSettings>) check).value();
+		List<ConfigurationProblem> storeProblems = KeyStoreChecks.problems(settings);
+		return (storeProblems.isEmpty()) ? serve(settings) : reportInvalid(storeProblems);
+	}
+
+	private int reportInvalid(List<ConfigurationProblem> problems) {
+		FileReports.print(this.spec.commandLine().getErr(), this.settingsFile, problems);
+		return ExitCode.INVALID_FILE;
+	}
+
+	private int serve(InstanceSettings settings) throws Exception {
 		LoggerContext logs = (LoggerContext) LoggerFactory.getILoggerFactory();
 		LogSetup.configure(logs, settings.log(), System.out);
 		LogSetup.takeJdkLines();
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
@@ -1,12 +1,13 @@
 package io.mulberrylift.daemon.instance;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.security.GeneralSecurityException;
 import java.security.SecureRandom;
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -189,6 +190,12 @@
 				this.settings.peers().host() + ":" + this.settings.peers().port()), directory, cuts, threads);
 	}
 
+	@Provides
+	@Singleton
+	PeerTlsContexts peerTlsContexts() throws IOException, GeneralSecurityException {
+		return PeerTlsContexts.of(this.settings.peers().tls());
+	}
+
 	@Provides
 	@Singleton
 	PeerReceiver peerReceiver(EventLoop loop) {
@@ -197,16 +204,17 @@
 
 	@Provides
 	@Singleton
-	PeerServer peerServer(PeerShared shared, PeerReceiver receiver) {
+	PeerServer peerServer(PeerShared shared, PeerReceiver receiver, PeerTlsContexts tls) {
 		InetSocketAddress address = new InetSocketAddress(this.settings.peers().host(), this.settings.peers().port());
-		return new PeerServer(address, shared, receiver, Optional.empty());
+		return new PeerServer(address, shared, receiver, tls.server());
 	}
 
 	@Provides
 	@Singleton
-	PeerLinks peerLinks(PeerShared shared, PeerReceiver receiver, MetricRegistry metrics, InstanceIdentity identity) {
+	PeerLinks peerLinks(PeerShared shared, PeerReceiver receiver, MetricRegistry metrics, InstanceIdentity identity,
+			PeerTlsContexts tls) {
 		return new PeerLinks(shared, PeerLinkSettings.DEFAULTS, receiver, metrics,
-				new SplittableRandom(identity.incarnation()), Optional.empty());
+				new SplittableRandom(identity.incarnation()), tls.client());
 	}
 
 	@Provides
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettings.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettings.java
@@ -25,7 +25,8 @@
  */
 public record InstanceSettings(@JsonProperty(required = true) InstanceId instanceId,
 		@JsonProperty(required = true) ZoneId zone, @JsonProperty(required = true) CallerListenSettings callers,
-		@JsonProperty(required = true) ListenSettings operators, @JsonProperty(required = true) ListenSettings peers,
+		@JsonProperty(required = true) ListenSettings operators,
+		@JsonProperty(required = true) PeerListenSettings peers,
 		@JsonProperty(required = true) PlatformSettings platform, LimitSettings limits, LogSettings log,
 		boolean faultSwitches) {
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettingsReader.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettingsReader.java
@@ -54,6 +54,10 @@
 		settings.callers()
 			.tls()
 			.ifPresent((tls) -> checkNotBlank("callers.tls.keyStorePath", tls.keyStorePath(), problems));
+		settings.peers().tls().ifPresent((tls) -> {
+			checkNotBlank("peers.tls.keyStorePath", tls.keyStorePath(), problems);
+			checkNotBlank("peers.tls.trustStorePath", tls.trustStorePath(), problems);
+		});
 		return problems;
 	}
 
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/instance/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of whole instances.
+ */
+package io.mulberrylift.daemon.instance;
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/settings/SettingsTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/settings/SettingsTests.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.daemon.settings;
 
 import java.io.IOException;
+import java.net.URISyntaxException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -37,6 +38,63 @@
 		assertThat(settings.limits()).isEqualTo(LimitSettings.DEFAULTS);
 		assertThat(settings.log()).isEqualTo(LogSettings.DEFAULTS);
 		assertThat(settings.callers().tls()).isEmpty();
+		assertThat(settings.peers().tls()).isEmpty();
+	}
+
+	@Test
+	void commentedOutEncryptionOfTheExampleIsValid() throws IOException {
+		String example = Files.readString(EXAMPLES.resolve("instance.json"));
+		String switchedOn = example.replaceAll("(?m)^    // ", "    ");
+		InstanceSettings settings = ((SettingsCheck.Valid<InstanceSettings>) InstanceSettingsReader.read(switchedOn))
+			.value();
+		assertThat(settings.peers().tls()).hasValueSatisfying((tls) -> {
+			assertThat(tls.keyStorePath()).isEqualTo("/etc/mulberrylift/instance.p12");
+			assertThat(tls.toString()).doesNotContain("...");
+		});
+	}
+
+	@Test
+	void encryptionBetweenInstancesNeedsBothStores() {
+		assertThat(keys(MINIMAL.formatted("0, \"tls\": {\"keyStorePath\": \" \"}", "http://a:1", "")))
+			.containsExactly("peers.tls.keyStorePassword", "peers.tls.trustStorePassword", "peers.tls.trustStorePath");
+		assertThat(keys(MINIMAL.formatted(tls(" ", "p", " ", "p"), "http://a:1", "")))
+			.containsExactly("peers.tls.keyStorePath", "peers.tls.trustStorePath");
+	}
+
+	@Test
+	void storesThatCannotBeUsedAreReportedWithoutTheirPasswords() throws URISyntaxException {
+		String instance = store("instance");
+		String trust = store("trust");
+		assertThat(storeProblems(instance, "changeit", trust, "changeit")).isEmpty();
+		assertThat(storeProblems(instance, "secret-1", "absent.p12", "secret-2")).containsExactly(
+				"peers.tls.keyStorePassword is not the password of " + instance
+						+ "; allowed: the file's password. Set the password with which the file was made.",
+				"peers.tls.trustStorePath is absent.p12 (NoSuchFileException); allowed: a PKCS12 file with a trusted "
+						+ "certificate. Check that the file exists, is readable and is a PKCS12 store.");
+		assertThat(storeProblems(trust, "changeit", instance, "changeit")).containsExactly(
+				"peers.tls.keyStorePath is " + trust
+						+ " without such an entry; allowed: a PKCS12 file with a private key. Export the instance's "
+						+ "key with its certificate to this file, under the store's own password.",
+				"peers.tls.trustStorePath is " + instance + " without such an entry; allowed: a PKCS12 file with a "
+						+ "trusted certificate. Import the certificate of the instances' issuer.");
+	}
+
+	private static List<String> storeProblems(String keyStore, String keyPassword, String trustStore,
+			String trustPassword) {
+		String text = MINIMAL.formatted(tls(keyStore, keyPassword, trustStore, trustPassword), "http://a:1", "");
+		InstanceSettings settings = ((SettingsCheck.Valid<InstanceSettings>) InstanceSettingsReader.read(text)).value();
+		return KeyStoreChecks.problems(settings).stream().map(ConfigurationProblem::toString).toList();
+	}
+
+	private static String tls(String keyStore, String keyPassword, String trustStore, String trustPassword) {
+		return """
+				0, "tls": {"keyStorePath": "%s", "keyStorePassword": "%s",
+				 "trustStorePath": "%s", "trustStorePassword": "%s"}""".formatted(keyStore, keyPassword, trustStore,
+				trustPassword);
+	}
+
+	private static String store(String name) throws URISyntaxException {
+		return Path.of(SettingsTests.class.getResource("/peer-tls/" + name + ".p12").toURI()).toString();
 	}
 
 	@ParameterizedTest
