Tell the truth of earlier sends in refusals before the reducer

A send that the HTTP side refuses was always "not run", though an earlier send of its key may have run. Such a refusal is now "unknown" and says that this send did not run, unless the key is absent or can never be accepted, or the configuration in force makes the work repeatable. Keeping "not run" for faulty bodies was ruled out: the key decides, and the body may have been whole before.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerGateway.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerGateway.java
@@ -30,8 +30,8 @@
  *
  * <p>
  * Safe for use by several threads. Every request that passes the checks is in the
- * exchange table before the reducer hears of it. A refusal by the checks is always "not
- * run".
+ * exchange table before the reducer hears of it. A refusal by the checks says "not run"
+ * of the send that was checked; {@link #conclude} makes it true of earlier sends.
  * </p>
  */
 public final class CallerGateway {
@@ -118,11 +118,14 @@
 	}
 
 	/**
-	 * Counts a refusal that the reducer does not hear of.
-	 * @param refusal the refusal
+	 * Counts a refusal that the reducer does not hear of and gives it its true outcome.
+	 * @param refusal the refusal of this send
+	 * @param request the request, with or without its body
+	 * @return the final word
 	 */
-	void countRefusal(Refusal refusal) {
+	Refusal conclude(Refusal refusal, CallerRequest request) {
 		this.metrics.refused(refusal.reason());
+		return EarlyRefusals.truthful(refusal, request, this.configuration.get());
 	}
 
 	/**
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerRoute.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/CallerRoute.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.daemon.caller;
 
+import io.mulberrylift.core.configuration.FleetConfiguration;
 import io.mulberrylift.core.model.RefusalReason;
 import io.mulberrylift.daemon.exchange.CallerExchange;
 
@@ -16,6 +17,11 @@
 			return model(CompletionFormat.COMPLETION, gateway, request, stream);
 		}
 
+		@Override
+		boolean isRepeatable(CallerRequest request, FleetConfiguration configuration) {
+			return EarlyRefusals.isRepeatableModelWork(request, configuration);
+		}
+
 	},
 
 	/** A chat completion. */
@@ -26,6 +32,11 @@
 			return model(CompletionFormat.CHAT, gateway, request, stream);
 		}
 
+		@Override
+		boolean isRepeatable(CallerRequest request, FleetConfiguration configuration) {
+			return EarlyRefusals.isRepeatableModelWork(request, configuration);
+		}
+
 	},
 
 	/** A plain service. */
@@ -40,6 +51,11 @@
 								+ "parameters"));
 		}
 
+		@Override
+		boolean isRepeatable(CallerRequest request, FleetConfiguration configuration) {
+			return EarlyRefusals.isRepeatableServiceCall(request, configuration);
+		}
+
 	};
 
 	/** Path of text completions. */
@@ -70,6 +86,14 @@
 	 */
 	abstract CheckResult<CallerExchange> start(CallerGateway gateway, CallerRequest request, ResponseStream stream);
 
+	/**
+	 * Returns whether a request certainly asks for work that may run more than once.
+	 * @param request the request, with or without its body
+	 * @param configuration the configuration in force
+	 * @return true if so; false when the request does not tell
+	 */
+	abstract boolean isRepeatable(CallerRequest request, FleetConfiguration configuration);
+
 	private static CheckResult<CallerExchange> model(CompletionFormat format, CallerGateway gateway,
 			CallerRequest request, ResponseStream stream) {
 		if (!"POST".equals(request.method())) {
--- /dev/null
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/EarlyRefusals.java
@@ -0,0 +1,72 @@
+package io.mulberrylift.daemon.caller;
+
+import java.util.Optional;
+
+import io.mulberrylift.core.configuration.FleetConfiguration;
+import io.mulberrylift.core.configuration.ProfileSettings;
+import io.mulberrylift.core.model.Outcome;
+import io.mulberrylift.core.model.Refusal;
+
+/**
+ * Gives refusals that the reducer does not hear of their true outcome.
+ *
+ * <p>
+ * A pure function of request and configuration. The refused send itself has not run, but
+ * an earlier send with the same key may have. A refusal stays "not run" only when no
+ * earlier send can have run under the key, or when the work may run more than once.
+ * </p>
+ */
+final class EarlyRefusals {
+
+	private static final String EXPLANATION = "this send did not run, but an earlier send with the same key may have";
+
+	private EarlyRefusals() {
+	}
+
+	/**
+	 * Corrects the outcome of a refusal.
+	 * @param refusal the refusal of this send
+	 * @param request the request, with or without its body
+	 * @param configuration the configuration in force, empty before there is one
+	 * @return the refusal, with an unknown outcome when an earlier send may have run
+	 */
+	static Refusal truthful(Refusal refusal, CallerRequest request, Optional<FleetConfiguration> configuration) {
+		if (refusal.outcome() != Outcome.NOT_RUN || !KeyChecks.namesARequest(request)
+				|| isRepeatable(request, configuration)) {
+			return refusal;
+		}
+		String detail = (refusal.detail().isEmpty()) ? EXPLANATION : refusal.detail() + "; " + EXPLANATION;
+		return new Refusal(Outcome.UNKNOWN, refusal.reason(), detail, refusal.retryAfterMillis());
+	}
+
+	private static boolean isRepeatable(CallerRequest request, Optional<FleetConfiguration> configuration) {
+		return configuration.map((fleet) -> CallerRoute.of(request.path()).isRepeatable(request, fleet)).orElse(false);
+	}
+
+	/**
+	 * Returns whether completions of a request's profile may run more than once.
+	 * @param request the request
+	 * @param configuration the configuration in force
+	 * @return true if so; false when the profile is not known
+	 */
+	static boolean isRepeatableModelWork(CallerRequest request, FleetConfiguration configuration) {
+		return request.header(CallerHeaders.PROFILE)
+			.map(configuration.profiles()::get)
+			.map(ProfileSettings::repeatable)
+			.orElse(false);
+	}
+
+	/**
+	 * Returns whether a call to a plain service may run more than once.
+	 * @param request the request
+	 * @param configuration the configuration in force
+	 * @return true if so; false when the path or the service is not known
+	 */
+	static boolean isRepeatableServiceCall(CallerRequest request, FleetConfiguration configuration) {
+		return ServicePath.parse(request.path(), request.query())
+			.filter((path) -> configuration.services().containsKey(path.service()))
+			.map((path) -> configuration.services().get(path.service()).repeatable(path.path()))
+			.orElse(false);
+	}
+
+}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/KeyChecks.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/KeyChecks.java
@@ -36,13 +36,28 @@
 					? CheckResult.refused(RefusalReason.KEY_REQUIRED, "The header " + CallerHeaders.KEY + " is missing")
 					: CheckResult.valid(Optional.empty());
 		}
-		if (text.get().isBlank() || text.get().length() > IdempotencyKey.MAX_LENGTH_CHARS) {
+		if (!isWellFormed(text.get())) {
 			return CheckResult.refused(RefusalReason.BAD_REQUEST, "The header " + CallerHeaders.KEY + " must have 1 to "
 					+ IdempotencyKey.MAX_LENGTH_CHARS + " characters");
 		}
 		return timed(request, text.get(), repeatable);
 	}
 
+	/**
+	 * Returns whether a request carries a key under which any send can have run. A key
+	 * that no send can have used is absent, blank or too long. A key without a time may
+	 * have been sent with one before.
+	 * @param request the request
+	 * @return true if so
+	 */
+	static boolean namesARequest(CallerRequest request) {
+		return request.header(CallerHeaders.KEY).map(KeyChecks::unquote).filter(KeyChecks::isWellFormed).isPresent();
+	}
+
+	private static boolean isWellFormed(String key) {
+		return !key.isBlank() && key.length() <= IdempotencyKey.MAX_LENGTH_CHARS;
+	}
+
 	private static CheckResult<Optional<IdempotencyKey>> timed(CallerRequest request, String key, boolean repeatable) {
 		OptionalLong uuidMillis = UuidV7.epochMillis(key);
 		if (uuidMillis.isPresent()) {
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/OpenCall.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/OpenCall.java
@@ -96,8 +96,7 @@
 	}
 
 	private void send(Refusal refusal, Map<String, List<String>> extraHeaders) {
-		this.gateway.countRefusal(refusal);
-		ProblemDocument problem = ProblemDocument.of(refusal);
+		ProblemDocument problem = ProblemDocument.of(this.gateway.conclude(refusal, this.head));
 		Map<String, List<String>> headers = problem.headers();
 		headers.putAll(extraHeaders);
 		this.stream.begin(problem.status(), headers);
