Order roles of engines and keep the fleet's rate of loads

LoadReport carries the engine's role. The commander orders CHANGE_ROLE from orders.roles when the reported role differs; an engine that reports none is ordered once per process and version, since it would be ordered for ever. Orders for roles are not paced.

Loads were paced by an interval that each instance counted from its own start, so all instances could load at once after a restart. They now take turns in slots of the wall clock and skip the slot in which they started. Rates between whole numbers are rounded down to keep every single minute.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/model/LoadReport.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/LoadReport.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.core.model;
 
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * Load that an endpoint reports of itself. Reports arrive late.
@@ -13,10 +14,11 @@
  * @param usedMemoryTokens KV memory in use or held, in tokens
  * @param draining whether the endpoint refuses new work
  * @param loadedModels models in memory, comma-free names
+ * @param role the engine's role, empty text when it reports none; null becomes empty
  * @param ageMillis how old the report was when it arrived, in milliseconds
  */
 public record LoadReport(EndpointId endpoint, long incarnation, int runningRequests, int queuedRequests,
-		long queuedPromptTokens, long usedMemoryTokens, boolean draining, java.util.Set<String> loadedModels,
+		long queuedPromptTokens, long usedMemoryTokens, boolean draining, Set<String> loadedModels, String role,
 		long ageMillis) {
 
 	/**
@@ -25,7 +27,8 @@
 	 */
 	public LoadReport {
 		Objects.requireNonNull(endpoint, "endpoint");
-		loadedModels = java.util.Set.copyOf(loadedModels);
+		loadedModels = Set.copyOf(loadedModels);
+		role = (role != null) ? role : "";
 	}
 
 }
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/LoadPace.java
@@ -0,0 +1,118 @@
+package io.mulberrylift.core.orders;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import io.mulberrylift.core.configuration.OrderSettings;
+import io.mulberrylift.core.model.FleetList;
+import io.mulberrylift.core.model.InstanceDescription;
+import io.mulberrylift.core.model.InstanceId;
+import io.mulberrylift.core.time.Moment;
+
+/**
+ * Shares the weight store's rate among all instances without messages.
+ *
+ * <p>
+ * Not safe for use by several threads; owned by {@link OrdersPart}. The wall clock is
+ * divided into slots, which belong to the listed instances in turn; an instance starts at
+ * most one load in each of its slots and none in the slot in which its process started.
+ * Instances with equal lists so start at most {@code maxLoadsPerMinute} loads in any
+ * minute, also after all of them were restarted at once. While lists differ, a slot may
+ * have two owners or none.
+ * </p>
+ */
+final class LoadPace {
+
+	private static final long MILLIS_PER_MINUTE = 60_000;
+
+	/** Covers clock skew and late ticks, by which loads of two slots come closer. */
+	private static final long SLOT_MARGIN_MILLIS = 1_500;
+
+	private Optional<Long> startEpochMillis = Optional.empty();
+
+	private long nextTurnEpochMillis = Long.MAX_VALUE;
+
+	private long usedSlotStartEpochMillis = Long.MIN_VALUE;
+
+	/**
+	 * Records the start of the process at the first call.
+	 * @param now the current time
+	 */
+	void started(Moment now) {
+		if (this.startEpochMillis.isEmpty()) {
+			this.startEpochMillis = Optional.of(now.epochMillis());
+		}
+	}
+
+	/**
+	 * Returns whether a slot of this instance has begun since the last plan.
+	 * @param now the current time
+	 * @return true if so
+	 */
+	boolean isTurnDue(Moment now) {
+		return now.epochMillis() >= this.nextTurnEpochMillis;
+	}
+
+	/**
+	 * Finds the beginning of the instance's next slot.
+	 * @param self the instance
+	 * @param list the listed instances
+	 * @param settings the rate of the fleet
+	 * @param now the current time
+	 */
+	void plan(InstanceId self, FleetList list, OrderSettings settings, Moment now) {
+		long slotMillis = slotMillis(settings);
+		long nextSlot = Math.floorDiv(now.epochMillis(), slotMillis) + 1;
+		OptionalInt rank = rank(self, list);
+		this.nextTurnEpochMillis = (rank.isEmpty()) ? Long.MAX_VALUE
+				: (nextSlot + Math.floorMod(rank.getAsInt() - nextSlot, list.instances().size())) * slotMillis;
+	}
+
+	/**
+	 * Returns whether an instance may start a load now.
+	 * @param self the instance
+	 * @param list the listed instances
+	 * @param settings the rate of the fleet
+	 * @param now the current time
+	 * @return true if so
+	 */
+	boolean allows(InstanceId self, FleetList list, OrderSettings settings, Moment now) {
+		long slotMillis = slotMillis(settings);
+		long slot = Math.floorDiv(now.epochMillis(), slotMillis);
+		long slotStartEpochMillis = slot * slotMillis;
+		return isOwner(self, list, slot)
+				&& this.startEpochMillis.filter((start) -> slotStartEpochMillis >= start).isPresent()
+				&& slotStartEpochMillis != this.usedSlotStartEpochMillis;
+	}
+
+	/**
+	 * Records that a load was started.
+	 * @param settings the rate of the fleet
+	 * @param now the current time
+	 */
+	void used(OrderSettings settings, Moment now) {
+		long slotMillis = slotMillis(settings);
+		this.usedSlotStartEpochMillis = Math.floorDiv(now.epochMillis(), slotMillis) * slotMillis;
+	}
+
+	private static OptionalInt rank(InstanceId self, FleetList list) {
+		boolean listed = list.instances().stream().map(InstanceDescription::id).anyMatch(self::equals);
+		long before = list.instances()
+			.stream()
+			.filter((instance) -> instance.id().value().compareTo(self.value()) < 0)
+			.count();
+		return (listed) ? OptionalInt.of((int) before) : OptionalInt.empty();
+	}
+
+	private static boolean isOwner(InstanceId self, FleetList list, long slot) {
+		OptionalInt rank = rank(self, list);
+		return rank.isPresent() && Math.floorMod(slot, list.instances().size()) == rank.getAsInt();
+	}
+
+	private static long slotMillis(OrderSettings settings) {
+		double maxLoadsPerMinute = settings.maxLoadsPerMinute();
+		double slotsPerMinute = (maxLoadsPerMinute >= 1) ? Math.floor(maxLoadsPerMinute) : maxLoadsPerMinute;
+		return (long) Math.ceil((MILLIS_PER_MINUTE + SLOT_MARGIN_MILLIS) / slotsPerMinute);
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/OrdersPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/OrdersPart.java
@@ -34,7 +34,9 @@
  * commander that woke late with an older configuration is refused by engines that check,
  * and on engines that do not check the current commander sees the difference in the next
  * load report and orders again. Two commanders with the same version give equal orders.
- * Loads are paced so that all commanders together keep the weight store's rate.
+ * Loads are paced so that all commanders together keep the weight store's rate; orders
+ * for roles need nothing from the store and are not paced. An engine that reports no role
+ * is ordered into its role once per process of the engine and version.
  * </p>
  */
 public final class OrdersPart {
@@ -43,15 +45,15 @@
 
 	private static final long ANSWER_TIMEOUT_MILLIS = 30_000;
 
-	private static final long MILLIS_PER_MINUTE = 60_000;
-
 	private final FleetState fleet;
 
 	private final Map<EndpointId, PendingOrder> pending = new HashMap<>();
 
 	private long nextMonotonicMillis = Long.MIN_VALUE;
 
-	private long nextLoadMonotonicMillis = Long.MIN_VALUE;
+	private final Map<EndpointId, ObeyedRole> obeyedRoles = new HashMap<>();
+
+	private final LoadPace pace = new LoadPace();
 
 	private long highestFencingNumberSeen;
 
@@ -69,18 +71,24 @@
 	 * @param effects takes the orders
 	 */
 	public void tick(Moment now, Effects effects) {
-		if (now.monotonicMillis() < this.nextMonotonicMillis) {
+		this.pace.started(now);
+		Optional<FleetConfiguration> configuration = this.fleet.configuration();
+		boolean due = now.monotonicMillis() >= this.nextMonotonicMillis;
+		if (configuration.isEmpty() || isBehind() || !(due || this.pace.isTurnDue(now))) {
 			return;
 		}
 		this.nextMonotonicMillis = now.monotonicMillis() + INTERVAL_MILLIS;
+		this.pace.plan(this.fleet.self().id(), this.fleet.list(), configuration.get().orders(), now);
 		this.pending.values().removeIf((order) -> order.timeoutMonotonicMillis() <= now.monotonicMillis());
-		Optional<FleetConfiguration> configuration = this.fleet.configuration();
-		if (configuration.isPresent() && !isBehind()) {
-			this.fleet.endpoints()
-				.stream()
-				.filter(this::isCommanded)
-				.forEach((engine) -> order(engine, configuration.get(), now, effects));
-		}
+		this.obeyedRoles.keySet().removeIf((engine) -> this.fleet.endpoint(engine).isEmpty());
+		this.fleet.endpoints()
+			.stream()
+			.filter(this::isCommanded)
+			.forEach((engine) -> order(engine, configuration.get(), now, effects));
+	}
+
+	private boolean mayLoad(FleetConfiguration configuration, Moment now) {
+		return this.pace.allows(this.fleet.self().id(), this.fleet.list(), configuration.orders(), now);
 	}
 
 	/**
@@ -109,13 +117,27 @@
 
 	private void order(EndpointState engine, FleetConfiguration configuration, Moment now, Effects effects) {
 		LoadReport report = engine.lastReport().orElseThrow();
-		List<EngineOrder> orders = WantedState.missing(engine.description(), report.loadedModels(), configuration,
-				this.fleet.configurationVersion());
-		if (orders.isEmpty() || now.monotonicMillis() < this.nextLoadMonotonicMillis) {
+		Optional<EngineOrder> role = WantedState
+			.missingRole(engine.description(), report.role(), configuration, this.fleet.configurationVersion())
+			.filter((order) -> !isObeyedRole(report, order));
+		if (role.isPresent()) {
+			send(engine, role.get(), now, effects);
 			return;
 		}
-		this.nextLoadMonotonicMillis = now.monotonicMillis() + loadIntervalMillis(configuration);
-		EngineOrder order = orders.get(0);
+		List<EngineOrder> loads = WantedState.missing(engine.description(), report.loadedModels(), configuration,
+				this.fleet.configurationVersion());
+		if (!loads.isEmpty() && mayLoad(configuration, now)) {
+			this.pace.used(configuration.orders(), now);
+			send(engine, loads.get(0), now, effects);
+		}
+	}
+
+	private boolean isObeyedRole(LoadReport report, EngineOrder order) {
+		return report.role().isEmpty()
+				&& new ObeyedRole(order, report.incarnation()).equals(this.obeyedRoles.get(report.endpoint()));
+	}
+
+	private void send(EndpointState engine, EngineOrder order, Moment now, Effects effects) {
 		this.pending.put(engine.id(), new PendingOrder(order, now.monotonicMillis() + ANSWER_TIMEOUT_MILLIS));
 		effects.info(Part.ORDERS,
 				order.kind() + " " + order.subject() + " version " + order.version() + " is sent to " + engine.id());
@@ -123,11 +145,6 @@
 		effects.add(new EndpointEffect.SendOrder(engine.id(), order));
 	}
 
-	private long loadIntervalMillis(FleetConfiguration configuration) {
-		int commanders = Math.max(1, this.fleet.list().instances().size());
-		return (long) Math.ceil(commanders * MILLIS_PER_MINUTE / configuration.orders().maxLoadsPerMinute());
-	}
-
 	/**
 	 * Takes an engine's answer to an order.
 	 * @param event the answer
@@ -139,6 +156,12 @@
 		if (sent != null && sent.order().equals(event.order())) {
 			this.pending.remove(event.endpoint());
 		}
+		if (event.obeyed() && event.order().kind() == EngineOrder.Kind.CHANGE_ROLE) {
+			this.fleet.endpoint(event.endpoint())
+				.flatMap(EndpointState::lastReport)
+				.ifPresent((report) -> this.obeyedRoles.put(event.endpoint(),
+						new ObeyedRole(event.order(), report.incarnation())));
+		}
 		effects.count(Part.ORDERS, event.obeyed() ? "obeyed" : "refused");
 		if (!event.obeyed()) {
 			effects.warn(Part.ORDERS, event.endpoint() + " refused an order with number "
@@ -159,6 +182,9 @@
 		return state;
 	}
 
+	private record ObeyedRole(EngineOrder order, long incarnation) {
+	}
+
 	private record PendingOrder(EngineOrder order, long timeoutMonotonicMillis) {
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/WantedState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/WantedState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 import io.mulberrylift.core.configuration.FleetConfiguration;
@@ -21,7 +22,22 @@
 	}
 
 	/**
-	 * Returns the orders that bring an engine to the wanted state.
+	 * Returns the order that gives an engine its wanted role.
+	 * @param engine the engine
+	 * @param role the role that it reports, empty when it reports none
+	 * @param configuration the configuration in force
+	 * @param fencingNumber version of that configuration
+	 * @return the order, empty when the role is as wanted or none is wanted
+	 */
+	static Optional<EngineOrder> missingRole(EndpointDescription engine, String role, FleetConfiguration configuration,
+			long fencingNumber) {
+		return Optional.ofNullable(configuration.orders().roles().get(engine.id().value()))
+			.filter((wanted) -> !wanted.equals(role))
+			.map((wanted) -> new EngineOrder(EngineOrder.Kind.CHANGE_ROLE, wanted, "", fencingNumber));
+	}
+
+	/**
+	 * Returns the loads that bring an engine to the wanted state.
 	 * @param engine the engine
 	 * @param loaded names of what it has loaded: models as {@code name@version}, adapters
 	 * by name
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/package-info.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Orders to model engines to load what the configuration wants.
+ * Orders to model engines to load what the configuration wants and to take the wanted
+ * roles.
  */
 package io.mulberrylift.core.orders;
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LoadReply.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LoadReply.java
@@ -20,11 +20,12 @@
  * @param usedMemoryTokens KV memory in use or held
  * @param draining whether the endpoint refuses new work
  * @param loadedModels models in memory
+ * @param role the engine's role, null for none
  * @param ageMillis how old the report was
  * @param cache changes of the prefix cache, null for none
  */
 record LoadReply(long incarnation, int runningRequests, int queuedRequests, long queuedPromptTokens,
-		long usedMemoryTokens, boolean draining, Set<String> loadedModels, long ageMillis, Cache cache) {
+		long usedMemoryTokens, boolean draining, Set<String> loadedModels, String role, long ageMillis, Cache cache) {
 
 	private static final JsonMapper MAPPER = JsonMapper.builder()
 		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
@@ -40,7 +41,8 @@
 
 	LoadReport report(EndpointId endpoint) {
 		return new LoadReport(endpoint, this.incarnation, this.runningRequests, this.queuedRequests,
-				this.queuedPromptTokens, this.usedMemoryTokens, this.draining, this.loadedModels, this.ageMillis);
+				this.queuedPromptTokens, this.usedMemoryTokens, this.draining, this.loadedModels, this.role,
+				this.ageMillis);
 	}
 
 	Optional<Cache> cacheChanges() {
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
@@ -59,7 +59,7 @@
 	private LoadReport snapshot() {
 		EngineLoad load = this.model.load();
 		return new LoadReport(this.id, 1, load.runningRequests(), load.queuedRequests(), load.queuedPromptTokens(),
-				load.usedMemoryTokens(), false, Set.of(FleetShape.MODEL), 0);
+				load.usedMemoryTokens(), false, Set.of(FleetShape.MODEL), "", 0);
 	}
 
 	/**
@@ -70,7 +70,8 @@
 		LoadReport last = this.report;
 		long ageMillis = (this.queue.nowMicros() - this.reportedMicros) / 1_000;
 		return new LoadReport(last.endpoint(), last.incarnation(), last.runningRequests(), last.queuedRequests(),
-				last.queuedPromptTokens(), last.usedMemoryTokens(), last.draining(), last.loadedModels(), ageMillis);
+				last.queuedPromptTokens(), last.usedMemoryTokens(), last.draining(), last.loadedModels(), last.role(),
+				ageMillis);
 	}
 
 	/**
