--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptBody.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptBody.java
@@ -11,6 +11,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.model.RequestSpec;
 import io.mulberrylift.daemon.exchange.ModelCall;
 import org.apache.hc.core5.http.nio.AsyncEntityProducer;
@@ -47,7 +48,7 @@
 	private static byte[] head(InstanceIdentity identity, AttemptEffect.Dispatch dispatch, RequestSpec spec,
 			ModelCall call) {
 		ObjectNode head = MAPPER.createObjectNode();
-		head.put("attempt", identity.attemptName(dispatch.attemptId()));
+		head.put("attempt", AttemptNames.of(identity, dispatch.attemptId()));
 		head.put("model", call.model());
 		head.put("maxOutputTokens", call.maxOutputTokens());
 		head.put("priority", dispatch.priority());
@@ -66,7 +67,7 @@
 		for (AttemptEffect.MemberHold hold : holds) {
 			ObjectNode member = array.addObject();
 			member.put("endpoint", hold.endpoint().value());
-			member.put("owner", identity.instance().value());
+			member.put("owner", identity.id().value());
 			member.put("ownerIncarnation", identity.incarnation());
 			member.put("holdId", hold.holdId());
 		}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptCanceller.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptCanceller.java
@@ -91,7 +91,7 @@
 		try {
 			BasicHttpRequest request = new BasicHttpRequest(Method.DELETE,
 					OutboundHttpClient.host(endpoint.get().address()),
-					"/engine/v1/attempts/" + InstanceIdentity.encode(cancellation.attemptName()));
+					"/engine/v1/attempts/" + AttemptNames.encode(cancellation.attemptName()));
 			this.client.call(request, Optional.empty(), MAX_REPLY_BYTES, TIMEOUT_MILLIS,
 					new ReplyCallback<>((reply) -> answered(cancellation, reply), (ex) -> repeat(cancellation)));
 		}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptHandler.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptHandler.java
@@ -8,6 +8,7 @@
 
 import io.mulberrylift.core.effect.AttemptEffect;
 import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.model.AttemptFailure;
 import io.mulberrylift.core.model.EndpointDescription;
 import io.mulberrylift.daemon.exchange.CallerExchange;
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptServices.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/AttemptServices.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 
+import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.daemon.loop.EventSink;
 import io.mulberrylift.daemon.outbound.OutboundHttpClient;
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/HoldClient.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/HoldClient.java
@@ -102,7 +102,7 @@
 	}
 
 	private static String path(HoldDescription hold) {
-		return PATH + "/" + InstanceIdentity.encode(hold.owner().value()) + "/" + hold.ownerIncarnation() + "/"
+		return PATH + "/" + AttemptNames.encode(hold.owner().value()) + "/" + hold.ownerIncarnation() + "/"
 				+ hold.holdId();
 	}
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/ModelAttempt.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/ModelAttempt.java
@@ -45,7 +45,7 @@
 
 	@Override
 	void cleanUpEndpoint() {
-		String name = services().identity().attemptName(dispatch().attemptId());
+		String name = AttemptNames.of(services().identity(), dispatch().attemptId());
 		services().canceller().cancel(dispatch().endpoint(), name, this.answer.hasHead());
 	}
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
@@ -222,9 +222,8 @@
 	EffectRouter effectRouter(ExchangeTable exchanges, CallerMetrics callerMetrics, InstanceIdentity identity,
 			EndpointDirectory directory, OutboundClients clients, AttemptCanceller canceller, EventLoop loop,
 			MomentClock clock, PlatformHandler platform, PeerLinks peers, ControlHandler control) {
-		AttemptHandler attempts = new AttemptHandler(
-				new io.mulberrylift.daemon.endpoint.InstanceIdentity(identity.id(), identity.incarnation()), directory,
-				exchanges, clients.requests(), canceller, loop, loop, clock::monotonicMillis);
+		AttemptHandler attempts = new AttemptHandler(identity, directory, exchanges, clients.requests(), canceller,
+				loop, loop, clock::monotonicMillis);
 		return new EffectRouter(new RequestEffectHandler(exchanges, callerMetrics), attempts,
 				new EndpointHandler(directory, clients.control(), loop), platform, peers, control);
 	}
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/AttemptBench.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/AttemptBench.java
@@ -9,6 +9,7 @@
 
 import io.mulberrylift.core.effect.AttemptEffect;
 import io.mulberrylift.core.event.AttemptEvent;
+import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.model.AttemptFailure;
 import io.mulberrylift.core.model.EndpointDescription;
 import io.mulberrylift.core.model.EndpointId;
@@ -50,8 +51,8 @@
 
 	final AttemptCanceller canceller = new AttemptCanceller(this.directory, this.client, this.timer, new Random(SEED));
 
-	final AttemptHandler handler = new AttemptHandler(new InstanceIdentity(new InstanceId("i 1"), 42), this.directory,
-			this.exchanges, this.client, this.canceller, this.events,
+	final AttemptHandler handler = new AttemptHandler(new InstanceIdentity(new InstanceId("i 1"), new ZoneId("z"), 42),
+			this.directory, this.exchanges, this.client, this.canceller, this.events,
 			(attemptId, accepted) -> this.progressTokens.set(accepted), this.nowMillis::get);
 
 	private long lastAttemptId;
