--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/ConfigurationMessage.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/ConfigurationMessage.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.core.peer;
 
+import java.util.Objects;
+
 import io.mulberrylift.core.configuration.PublishedDocument;
 
 /**
@@ -21,6 +23,15 @@
 	 * @param document the document
 	 */
 	record Push(PublishedDocument document) implements ConfigurationMessage {
+
+		/**
+		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public Push {
+			Objects.requireNonNull(document, "document");
+		}
+
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/WitnessMessage.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/peer/WitnessMessage.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.core.peer;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 import io.mulberrylift.core.model.InstanceId;
@@ -21,6 +22,15 @@
 	 * @param sequence number unique within the incarnation
 	 */
 	record ClaimId(InstanceId claimant, long incarnation, long sequence) {
+
+		/**
+		 * Creates the name.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public ClaimId {
+			Objects.requireNonNull(claimant, "claimant");
+		}
+
 	}
 
 	/**
@@ -32,6 +42,16 @@
 	 * the epoch
 	 */
 	record KeyId(String workspace, String value, long firstSentEpochMillis) {
+
+		/**
+		 * Creates the identity.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public KeyId {
+			Objects.requireNonNull(workspace, "workspace");
+			Objects.requireNonNull(value, "value");
+		}
+
 	}
 
 	/**
@@ -44,6 +64,17 @@
 	 * @param claim the claim
 	 */
 	record Claim(ZoneId seat, long electorate, KeyId key, long fingerprint, ClaimId claim) implements WitnessMessage {
+
+		/**
+		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public Claim {
+			Objects.requireNonNull(seat, "seat");
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(claim, "claim");
+		}
+
 	}
 
 	/**
@@ -57,6 +88,19 @@
 	 */
 	record Verdict(ZoneId seat, ClaimId claim, Decision verdict, Optional<ClaimId> holder,
 			Optional<StoredAnswer> answer) implements WitnessMessage {
+
+		/**
+		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public Verdict {
+			Objects.requireNonNull(seat, "seat");
+			Objects.requireNonNull(claim, "claim");
+			Objects.requireNonNull(verdict, "verdict");
+			Objects.requireNonNull(holder, "holder");
+			Objects.requireNonNull(answer, "answer");
+		}
+
 	}
 
 	/**
@@ -67,6 +111,17 @@
 	 * @param claim the claim
 	 */
 	record Release(ZoneId seat, KeyId key, ClaimId claim) implements WitnessMessage {
+
+		/**
+		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public Release {
+			Objects.requireNonNull(seat, "seat");
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(claim, "claim");
+		}
+
 	}
 
 	/**
@@ -80,6 +135,18 @@
 	 */
 	record Settled(ZoneId seat, KeyId key, long fingerprint, ClaimId claim,
 			Optional<StoredAnswer> answer) implements WitnessMessage {
+
+		/**
+		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public Settled {
+			Objects.requireNonNull(seat, "seat");
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(claim, "claim");
+			Objects.requireNonNull(answer, "answer");
+		}
+
 	}
 
 	/**
@@ -101,8 +168,10 @@
 
 		/**
 		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
 		 */
 		public Handover {
+			Objects.requireNonNull(seat, "seat");
 			grants = List.copyOf(grants);
 		}
 
@@ -115,6 +184,15 @@
 	 * @param part number of the part
 	 */
 	record HandoverTaken(ZoneId seat, int part) implements WitnessMessage {
+
+		/**
+		 * Creates the message.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public HandoverTaken {
+			Objects.requireNonNull(seat, "seat");
+		}
+
 	}
 
 	/**
@@ -127,6 +205,17 @@
 	 * @param answer the stored answer, if kept
 	 */
 	record Grant(KeyId key, long fingerprint, ClaimId claim, boolean settled, Optional<StoredAnswer> answer) {
+
+		/**
+		 * Creates the grant.
+		 * @throws NullPointerException if a reference is null
+		 */
+		public Grant {
+			Objects.requireNonNull(key, "key");
+			Objects.requireNonNull(claim, "claim");
+			Objects.requireNonNull(answer, "answer");
+		}
+
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
@@ -188,8 +188,12 @@
 
 	@Override
 	public Object describe() {
-		return Map.of("policy", this.fleet.settings().policy(), "queued", this.queue.size(), "running",
-				this.running.size(), "endpoints", this.fleet.describe());
+		String policy = this.fleet.fleet()
+			.configuration()
+			.map((configuration) -> configuration.routing().policy())
+			.orElse("none before a configuration");
+		return Map.of("policy", policy, "queued", this.queue.size(), "running", this.running.size(), "endpoints",
+				this.fleet.describe());
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/ReducerTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/ReducerTests.java
@@ -11,6 +11,7 @@
 import io.mulberrylift.core.event.AttemptEvent;
 import io.mulberrylift.core.event.ControlEvent;
 import io.mulberrylift.core.event.RequestEvent;
+import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.model.AttemptFailure;
 import io.mulberrylift.core.model.Outcome;
 import io.mulberrylift.core.model.Refusal;
@@ -36,6 +37,12 @@
 		assertThat(this.fixture.take(RequestEffect.class)).containsExactly(new RequestEffect.Complete(1));
 	}
 
+	@Test
+	void stateIsShownBeforeTheFirstConfiguration() {
+		Reducer reducer = new Reducer(new InstanceIdentity(FleetFixture.SELF, FleetFixture.ZONE, 1), 1);
+		assertThat(reducer.describe()).containsEntry("ready", false).containsKey("scheduling");
+	}
+
 	@Test
 	void requestEndsAtItsDeadlineWhenTheEngineStaysSilent() {
 		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LoadReply.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/LoadReply.java
@@ -35,8 +35,18 @@
 		loadedModels = (loadedModels != null) ? Set.copyOf(loadedModels) : Set.of();
 	}
 
+	/**
+	 * Reads a body.
+	 * @param body the body
+	 * @return its content
+	 * @throws IOException if it is not a load report
+	 */
 	static LoadReply parse(byte[] body) throws IOException {
-		return MAPPER.readValue(body, LoadReply.class);
+		LoadReply reply = MAPPER.readValue(body, LoadReply.class);
+		if (reply == null) {
+			throw new IOException("load report holds nothing");
+		}
+		return reply;
 	}
 
 	LoadReport report(EndpointId endpoint) {
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/LoadReplyTests.java
@@ -0,0 +1,34 @@
+package io.mulberrylift.daemon.endpoint;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIOException;
+
+/**
+ * Tests for {@link LoadReply}.
+ */
+class LoadReplyTests {
+
+	@ParameterizedTest
+	@ValueSource(strings = { "", "null", "[]", "{", "{\"loadedModels\":[null]}", "{\"incarnation\":1e999}" })
+	void faultyReportsAreInputErrors(String body) {
+		assertThatIOException().isThrownBy(() -> parse(body));
+	}
+
+	@Test
+	void roleIsTakenAndEmptyWhenAbsent() throws IOException {
+		assertThat(parse("{\"role\":\"decode\"}").report(AttemptBench.ENDPOINT).role()).isEqualTo("decode");
+		assertThat(parse("{}").report(AttemptBench.ENDPOINT).role()).isEmpty();
+	}
+
+	private static LoadReply parse(String body) throws IOException {
+		return LoadReply.parse(body.getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/fuzz/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Fuzzing of everything that comes from outside the process, with seeds that reproduce
+ * each input.
+ */
+package io.mulberrylift.daemon.fuzz;
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerCodecTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/PeerCodecTests.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.daemon.peer;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
@@ -87,6 +89,17 @@
 		}
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "push", "claim", "verdict", "release", "settled", "handover", "handover-taken",
+			"heartbeat", "suspect" })
+	void messageWithoutItsMembersIsRefused(String kind) throws IOException {
+		assertThat(Arrays.stream(PeerMessageKind.values()).map(PeerMessageKind::label)).contains(kind);
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packMapHeader(1).packString("kind").packString(kind);
+			assertRefused(packer.toByteArray());
+		}
+	}
+
 	@Test
 	void claimedLengthBeyondTheFrameIsRefused() {
 		byte[] hugeBinary = { (byte) 0xc6, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 0 };
