--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/CapacityMeasurement.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/CapacityMeasurement.java
@@ -167,7 +167,7 @@
 		}
 		else if (effect instanceof EndpointEffect.ReadLoad read) {
 			queue.add(new EndpointEvent.LoadReported(now(),
-					new LoadReport(read.endpoint(), 1, 4, 1, 5_000, 100_000, false, Set.of("outlook@1"), 200)));
+					new LoadReport(read.endpoint(), 1, 4, 1, 5_000, 100_000, false, Set.of("outlook@1"), "", 200)));
 		}
 		else if (effect instanceof EndpointEffect.ListHolds holds) {
 			queue.add(new EndpointEvent.HoldsListed(now(), holds.endpoint(), List.<HoldDescription>of()));
