--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/CapacityMeasurement.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/peer/CapacityMeasurement.java
@@ -7,9 +7,11 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.mulberrylift.core.Reducer;
 import io.mulberrylift.core.configuration.ConfigurationCheck;
@@ -38,6 +40,9 @@
 import io.mulberrylift.core.model.WorkKind;
 import io.mulberrylift.core.model.ZoneId;
 import io.mulberrylift.core.peer.Heartbeat;
+import io.mulberrylift.core.peer.PeerMessage;
+import io.mulberrylift.core.peer.SuspectNotice;
+import io.mulberrylift.core.peer.WitnessMessage;
 import io.mulberrylift.core.time.Moment;
 
 /**
@@ -59,6 +64,10 @@
 
 	private static final int INSTANCES_PER_ZONE = 17;
 
+	private static final int GRANTS_PER_PART = 256;
+
+	private static final int FRAME_BYTES = 5;
+
 	private final int instances;
 
 	private final FleetList list;
@@ -85,6 +94,8 @@
 	 * @param args not used
 	 */
 	public static void main(String[] args) {
+		printMessageSizes();
+		printMemoryOfKeys();
 		System.out.printf("%9s %9s | %8s %8s | %8s %8s | %9s %8s%n", "instances", "endpoints", "peer/s", "peerB/s",
 				"load/s", "holds/s", "cpu ms/s", "heap kB");
 		measure(9, 23);
@@ -93,6 +104,51 @@
 		}
 	}
 
+	private static void printMessageSizes() {
+		WitnessMessage.ClaimId claim = new WitnessMessage.ClaimId(new InstanceId("regina-hall-17"), EPOCH_MILLIS << 10,
+				123_456);
+		Stream<PeerMessage> messages = Stream.of(new Heartbeat(zone(0), 100_000, 5_000, 900_000, false, 40),
+				new WitnessMessage.Claim(zone(0), EPOCH_MILLIS, key(1), EPOCH_MILLIS, claim),
+				new WitnessMessage.Verdict(zone(0), claim, WitnessMessage.Decision.GRANTED, Optional.empty(),
+						Optional.empty()),
+				new WitnessMessage.Settled(zone(0), key(1), EPOCH_MILLIS, claim, Optional.empty()),
+				new WitnessMessage.Release(zone(0), key(1), claim),
+				new SuspectNotice(EPOCH_MILLIS, new EndpointId("engine-1234"), EPOCH_MILLIS, false, true));
+		messages.forEach((message) -> System.out.printf("message %-14s %4d bytes with its frame%n",
+				message.getClass().getSimpleName(), PeerCodec.encode(message).length + FRAME_BYTES));
+	}
+
+	private static void printMemoryOfKeys() {
+		for (int keys : new int[] { 10_000, 50_000, 150_000 }) {
+			long heapBefore = usedHeapBytes();
+			CapacityMeasurement measurement = new CapacityMeasurement(9, 23);
+			measurement.run(WARM_UP_SECONDS);
+			measurement.inherit(keys);
+			long heapBytes = usedHeapBytes() - heapBefore;
+			System.out.printf("remembered keys %7d: heap %6d kB, %d bytes a key%n", keys, heapBytes / 1_024,
+					heapBytes / keys);
+			measurement.counts.clear();
+		}
+	}
+
+	private void inherit(int keys) {
+		int parts = (keys + GRANTS_PER_PART - 1) / GRANTS_PER_PART;
+		for (int part = 0; part < parts; part++) {
+			List<WitnessMessage.Grant> grants = new ArrayList<>();
+			for (int i = part * GRANTS_PER_PART; i < Math.min(keys, (part + 1) * GRANTS_PER_PART); i++) {
+				WitnessMessage.ClaimId claim = new WitnessMessage.ClaimId(new InstanceId("entry-1"), 1, i);
+				grants.add(new WitnessMessage.Grant(key(i), i, claim, true, Optional.empty()));
+			}
+			this.reducer.reduce(new PeerEvent.Received(now(), new InstanceId("entry-1"), 1,
+					new WitnessMessage.Handover(zone(0), 1, now().epochMillis(), EPOCH_MILLIS, part, parts, grants)));
+		}
+	}
+
+	private static WitnessMessage.KeyId key(int number) {
+		return new WitnessMessage.KeyId("forecast-desk", "01890a5d-ac96-774b-bcce-" + (100_000_000_000L + number),
+				EPOCH_MILLIS + WARM_UP_SECONDS * 1_000L);
+	}
+
 	private static void measure(int instances, int endpoints) {
 		long heapBefore = usedHeapBytes();
 		CapacityMeasurement measurement = new CapacityMeasurement(instances, endpoints);
