Let an engine report before it is ordered again

In a run with real processes CHANGE_ROLE was sent twice within 532 ms: the second decision used a report from before the first answer. An engine that obeyed now gets its next order after a later report. The line of a role order no longer shows an empty version.

Two tests send the report that a real engine would send after it obeyed; one of them would otherwise have passed for the new reason alone.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/OrdersPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/orders/OrdersPart.java
@@ -36,7 +36,8 @@
  * load report and orders again. Two commanders with the same version give equal orders.
  * Loads are paced so that all commanders together keep the weight store's rate; orders
  * for roles need nothing from the store and are not paced. An engine that reports no role
- * is ordered into its role once per process of the engine and version.
+ * is ordered into its role once per process of the engine and version. After an obeyed
+ * order, the next one waits for a report that arrives later.
  * </p>
  */
 public final class OrdersPart {
@@ -53,6 +54,8 @@
 
 	private final Map<EndpointId, ObeyedRole> obeyedRoles = new HashMap<>();
 
+	private final Map<EndpointId, Long> obeyedMonotonicMillis = new HashMap<>();
+
 	private final LoadPace pace = new LoadPace();
 
 	private long highestFencingNumberSeen;
@@ -80,6 +83,7 @@
 		this.nextMonotonicMillis = now.monotonicMillis() + INTERVAL_MILLIS;
 		this.pace.plan(this.fleet.self().id(), this.fleet.list(), configuration.get().orders(), now);
 		this.pending.values().removeIf((order) -> order.timeoutMonotonicMillis() <= now.monotonicMillis());
+		this.obeyedMonotonicMillis.keySet().removeIf((engine) -> this.fleet.endpoint(engine).isEmpty());
 		this.obeyedRoles.keySet().removeIf((engine) -> this.fleet.endpoint(engine).isEmpty());
 		this.fleet.endpoints()
 			.stream()
@@ -101,10 +105,15 @@
 
 	private boolean isCommanded(EndpointState engine) {
 		return engine.description().kind() == WorkKind.MODEL && !engine.leaving() && engine.lastReport().isPresent()
-				&& !this.pending.containsKey(engine.id())
+				&& !this.pending.containsKey(engine.id()) && hasReportedSinceItObeyed(engine)
 				&& commander(engine).map(this.fleet.self().id()::equals).orElse(false);
 	}
 
+	private boolean hasReportedSinceItObeyed(EndpointState engine) {
+		long obeyed = this.obeyedMonotonicMillis.getOrDefault(engine.id(), Long.MIN_VALUE);
+		return engine.lastReportMonotonicMillis() >= obeyed;
+	}
+
 	private Optional<InstanceId> commander(EndpointState engine) {
 		return this.fleet.list()
 			.instances()
@@ -139,8 +148,8 @@
 
 	private void send(EndpointState engine, EngineOrder order, Moment now, Effects effects) {
 		this.pending.put(engine.id(), new PendingOrder(order, now.monotonicMillis() + ANSWER_TIMEOUT_MILLIS));
-		effects.info(Part.ORDERS,
-				order.kind() + " " + order.subject() + " version " + order.version() + " is sent to " + engine.id());
+		String version = (order.version().isEmpty()) ? "" : " version " + order.version();
+		effects.info(Part.ORDERS, order.kind() + " " + order.subject() + version + " is sent to " + engine.id());
 		effects.count(Part.ORDERS, "sent");
 		effects.add(new EndpointEffect.SendOrder(engine.id(), order));
 	}
@@ -156,6 +165,9 @@
 		if (sent != null && sent.order().equals(event.order())) {
 			this.pending.remove(event.endpoint());
 		}
+		if (event.obeyed()) {
+			this.obeyedMonotonicMillis.put(event.endpoint(), event.at().monotonicMillis());
+		}
 		if (event.obeyed() && event.order().kind() == EngineOrder.Kind.CHANGE_ROLE) {
 			this.fleet.endpoint(event.endpoint())
 				.flatMap(EndpointState::lastReport)
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/orders/LoadPaceTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/orders/LoadPaceTests.java
@@ -121,15 +121,20 @@
 			member.fleet = new FleetState(new InstanceIdentity(member.id, FleetFixture.ZONE, 1));
 			member.fleet.configure(1, this.configuration);
 			member.fleet.take(this.list);
+			reportNothingLoaded(member, 0);
+			member.part = new OrdersPart(member.fleet);
+		}
+
+		private static void reportNothingLoaded(Commander member, long millis) {
 			member.fleet.endpoints()
 				.forEach((engine) -> engine.report(new LoadReport(engine.id(), 1, 0, 0, 0, 0, false, Set.of(), "", 0),
-						0));
-			member.part = new OrdersPart(member.fleet);
+						millis));
 		}
 
 		private void tick(Commander member, long millis) {
 			Moment now = new Moment(millis, START_EPOCH_MILLIS + millis + member.clockOffsetMillis);
 			Effects effects = new Effects();
+			reportNothingLoaded(member, millis);
 			member.part.tick(now, effects);
 			for (Effect effect : effects.take()) {
 				if (effect instanceof EndpointEffect.SendOrder sent) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/orders/OrdersPartTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/orders/OrdersPartTests.java
@@ -103,11 +103,22 @@
 		assertThat(orders()).hasSize(1);
 	}
 
+	@Test
+	void reportThatIsOlderThanTheAnswerGivesNoOrder() {
+		wantRole("decode");
+		report(Set.of(), "mixed", 1);
+		obey(orders().get(0));
+		assertThat(orders()).isEmpty();
+		report(Set.of(), "decode", 1);
+		assertThat(orders()).extracting(EngineOrder::kind).containsExactly(EngineOrder.Kind.LOAD_MODEL);
+	}
+
 	@Test
 	void engineThatReportsNoRoleIsOrderedOncePerProcess() {
 		wantRole("decode");
 		report(Set.of("outlook@1"), "", 1);
 		obey(orders().get(0));
+		report(Set.of("outlook@1"), "", 1);
 		assertThat(orders()).isEmpty();
 		report(Set.of("outlook@1"), "", 2);
 		assertThat(orders()).hasSize(1);
