--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.mulberrylift.core.configuration.WorkspaceSettings;
 import io.mulberrylift.core.event.EndpointEvent;
+import io.mulberrylift.core.fairness.TokenAllowance;
 import io.mulberrylift.core.fleet.FleetState;
 import io.mulberrylift.core.model.Outcome;
 import io.mulberrylift.core.model.Refusal;
@@ -17,7 +19,8 @@
 import io.mulberrylift.core.time.Moment;
 
 /**
- * Runs requests in order of arrival on the endpoint that the configured policy chooses.
+ * Runs requests on the endpoints that the configured policy chooses, in order of arrival
+ * or, under a policy that predicts their end, in order of slack.
  *
  * <p>
  * Not safe for use by several threads; owned by the reducer. A request is either queued
@@ -28,6 +31,8 @@
 
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
+	private static final long MAX_RETRY_AFTER_MILLIS = 60_000;
+
 	private static final long RETRY_ASSIGN_MILLIS = 20;
 
 	private final FleetLoad fleet;
@@ -36,6 +41,10 @@
 
 	private final Map<Long, RunningWork> running = new HashMap<>();
 
+	private final SlackOrder order;
+
+	private final TokenAllowance allowance = new TokenAllowance();
+
 	private long lastAssignMonotonicMillis;
 
 	/**
@@ -46,6 +55,7 @@
 	 */
 	public PolicyScheduler(FleetState fleet, RandomGenerator random) {
 		this.fleet = new FleetLoad(Objects.requireNonNull(fleet, "fleet"), random);
+		this.order = new SlackOrder(this.fleet);
 	}
 
 	@Override
@@ -64,8 +74,61 @@
 			return Optional.of(Refusal.of(Outcome.NOT_RUN, RefusalReason.PROMPT_TOO_LONG, request.spec().totalTokens()
 					+ " tokens exceed the memory of " + GangPlanner.MAX_MEMBERS + " engines"));
 		}
-		this.queue.put(request.requestId(), request);
-		return Optional.empty();
+		if (policy().predictsEnd()) {
+			Optional<Refusal> refusal = refuseUnreachable(request, candidates, now.monotonicMillis());
+			if (refusal.isPresent()) {
+				return refusal;
+			}
+		}
+		Optional<Refusal> refusal = refuseOverAllowance(request, now.monotonicMillis());
+		if (refusal.isEmpty()) {
+			this.queue.put(request.requestId(), request);
+		}
+		return refusal;
+	}
+
+	private Optional<Refusal> refuseOverAllowance(PendingRequest request, long nowMonotonicMillis) {
+		WorkspaceSettings settings = this.fleet.fleet()
+			.configuration()
+			.orElseThrow()
+			.workspaces()
+			.get(request.spec().workspace().value());
+		if (settings == null) {
+			return Optional.empty();
+		}
+		long waitMillis = this.allowance.take(request.spec().workspace(), request.spec().totalTokens(),
+				settings.maxTokensPerSecond(), this.fleet.liveInstances(), nowMonotonicMillis);
+		if (waitMillis == 0) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(Refusal.retryable(Outcome.NOT_RUN, RefusalReason.OVERLOADED, "Workspace " + request.spec().workspace()
+					+ " has used its " + settings.maxTokensPerSecond() + " tokens per second", waitMillis));
+	}
+
+	private long heldTokens() {
+		long tokens = 0;
+		for (PendingRequest request : this.queue.values()) {
+			tokens += request.spec().promptTokens();
+		}
+		return tokens;
+	}
+
+	private Optional<Refusal> refuseUnreachable(PendingRequest request, List<EndpointLoad> candidates,
+			long nowMonotonicMillis) {
+		double endMillis = SlackRouting.earliestEndMillis(request, candidates, this.fleet, heldTokens(),
+				nowMonotonicMillis);
+		double lateMillis = nowMonotonicMillis + endMillis - request.deadlineMonotonicMillis();
+		if (lateMillis <= 0) {
+			return Optional.empty();
+		}
+		long retryAfterMillis = Math.round(Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(lateMillis, RETRY_AFTER_MILLIS)));
+		return Optional.of(Refusal.retryable(Outcome.NOT_RUN, RefusalReason.DEADLINE_UNREACHABLE,
+				"The predicted end lies " + Math.round(lateMillis) + " ms after the deadline", retryAfterMillis));
+	}
+
+	private RoutingPolicy policy() {
+		return RoutingPolicy.ofLabel(this.fleet.settings().policy()).orElse(RoutingPolicy.SLACK);
 	}
 
 	@Override
@@ -80,7 +143,7 @@
 		}
 		this.lastAssignMonotonicMillis = now.monotonicMillis();
 		List<Assignment> assignments = new ArrayList<>();
-		for (PendingRequest request : List.copyOf(this.queue.values())) {
+		for (PendingRequest request : waiting()) {
 			if (request.notBeforeMonotonicMillis() <= now.monotonicMillis()) {
 				plan(request, now.monotonicMillis()).ifPresent((assignment) -> {
 					take(request, assignment, now.monotonicMillis());
@@ -91,34 +154,63 @@
 		return assignments;
 	}
 
+	private List<PendingRequest> waiting() {
+		return policy().predictsEnd() ? this.order.sort(this.queue.values()) : List.copyOf(this.queue.values());
+	}
+
 	private Optional<Assignment> plan(PendingRequest request, long nowMonotonicMillis) {
 		List<EndpointLoad> candidates = this.fleet.candidates(request, nowMonotonicMillis);
-		if (candidates.isEmpty()) {
+		if (candidates.isEmpty() || cannotEnd(request, candidates, nowMonotonicMillis)) {
 			return Optional.empty();
 		}
-		if (!GangPlanner.fitsOne(request, candidates)) {
-			return GangPlanner.plan(request, candidates, nowMonotonicMillis);
+		boolean fitsOne = GangPlanner.fitsOne(request, candidates);
+		int members = fitsOne ? 1 : GangPlanner.members(request, candidates);
+		boolean large = policy().predictsEnd() && SlackRouting.isLarge(request, candidates.get(0));
+		if (large) {
+			this.order.removeReserved(candidates);
 		}
+		Optional<Assignment> assignment = fitsOne ? planOne(request, candidates, nowMonotonicMillis)
+				: GangPlanner.plan(request, candidates, (candidate) -> policy().mayRun(request, candidate, this.fleet),
+						policy().enginePriority(request), nowMonotonicMillis);
+		if (assignment.isEmpty() && large && this.order.isUrgent(request, nowMonotonicMillis)) {
+			candidates.removeIf((candidate) -> !policy().mayRun(request, candidate, this.fleet));
+			this.order.reserve(candidates, members);
+		}
+		return assignment;
+	}
+
+	private boolean cannotEnd(PendingRequest request, List<EndpointLoad> candidates, long nowMonotonicMillis) {
+		return policy().predictsEnd() && nowMonotonicMillis + SlackRouting.leastMillis(request, candidates) > request
+			.deadlineMonotonicMillis();
+	}
+
+	private Optional<Assignment> planOne(PendingRequest request, List<EndpointLoad> candidates,
+			long nowMonotonicMillis) {
 		candidates
 			.removeIf((candidate) -> candidate.state().description().memoryTokens() < request.spec().totalTokens());
-		RoutingPolicy policy = RoutingPolicy.ofLabel(this.fleet.settings().policy()).orElse(RoutingPolicy.SLACK);
-		EndpointLoad chosen = policy.choose(request, candidates, this.fleet, nowMonotonicMillis);
-		return Optional
-			.of(new Assignment(request.requestId(), chosen.state().id(), List.of(), 0, request.profile().priority()));
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		EndpointLoad chosen = policy().choose(request, candidates, this.fleet, nowMonotonicMillis);
+		return Optional.ofNullable(chosen)
+			.map((endpoint) -> new Assignment(request.requestId(), endpoint.state().id(), List.of(), 0,
+					policy().enginePriority(request)));
 	}
 
 	private void take(PendingRequest request, Assignment assignment, long nowMonotonicMillis) {
 		this.queue.remove(request.requestId());
 		EndpointLoad load = this.fleet.loadOrNull(assignment.endpoint());
 		int prefillTokens = request.spec().promptTokens() - load.cachedTokens(request.spec());
-		RunningWork work = new RunningWork(request, assignment, prefillTokens, nowMonotonicMillis);
+		boolean besideLong = load.prefillTokens(nowMonotonicMillis) > Prediction.LONG_BACKLOG_TOKENS;
+		RunningWork work = new RunningWork(request, assignment, prefillTokens, besideLong, nowMonotonicMillis);
 		this.running.put(request.requestId(), work);
 		load.dispatched(work);
+		this.order.charge(request, prefillTokens, nowMonotonicMillis);
 		assignment.members()
 			.stream()
 			.filter((member) -> !member.equals(assignment.endpoint()))
 			.forEach((member) -> this.fleet.loadOrNull(member)
-				.dispatched(new RunningWork(request, assignment, 0, nowMonotonicMillis)));
+				.dispatched(new RunningWork(request, assignment, 0, false, nowMonotonicMillis)));
 	}
 
 	@Override
@@ -143,7 +235,8 @@
 		EndpointLoad load = this.fleet.loadOrNull(report.endpoint());
 		if (load != null) {
 			load.ended(report.requestId());
-			load.speed().learn(report, work.assignment().members().isEmpty());
+			load.speed().learn(report, work.assignment().members().isEmpty(), work.besideLong());
+			this.fleet.answers().learn(work.request(), report);
 		}
 		work.assignment().members().forEach((member) -> {
 			EndpointLoad memberLoad = this.fleet.loadOrNull(member);
