Bind the callers' side by its own module and drop a setting without effect

Cause: two modules bound the same classes, and the one in use lacked the models page and the handler of unknown paths; platform.listPollIntervalMillis was checked and documented but read by nothing; the command line had two entry points. Result: one module each, one entry point, the setting is gone.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/HttpModule.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/caller/HttpModule.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.daemon.caller;
 
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executors;
@@ -29,6 +30,16 @@
  */
 public final class HttpModule extends AbstractModule {
 
+	private final List<HttpServer.HttpSetup> furtherSetups;
+
+	/**
+	 * Creates the module.
+	 * @param furtherSetups add resources beside those of the module
+	 */
+	public HttpModule(HttpServer.HttpSetup... furtherSetups) {
+		this.furtherSetups = List.of(furtherSetups);
+	}
+
 	@Provides
 	@Singleton
 	MetricRegistry metricRegistry() {
@@ -79,10 +90,13 @@
 	@Singleton
 	HttpServer httpServer(InstanceSettings settings, MetricRegistry metrics, CallerServlet callers,
 			CallerGateway gateway, OperatorSetup operators) {
-		return new HttpServer(settings, metrics, callers, List.of(operators::configure, (environment) -> {
+		List<HttpServer.HttpSetup> setups = new ArrayList<>(this.furtherSetups);
+		setups.add(operators::configure);
+		setups.add((environment) -> {
 			environment.jersey().register(new ModelsResource(gateway));
 			environment.jersey().register(new UnknownPathMapper());
-		}));
+		});
+		return new HttpServer(settings, metrics, callers, setups);
 	}
 
 }
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/Mulberrylift.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/cli/Mulberrylift.java
@@ -1,8 +1,5 @@
 package io.mulberrylift.daemon.cli;
 
-import java.util.ServiceLoader;
-
-import io.mulberrylift.daemon.settings.InstanceSettings;
 import io.mulberrylift.testkit.load.LoadCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -28,14 +25,6 @@
 	@CommandLine.Spec
 	private CommandLine.Model.CommandSpec spec;
 
-	/**
-	 * Runs the command line and exits.
-	 * @param arguments the arguments
-	 */
-	public static void main(String[] arguments) {
-		System.exit(commandLine(Mulberrylift::runDaemon).execute(arguments));
-	}
-
 	/**
 	 * Creates the command line.
 	 * @param starter runs instances
@@ -56,13 +45,6 @@
 		throw new CommandLine.ParameterException(this.spec.commandLine(), "Name a command");
 	}
 
-	private static void runDaemon(InstanceSettings settings) throws Exception {
-		ServiceLoader.load(DaemonStarter.class)
-			.findFirst()
-			.orElseThrow(() -> new IllegalStateException("no daemon on the class path; add its jar file"))
-			.run(settings);
-	}
-
 	private static IFactory factory(DaemonStarter starter) {
 		IFactory fallback = CommandLine.defaultFactory();
 		return new IFactory() {
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceModule.java
@@ -5,24 +5,24 @@
 import java.net.URI;
 import java.security.GeneralSecurityException;
 import java.security.SecureRandom;
-import java.time.InstantSource;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.inject.AbstractModule;
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
+import com.google.inject.TypeLiteral;
 import io.mulberrylift.core.Reducer;
+import io.mulberrylift.core.configuration.FleetConfiguration;
 import io.mulberrylift.core.fleet.InstanceIdentity;
-import io.mulberrylift.daemon.admin.OperatorSetup;
-import io.mulberrylift.daemon.caller.CallerGateway;
-import io.mulberrylift.daemon.caller.CallerServlet;
-import io.mulberrylift.daemon.caller.HttpServer;
-import io.mulberrylift.daemon.caller.OpenCalls;
+import io.mulberrylift.daemon.admin.ConfigurationSource;
+import io.mulberrylift.daemon.admin.ReadinessSource;
+import io.mulberrylift.daemon.admin.StateSource;
+import io.mulberrylift.daemon.caller.HttpModule;
 import io.mulberrylift.daemon.caller.RequestEffectHandler;
 import io.mulberrylift.daemon.endpoint.AttemptCanceller;
 import io.mulberrylift.daemon.endpoint.AttemptHandler;
@@ -31,8 +31,8 @@
 import io.mulberrylift.daemon.exchange.ExchangeTable;
 import io.mulberrylift.daemon.loop.EffectRouter;
 import io.mulberrylift.daemon.loop.EventLoop;
+import io.mulberrylift.daemon.loop.EventSink;
 import io.mulberrylift.daemon.loop.MomentClock;
-import io.mulberrylift.daemon.metrics.CallerMetrics;
 import io.mulberrylift.daemon.outbound.HttpClientSettings;
 import io.mulberrylift.daemon.outbound.OutboundHttpClient;
 import io.mulberrylift.daemon.peer.Hello;
@@ -76,12 +76,19 @@
 	@Override
 	protected void configure() {
 		bind(InstanceSettings.class).toInstance(this.settings);
-		bind(MetricRegistry.class).toInstance(new MetricRegistry());
 		bind(MomentClock.class).toInstance(new MomentClock());
-		bind(ExchangeTable.class).toInstance(new ExchangeTable());
 		bind(EndpointDirectory.class).toInstance(new EndpointDirectory());
 		bind(PeerDirectory.class).toInstance(new PeerDirectory());
-		bind(PeerCuts.class).toInstance(new PeerCuts());
+		bind(EventSink.class).to(EventLoop.class);
+		bind(new TypeLiteral<Supplier<Optional<FleetConfiguration>>>() {
+		}).to(FleetView.class);
+		bind(ReadinessSource.class).to(OperatorView.class);
+		bind(StateSource.class).to(OperatorView.class);
+		bind(ConfigurationSource.class).to(OperatorView.class);
+		PeerCuts cuts = new PeerCuts();
+		bind(PeerCuts.class).toInstance(cuts);
+		install(this.settings.faultSwitches()
+				? new HttpModule((environment) -> FaultServlet.register(environment, cuts)) : new HttpModule());
 	}
 
 	@Provides
@@ -126,34 +133,6 @@
 		return new ControlHandler(metrics);
 	}
 
-	@Provides
-	@Singleton
-	CallerMetrics callerMetrics(MetricRegistry metrics) {
-		return new CallerMetrics(metrics);
-	}
-
-	@Provides
-	@Singleton
-	OpenCalls openCalls() {
-		return new OpenCalls(this.settings.limits().maxConcurrentCallers(), this.settings.limits().maxTotalBodyBytes());
-	}
-
-	@Provides
-	@Singleton
-	HttpServer httpServer(ExchangeTable exchanges, EventLoop loop, FleetView view, CallerMetrics callerMetrics,
-			MetricRegistry metrics, OpenCalls openCalls, ScheduledExecutorService timer, OperatorView operators,
-			PeerCuts cuts) {
-		CallerGateway gateway = new CallerGateway(exchanges, loop, view, callerMetrics, InstantSource.system());
-		CallerServlet servlet = new CallerServlet(gateway, openCalls, this.settings.limits().maxBodyBytes(),
-				this.settings.limits().bodyTimeoutMillis(), timer);
-		OperatorSetup operatorSetup = new OperatorSetup(metrics, operators, operators, operators);
-		List<HttpServer.HttpSetup> setups = new ArrayList<>(List.of(operatorSetup::configure));
-		if (this.settings.faultSwitches()) {
-			setups.add((environment) -> FaultServlet.register(environment, cuts));
-		}
-		return new HttpServer(this.settings, metrics, servlet, setups);
-	}
-
 	@Provides
 	@Singleton
 	OutboundClients outboundClients() {
@@ -219,13 +198,13 @@
 
 	@Provides
 	@Singleton
-	EffectRouter effectRouter(ExchangeTable exchanges, CallerMetrics callerMetrics, InstanceIdentity identity,
+	EffectRouter effectRouter(RequestEffectHandler requests, ExchangeTable exchanges, InstanceIdentity identity,
 			EndpointDirectory directory, OutboundClients clients, AttemptCanceller canceller, EventLoop loop,
 			MomentClock clock, PlatformHandler platform, PeerLinks peers, ControlHandler control) {
 		AttemptHandler attempts = new AttemptHandler(identity, directory, exchanges, clients.requests(), canceller,
 				loop, loop, clock::monotonicMillis);
-		return new EffectRouter(new RequestEffectHandler(exchanges, callerMetrics), attempts,
-				new EndpointHandler(directory, clients.control(), loop), platform, peers, control);
+		return new EffectRouter(requests, attempts, new EndpointHandler(directory, clients.control(), loop), platform,
+				peers, control);
 	}
 
 }
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettingsReader.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettingsReader.java
@@ -26,10 +26,6 @@
 
 	private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
 
-	private static final long MIN_POLL_INTERVAL_MILLIS = 100;
-
-	private static final long MAX_POLL_INTERVAL_MILLIS = 60_000;
-
 	private InstanceSettingsReader() {
 	}
 
@@ -48,8 +44,6 @@
 		checkListen("operators", settings.operators().host(), settings.operators().port(), problems);
 		checkListen("peers", settings.peers().host(), settings.peers().port(), problems);
 		checkBaseUrl(settings.platform().baseUrl(), problems);
-		checkRange("platform.listPollIntervalMillis", settings.platform().listPollIntervalMillis(),
-				MIN_POLL_INTERVAL_MILLIS, MAX_POLL_INTERVAL_MILLIS, problems);
 		checkLimits(settings.limits(), problems);
 		settings.callers()
 			.tls()
