Refuse a waiting request once it can no longer end in time

Cause: a request that no idle engine or full gang could end by its deadline was not sent any more, but its caller learned it only at the deadline.

The backoff of a retry counts. "Not run" is said only when no attempt may have run.

Ruled out: a tighter bound (one engine in place of a full gang, learned speed). The learned speed starts below the real one, so that it could refuse what would still end.

Seen to fail with takeHopeless returning nothing: the two new scheduler tests and the new reducer test.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -22,6 +22,7 @@
 import io.mulberrylift.core.model.RefusalReason;
 import io.mulberrylift.core.model.RequestSpec;
 import io.mulberrylift.core.scheduling.Assignment;
+import io.mulberrylift.core.scheduling.HopelessRequest;
 import io.mulberrylift.core.scheduling.Scheduler;
 import io.mulberrylift.core.time.Moment;
 import io.mulberrylift.core.witness.ClaimOutcome;
@@ -291,11 +292,17 @@
 	}
 
 	/**
-	 * Runs the requests that the scheduler has assigned.
+	 * Refuses the requests that can no longer end in time and runs those that the
+	 * scheduler has assigned.
 	 * @param now the current time
 	 * @param effects takes the effects
 	 */
 	public void assign(Moment now, Effects effects) {
+		for (HopelessRequest hopeless : this.scheduler.takeHopeless(now)) {
+			RequestEntry entry = this.table.find(hopeless.requestId()).orElseThrow();
+			effects.count(Part.REQUEST, "hopeless");
+			end(entry, RequestRefusals.withOutcome(hopeless.refusal(), entry), now, effects);
+		}
 		for (Assignment assignment : this.scheduler.assign(now)) {
 			RequestEntry entry = this.table.find(assignment.requestId()).orElseThrow();
 			entry.assignment = assignment;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/PolicyScheduler.java
@@ -116,15 +116,21 @@
 
 	private Optional<Refusal> refuseUnreachable(PendingRequest request, List<EndpointLoad> candidates,
 			long nowMonotonicMillis) {
+		double lateMillis = predictedLateMillis(request, candidates, nowMonotonicMillis);
+		return (lateMillis > 0) ? Optional.of(unreachable(lateMillis)) : Optional.empty();
+	}
+
+	private double predictedLateMillis(PendingRequest request, List<EndpointLoad> candidates, long nowMonotonicMillis) {
 		double endMillis = SlackRouting.earliestEndMillis(request, candidates, this.fleet, heldTokens(),
 				nowMonotonicMillis);
-		double lateMillis = nowMonotonicMillis + endMillis - request.deadlineMonotonicMillis();
-		if (lateMillis <= 0) {
-			return Optional.empty();
-		}
+		return nowMonotonicMillis + endMillis - request.deadlineMonotonicMillis();
+	}
+
+	private static Refusal unreachable(double lateMillis) {
 		long retryAfterMillis = Math.round(Math.min(MAX_RETRY_AFTER_MILLIS, Math.max(lateMillis, RETRY_AFTER_MILLIS)));
-		return Optional.of(Refusal.retryable(Outcome.NOT_RUN, RefusalReason.DEADLINE_UNREACHABLE,
-				"The predicted end lies " + Math.round(lateMillis) + " ms after the deadline", retryAfterMillis));
+		return Refusal.retryable(Outcome.NOT_RUN, RefusalReason.DEADLINE_UNREACHABLE,
+				"The predicted end lies " + Math.round(Math.max(lateMillis, 1)) + " ms after the deadline",
+				retryAfterMillis);
 	}
 
 	private RoutingPolicy policy() {
@@ -154,6 +160,23 @@
 		return assignments;
 	}
 
+	@Override
+	public List<HopelessRequest> takeHopeless(Moment now) {
+		if (this.queue.isEmpty() || !policy().predictsEnd()) {
+			return List.of();
+		}
+		List<HopelessRequest> hopeless = new ArrayList<>();
+		for (PendingRequest request : this.queue.values()) {
+			List<EndpointLoad> candidates = this.fleet.candidates(request, now.monotonicMillis());
+			if (!candidates.isEmpty() && cannotEnd(request, candidates, now.monotonicMillis())) {
+				double lateMillis = predictedLateMillis(request, candidates, now.monotonicMillis());
+				hopeless.add(new HopelessRequest(request.requestId(), unreachable(lateMillis)));
+			}
+		}
+		hopeless.forEach((request) -> this.queue.remove(request.requestId()));
+		return hopeless;
+	}
+
 	private List<PendingRequest> waiting() {
 		return policy().predictsEnd() ? this.order.sort(this.queue.values()) : List.copyOf(this.queue.values());
 	}
@@ -180,7 +203,8 @@
 	}
 
 	private boolean cannotEnd(PendingRequest request, List<EndpointLoad> candidates, long nowMonotonicMillis) {
-		return policy().predictsEnd() && nowMonotonicMillis + SlackRouting.leastMillis(request, candidates) > request
+		long startMonotonicMillis = Math.max(nowMonotonicMillis, request.notBeforeMonotonicMillis());
+		return policy().predictsEnd() && startMonotonicMillis + SlackRouting.leastMillis(request, candidates) > request
 			.deadlineMonotonicMillis();
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/Scheduler.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/scheduling/Scheduler.java
@@ -40,6 +40,15 @@
 	 */
 	List<Assignment> assign(Moment now);
 
+	/**
+	 * Takes the requests out of the queue that can no longer end by their deadlines, so
+	 * that their callers learn it at once. An endpoint may have received a request that
+	 * was queued again.
+	 * @param now the current time
+	 * @return the requests with their refusals, empty under a policy that predicts no end
+	 */
+	List<HopelessRequest> takeHopeless(Moment now);
+
 	/**
 	 * Drops a queued request. Does nothing when it is not queued.
 	 * @param requestId the request
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/ReducerTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/ReducerTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import io.mulberrylift.core.effect.AttemptEffect;
 import io.mulberrylift.core.effect.ControlEffect;
@@ -10,9 +11,12 @@
 import io.mulberrylift.core.effect.RequestEffect;
 import io.mulberrylift.core.event.AttemptEvent;
 import io.mulberrylift.core.event.ControlEvent;
+import io.mulberrylift.core.event.EndpointEvent;
 import io.mulberrylift.core.event.RequestEvent;
 import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.model.AttemptFailure;
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.model.LoadReport;
 import io.mulberrylift.core.model.Outcome;
 import io.mulberrylift.core.model.Refusal;
 import io.mulberrylift.core.model.RefusalReason;
@@ -56,6 +60,26 @@
 			.containsExactly(new AttemptEffect.Cancel(dispatch.attemptId(), dispatch.endpoint()));
 	}
 
+	@Test
+	void heldRequestIsRefusedOnceItCanNoLongerEndAndNotAtItsDeadline() {
+		FleetFixture full = new FleetFixture(FleetFixture.engine("engine-1", 100_000));
+		full.send(new EndpointEvent.LoadReported(full.now(),
+				new LoadReport(new EndpointId("engine-1"), 1, 1, 0, 0, 90_000, false, Set.of("outlook"), "", 0)));
+		full.send(new RequestEvent.Arrived(full.now(), FleetFixture.brief(1, 20_000)));
+		full.pass(4_000);
+		full.send(new ControlEvent.Tick(full.now()));
+		assertThat(full.take(RequestEffect.class)).isEmpty();
+		full.pass(300);
+		full.send(new ControlEvent.Tick(full.now()));
+		assertThat(full.take(AttemptEffect.Dispatch.class)).isEmpty();
+		assertThat(full.take(RequestEffect.Refuse.class)).singleElement().satisfies((end) -> {
+			assertThat(end.refusal().outcome()).isEqualTo(Outcome.NOT_RUN);
+			assertThat(end.refusal().reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE);
+			assertThat(end.refusal().retryAfterMillis().getAsLong()).isBetween(1_000L, 60_000L);
+		});
+		assertThat(full.reducer().nextWakeMonotonicMillis(full.now())).isGreaterThan(full.now().monotonicMillis());
+	}
+
 	@Test
 	void lateAnswerAfterTheDeadlineReachesNobody() {
 		AttemptEffect.Dispatch dispatch = dispatch(FleetFixture.brief(1, 1_000));
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/PolicySchedulerTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/PolicySchedulerTests.java
@@ -93,6 +93,34 @@
 		assertThat(this.fixture.scheduler.assign(SchedulingFixture.at(59_900))).isEmpty();
 	}
 
+	@Test
+	void heldRequestThatCanNoLongerEndIsGivenUpAtOnceWithTheTimeToComeBack() {
+		int number = Integer.parseInt(longEngine().value().substring("engine-".length()));
+		this.fixture.report(number, 10, 1, 0, 70_000);
+		PendingRequest request = this.fixture.request(50_000, MINUTE_MILLIS);
+		assertThat(this.fixture.admitAndAssign(request, 20)).isEmpty();
+		assertThat(this.fixture.scheduler.takeHopeless(SchedulingFixture.at(40_000))).isEmpty();
+		List<HopelessRequest> hopeless = this.fixture.scheduler.takeHopeless(SchedulingFixture.at(58_500));
+		assertThat(hopeless).singleElement().satisfies((value) -> {
+			assertThat(value.requestId()).isEqualTo(request.requestId());
+			assertThat(value.refusal().reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE);
+			assertThat(value.refusal().retryAfterMillis().getAsLong()).isBetween(1_000L, 60_000L);
+		});
+		assertThat(this.fixture.scheduler.queuedRequests()).isZero();
+		assertThat(this.fixture.scheduler.takeHopeless(SchedulingFixture.at(58_501))).isEmpty();
+	}
+
+	@Test
+	void retryWhoseBackoffLeavesTooLittleTimeIsGivenUpAtOnce() {
+		PendingRequest soon = this.fixture.request(5_000, MINUTE_MILLIS, Set.of(), 30_000, false);
+		PendingRequest tooLate = this.fixture.request(5_000, MINUTE_MILLIS, Set.of(), 59_900, false);
+		this.fixture.scheduler.requeue(soon, SchedulingFixture.at(10_000));
+		this.fixture.scheduler.requeue(tooLate, SchedulingFixture.at(10_000));
+		assertThat(this.fixture.scheduler.takeHopeless(SchedulingFixture.at(10_000)))
+			.extracting(HopelessRequest::requestId)
+			.containsExactly(tooLate.requestId());
+	}
+
 	@Test
 	void requestThatCannotEndInTimeIsRefusedWithTheTimeToComeBack() {
 		for (int i = 1; i <= 3; i++) {
