--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/promise/WitnessScenarioTests.java
@@ -140,6 +140,39 @@
 			.containsExactlyEntriesOf(Map.of(label(RefusalReason.KEY_UNPROVED, Outcome.UNKNOWN), 1));
 	}
 
+	@Test
+	void claimForOtherSeatsIsRefused() {
+		VirtualFleet fleet = warm(9, 3, 2);
+		fleet.network()
+			.tamper((message) -> (message instanceof WitnessMessage.Claim claim) ? forOtherSeats(claim) : message);
+		fleet.caller().send("key", 1, 4_000, 1);
+		fleet.time().runFor(5_000);
+		assertThat(fleet.history().outcomes())
+			.containsExactlyEntriesOf(Map.of(label(RefusalReason.KEY_UNPROVED, Outcome.UNKNOWN), 1));
+	}
+
+	private static WitnessMessage.Claim forOtherSeats(WitnessMessage.Claim claim) {
+		return new WitnessMessage.Claim(claim.seat(), claim.electorate() + 1, claim.key(), claim.fingerprint(),
+				claim.claim());
+	}
+
+	@Test
+	void pausedHolderGrantsAfterItHasReadTheListAgain() {
+		VirtualFleet fleet = warm(10, 1, 1);
+		VirtualInstance holder = fleet.serving().get(0);
+		Fault.FREEZE_SHORT.strike(fleet, holder);
+		fleet.time().runFor(2_500);
+		boolean beforeTheList = mayGrant(holder);
+		fleet.time().runFor(1_500);
+		assertThat(beforeTheList).isFalse();
+		assertThat(mayGrant(holder)).isTrue();
+		assertThat(((Map<?, ?>) holder.reducer().describe().get("membership")).get("pauses")).isEqualTo(1L);
+	}
+
+	private static boolean mayGrant(VirtualInstance instance) {
+		return (Boolean) ((Map<?, ?>) instance.reducer().describe().get("witness")).get("mayGrant");
+	}
+
 	@Test
 	void lostReleasesAreRepeatedWhenAnotherClaimMeetsThem() {
 		VirtualFleet fleet = warm(7, 3, 1);
