Tell a key from before the witnesses' memory apart from one that may pass later

Cause: keys older than the floor of most seats were refused with the remedy to come back with the same key, which can never help. They now have their own reason and remedy.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/model/RefusalReason.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/RefusalReason.java
@@ -60,6 +60,9 @@
 	/** The key cannot be shown to be new. */
 	KEY_UNPROVED(503, "Come back after the given time with the same key."),
 
+	/** The key's first send lies before the witnesses' memory begins. */
+	KEY_BEFORE_MEMORY(409, "Check what became of the request before sending it under a new key."),
+
 	/** An earlier send with the same key may have run and its answer is not known. */
 	ANSWER_LOST(409, "Check what became of the request before sending it under a new key."),
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/ClaimRefusals.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/witness/ClaimRefusals.java
@@ -41,8 +41,8 @@
 	}
 
 	static Refusal beyondMemory() {
-		return Refusal.of(Outcome.UNKNOWN, RefusalReason.KEY_UNPROVED,
-				"The witnesses' memory does not reach back to the first send; check what became of the request");
+		return Refusal.of(Outcome.UNKNOWN, RefusalReason.KEY_BEFORE_MEMORY,
+				"The witnesses' memory does not reach back to the first send");
 	}
 
 	static Refusal unproved(ClaimRound round) {
