Remove the cycle between configuration and scheduling

Cause: the checks of a configuration asked scheduling.RoutingPolicy for the labels, while scheduling reads the settings.

RoutingSettings.POLICIES holds the names; a test holds them equal to the labels of the policies, in order. A new ArchUnit rule forbids cycles between both packages.

Ruled out: moving the enum, since its constants choose among loads.

Seen to fail: the rule on the code before the change (configuration to scheduling and back). Packages configuration and fleet still use each other; that is another pair.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
@@ -1,12 +1,8 @@
 package io.mulberrylift.core.configuration;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
-import java.util.stream.Collectors;
-
-import io.mulberrylift.core.scheduling.RoutingPolicy;
 
 /**
  * Checks the content of a configuration. A pure function: equal content gives equal
@@ -87,10 +83,8 @@
 	}
 
 	private static void checkRouting(RoutingSettings routing, List<ConfigurationProblem> problems) {
-		if (RoutingPolicy.ofLabel(routing.policy()).isEmpty()) {
-			String labels = Arrays.stream(RoutingPolicy.values())
-				.map(RoutingPolicy::label)
-				.collect(Collectors.joining(", "));
+		if (!RoutingSettings.POLICIES.contains(routing.policy())) {
+			String labels = String.join(", ", RoutingSettings.POLICIES);
 			problems.add(new ConfigurationProblem("routing.policy", routing.policy(), "one of " + labels,
 					"Name one of the policies."));
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/RoutingSettings.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.core.configuration;
 
+import java.util.List;
+
 /**
  * How endpoints are chosen.
  *
@@ -13,6 +15,10 @@
 public record RoutingSettings(String policy, long crossZonePenaltyMillis, int longPromptTokens, int maxQueuedRequests,
 		int longEnginePercent) {
 
+	/** Names of the routing policies. */
+	public static final List<String> POLICIES = List.of("random", "round-robin", "least-requests",
+			"least-outstanding-tokens", "prefix-affinity", "slack");
+
 	/** Values used when the document names none. */
 	public static final RoutingSettings DEFAULTS = new RoutingSettings(null, 0, 0, 0, 0);
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/architecture/CoreArchitectureTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/architecture/CoreArchitectureTests.java
@@ -5,6 +5,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
 
 /**
  * Tests that the library stays a pure state machine.
@@ -32,6 +33,15 @@
 			.check(library);
 	}
 
+	@ArchTest
+	void hasNoCycleBetweenConfigurationAndScheduling(JavaClasses library) {
+		SlicesRuleDefinition.slices()
+			.matching("io.mulberrylift.core.(configuration|scheduling)..")
+			.should()
+			.beFreeOfCycles()
+			.check(library);
+	}
+
 	@ArchTest
 	void readsNoClock(JavaClasses library) {
 		ArchRuleDefinition.noClasses()
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/RoutingPolicyTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/scheduling/RoutingPolicyTests.java
@@ -22,6 +22,8 @@
 
 	@Test
 	void labelsAreThoseOfTheConfiguration() {
+		assertThat(RoutingPolicy.values()).extracting(RoutingPolicy::label)
+			.containsExactlyElementsOf(RoutingSettings.POLICIES);
 		for (RoutingPolicy policy : RoutingPolicy.values()) {
 			assertThat(RoutingPolicy.ofLabel(policy.label())).contains(policy);
 		}
