--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/StandIns.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/command/StandIns.java
@@ -2,6 +2,7 @@
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
+import io.mulberrylift.testkit.experiment.ExperimentCommand;
 import io.mulberrylift.testkit.fleet.DemoCommand;
 import io.mulberrylift.testkit.load.LoadCommand;
 import io.mulberrylift.testkit.soak.SoakCommand;
@@ -22,8 +23,9 @@
  * </p>
  */
 @Command(name = "standins", description = "Runs stand-ins of the platform and the endpoints.",
-		mixinStandardHelpOptions = true, subcommands = { EngineCommand.class, ServiceCommand.class,
-				PlatformCommand.class, DemoCommand.class, LoadCommand.class, SoakCommand.class, HelpCommand.class })
+		mixinStandardHelpOptions = true,
+		subcommands = { EngineCommand.class, ServiceCommand.class, PlatformCommand.class, DemoCommand.class,
+				LoadCommand.class, SoakCommand.class, ExperimentCommand.class, HelpCommand.class })
 public final class StandIns implements Runnable {
 
 	@Spec
