Add faults to the experiment and measure before, during and after them

The comparison had no faults. Instances exchange messages only when a fault is scheduled, so that the figures of the comparison stay.

--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentCommand.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentCommand.java
@@ -1,7 +1,9 @@
 package io.mulberrylift.testkit.experiment;
 
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
@@ -49,6 +51,13 @@
 	@Option(names = "--out", description = "directory for values, charts and a page; none by default")
 	private Path out;
 
+	@Option(names = "--fault", split = ",",
+			description = "labels of faults, or all; runs each beside the policies instead of the comparison")
+	private List<String> faults = List.of();
+
+	@Option(names = "--fault-seconds", defaultValue = "60", description = "duration of a fault")
+	private long faultSeconds;
+
 	@Spec
 	private CommandSpec spec;
 
@@ -66,6 +75,10 @@
 		plan.shapes()
 			.forEach((fleet) -> output.printf(Locale.ROOT, "capacity of %s: %.2f requests/s%n", fleet.label(),
 					CapacityMeasurement.requestsPerSecond(fleet)));
+		if (!this.faults.isEmpty()) {
+			runFaults(output);
+			return CommandLine.ExitCode.OK;
+		}
 		List<ComparisonRow> rows = new Comparison(plan, (row) -> {
 			output.printf(Locale.ROOT, "experiment: %s load %.2f seed %d %s done%n", row.shape().label(), row.load(),
 					row.seed(), row.policy().label());
@@ -79,6 +92,42 @@
 		return CommandLine.ExitCode.OK;
 	}
 
+	private void runFaults(PrintWriter output) throws IOException {
+		FaultTimes times = new FaultTimes(this.warmUpSeconds, this.windowSeconds, this.faultSeconds,
+				this.coolDownSeconds);
+		output.printf(Locale.ROOT, "before: %d s to %d s; during: to %d s; after: to %d s%n", times.warmUpSeconds(),
+				times.beginSeconds(), times.endSeconds(), times.totalSeconds());
+		FaultComparison comparison = new FaultComparison(times);
+		for (double load : this.loads) {
+			List<FaultRow> rows = new ArrayList<>();
+			for (FleetShape fleet : shapes()) {
+				double rate = load * CapacityMeasurement.requestsPerSecond(fleet);
+				for (RoutingPolicy policy : selectedPolicies()) {
+					for (ExperimentFault fault : selectedFaults()) {
+						this.seeds.forEach((seed) -> rows.add(comparison.run(fleet, policy, fault, rate, seed)));
+					}
+				}
+			}
+			output.printf(Locale.ROOT, "%nload %.2f%n%n%s", load, FaultReport.table(rows));
+			output.flush();
+			if (this.out != null) {
+				FaultReport.write(rows, this.out.resolve(String.format(Locale.ROOT, "load-%.2f", load)));
+			}
+		}
+	}
+
+	private List<ExperimentFault> selectedFaults() {
+		if (this.faults.equals(List.of("all"))) {
+			return List.of(ExperimentFault.values());
+		}
+		return this.faults.stream()
+			.map((label) -> ExperimentFault.ofLabel(label)
+				.orElseThrow(() -> new CommandLine.ParameterException(this.spec.commandLine(),
+						"Unknown fault " + label + "; name all or some of "
+								+ Arrays.stream(ExperimentFault.values()).map(ExperimentFault::label).toList() + ".")))
+			.toList();
+	}
+
 	private List<FleetShape> shapes() {
 		if ("both".equals(this.shape)) {
 			return List.of(FleetShape.values());
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentRun.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/ExperimentRun.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -23,8 +24,6 @@
 
 	private static final long DRAIN_MICROS = 320_000_000;
 
-	private static final long REPORT_SPREAD_MICROS = 23_000;
-
 	private ExperimentRun() {
 	}
 
@@ -39,25 +38,42 @@
 	 */
 	static RunResult run(FleetShape shape, RoutingPolicy policy, List<Arrival> arrivals, RunResult.Window window,
 			long seed) {
+		SimulatedFleet fleet = run(shape, policy, arrivals, seed, Optional.empty());
+		return RunResult.of(fleet.recorder(), shifted(window), fleet.engines());
+	}
+
+	/**
+	 * Runs the requests with a fault. Instances exchange messages only when a fault is
+	 * scheduled.
+	 * @param shape the fleet
+	 * @param policy the policy
+	 * @param arrivals the requests in the order of their times
+	 * @param seed seed of the entry instances
+	 * @param fault the scheduled fault
+	 * @return the fleet after the run
+	 */
+	static SimulatedFleet run(FleetShape shape, RoutingPolicy policy, List<Arrival> arrivals, long seed,
+			Optional<FaultSchedule> fault) {
 		List<Arrival> shifted = arrivals.stream()
 			.map((arrival) -> arrival.at(arrival.sendMicros() + START_MICROS))
 			.toList();
-		RunRecorder recorder = new RunRecorder(shifted);
 		EventQueue queue = new EventQueue();
-		List<SimulatedEngine> engines = IntStream.range(0, shape.engines())
-			.mapToObj((i) -> new SimulatedEngine(shape.engineId(i), queue, i * REPORT_SPREAD_MICROS))
-			.toList();
-		FleetConfiguration configuration = configuration(shape, policy);
-		List<SimulatedEntry> entries = IntStream.range(0, shape.entries())
-			.mapToObj((i) -> new SimulatedEntry(i, shape, configuration, queue, engines, recorder, seed * 100 + i))
-			.toList();
-		shifted.forEach((arrival) -> queue.at(arrival.sendMicros() + RunRecorder.CALLER_MICROS,
-				() -> entries.get(arrival.entry()).arrive(arrival)));
+		SimulatedFleet fleet = new SimulatedFleet(shape, configuration(shape, policy), queue, new RunRecorder(shifted),
+				seed, fault.isPresent());
+		shifted.forEach(
+				(arrival) -> queue.at(arrival.sendMicros() + RunRecorder.CALLER_MICROS, () -> fleet.arrive(arrival)));
+		fault.ifPresent((schedule) -> {
+			FaultInjector injector = new FaultInjector(shape, fleet);
+			queue.at(schedule.beginMicros() + START_MICROS, () -> schedule.fault().begin(injector));
+			queue.at(schedule.endMicros() + START_MICROS, () -> schedule.fault().end(injector));
+		});
 		long lastMicros = shifted.isEmpty() ? 0 : shifted.get(shifted.size() - 1).sendMicros();
 		queue.runUntil(lastMicros + DRAIN_MICROS);
-		RunResult.Window shiftedWindow = new RunResult.Window(window.startMicros() + START_MICROS,
-				window.endMicros() + START_MICROS);
-		return RunResult.of(recorder, shiftedWindow, engines);
+		return fleet;
+	}
+
+	static RunResult.Window shifted(RunResult.Window window) {
+		return new RunResult.Window(window.startMicros() + START_MICROS, window.endMicros() + START_MICROS);
 	}
 
 	private static FleetConfiguration configuration(FleetShape shape, RoutingPolicy policy) {
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/RunRecorder.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/RunRecorder.java
@@ -1,6 +1,8 @@
 package io.mulberrylift.testkit.experiment;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import io.mulberrylift.core.model.Refusal;
 import io.mulberrylift.core.model.RefusalReason;
@@ -28,6 +30,14 @@
 
 	private final Answer[] answers;
 
+	private final int[] dispatches;
+
+	private final Set<String> knownDead = new HashSet<>();
+
+	private int dispatchesToKnownDead;
+
+	private int refusedLoadReads;
+
 	private long neededTokens;
 
 	RunRecorder(List<Arrival> arrivals) {
@@ -37,6 +47,7 @@
 		this.endMicros = new long[size];
 		this.answers = new Answer[size];
 		this.byId = new Arrival[size];
+		this.dispatches = new int[size];
 		arrivals.forEach((arrival) -> this.byId[(int) arrival.id()] = arrival);
 	}
 
@@ -54,6 +65,39 @@
 		}
 	}
 
+	void dispatched(long id, int entry, int engine) {
+		this.dispatches[(int) id]++;
+		this.dispatchesToKnownDead += this.knownDead.contains(entry + "/" + engine) ? 1 : 0;
+	}
+
+	void loadUnread(int entry, int engine, boolean refused) {
+		if (refused) {
+			this.knownDead.add(entry + "/" + engine);
+			this.refusedLoadReads++;
+		}
+	}
+
+	void loadRead(int entry, int engine) {
+		this.knownDead.remove(entry + "/" + engine);
+	}
+
+	int dispatches(Arrival arrival) {
+		return this.dispatches[(int) arrival.id()];
+	}
+
+	/**
+	 * Returns how often an instance dispatched to an engine whose last load read was
+	 * refused.
+	 * @return number of dispatches
+	 */
+	int dispatchesToKnownDead() {
+		return this.dispatchesToKnownDead;
+	}
+
+	int refusedLoadReads() {
+		return this.refusedLoadReads;
+	}
+
 	void finished(long id, int cachedTokens) {
 		if (this.answers[(int) id] == null) {
 			this.neededTokens += arrival(id).totalTokens() - cachedTokens;
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/RunResult.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/RunResult.java
@@ -31,6 +31,8 @@
 
 	private final Histogram shortFirstTokens = new Histogram(MAX_MICROS, DIGITS);
 
+	private final Histogram longFirstTokens = new Histogram(MAX_MICROS, DIGITS);
+
 	private final Histogram shortDurations = new Histogram(MAX_MICROS, DIGITS);
 
 	private final double usefulTokensPerSecond;
@@ -79,6 +81,9 @@
 		if (answered) {
 			this.firstTokens.get(LengthClass.of(arrival.promptTokens()))
 				.recordValue(recorder.firstTokenMicros(arrival));
+			if (isLong) {
+				this.longFirstTokens.recordValue(recorder.firstTokenMicros(arrival));
+			}
 			if (arrival.isShort()) {
 				this.shortFirstTokens.recordValue(recorder.firstTokenMicros(arrival));
 				this.shortDurations.recordValue(recorder.durationMicros(arrival));
@@ -94,6 +99,10 @@
 		return this.shortFirstTokens.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
 	}
 
+	double longFirstTokenMillis(double percentile) {
+		return this.longFirstTokens.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+	}
+
 	double shortDurationMillis(double percentile) {
 		return this.shortDurations.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEngine.java
@@ -29,7 +29,7 @@
 
 	private final EventQueue queue;
 
-	private final EngineModel model;
+	private EngineModel model;
 
 	private final Map<Long, AttemptObserver> observers = new HashMap<>();
 
@@ -39,6 +39,10 @@
 
 	private long reportedMicros;
 
+	private long incarnation = 1;
+
+	private boolean dead;
+
 	private long processedTokens;
 
 	SimulatedEngine(EndpointId id, EventQueue queue, long firstReportMicros) {
@@ -49,6 +53,35 @@
 		queue.at(firstReportMicros, this::publish);
 	}
 
+	boolean isDead() {
+		return this.dead;
+	}
+
+	long incarnation() {
+		return this.incarnation;
+	}
+
+	/**
+	 * Ends the process; all that it ran and cached is gone.
+	 */
+	void die() {
+		this.dead = true;
+		this.observers.clear();
+		this.model = new EngineModel(EngineSettings.midSize(), this);
+		this.wakeMicros = Long.MAX_VALUE;
+	}
+
+	/**
+	 * Starts a new process with an empty cache, which reports at once.
+	 */
+	void restart() {
+		this.dead = false;
+		this.incarnation++;
+		this.model.advanceTo(this.queue.nowMicros());
+		this.report = snapshot();
+		this.reportedMicros = this.queue.nowMicros();
+	}
+
 	private void publish() {
 		this.model.advanceTo(this.queue.nowMicros());
 		this.report = snapshot();
@@ -58,8 +91,8 @@
 
 	private LoadReport snapshot() {
 		EngineLoad load = this.model.load();
-		return new LoadReport(this.id, 1, load.runningRequests(), load.queuedRequests(), load.queuedPromptTokens(),
-				load.usedMemoryTokens(), false, Set.of(FleetShape.MODEL), "", 0);
+		return new LoadReport(this.id, this.incarnation, load.runningRequests(), load.queuedRequests(),
+				load.queuedPromptTokens(), load.usedMemoryTokens(), false, Set.of(FleetShape.MODEL), "", 0);
 	}
 
 	/**
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEntry.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/experiment/SimulatedEntry.java
@@ -1,38 +1,40 @@
 package io.mulberrylift.testkit.experiment;
 
-import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.IntPredicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import io.mulberrylift.core.Reducer;
-import io.mulberrylift.core.configuration.ConfigurationCheck;
-import io.mulberrylift.core.configuration.FleetConfiguration;
-import io.mulberrylift.core.configuration.PublishedDocument;
 import io.mulberrylift.core.effect.AttemptEffect;
+import io.mulberrylift.core.effect.ControlEffect;
 import io.mulberrylift.core.effect.Effect;
 import io.mulberrylift.core.effect.EndpointEffect;
+import io.mulberrylift.core.effect.PeerEffect;
 import io.mulberrylift.core.effect.PlatformEffect;
 import io.mulberrylift.core.effect.RequestEffect;
 import io.mulberrylift.core.event.AttemptEvent;
 import io.mulberrylift.core.event.ControlEvent;
-import io.mulberrylift.core.event.EndpointEvent;
 import io.mulberrylift.core.event.Event;
+import io.mulberrylift.core.event.PeerEvent;
 import io.mulberrylift.core.event.PlatformEvent;
 import io.mulberrylift.core.event.RequestEvent;
 import io.mulberrylift.core.fleet.InstanceIdentity;
 import io.mulberrylift.core.model.AttemptFailure;
 import io.mulberrylift.core.model.EndpointId;
-import io.mulberrylift.core.model.HoldDescription;
 import io.mulberrylift.core.model.InstanceId;
-import io.mulberrylift.core.model.LoadReport;
+import io.mulberrylift.core.model.ZoneId;
+import io.mulberrylift.core.peer.ConfigurationMessage;
+import io.mulberrylift.core.peer.PeerMessage;
 import io.mulberrylift.core.time.Moment;
-import io.mulberrylift.testkit.engine.CacheReport;
 import io.mulberrylift.testkit.engine.EngineRequest;
 import io.mulberrylift.testkit.engine.HoldKey;
 import io.mulberrylift.testkit.engine.HoldUse;
@@ -53,15 +55,28 @@
 
 	private static final long PLATFORM_MICROS = 2_000;
 
-	private static final long CACHE_LAG_MICROS = 1_000_000;
-
 	private static final int ENTRY_SHIFT = 40;
 
+	private static final long INCARNATION_STEP = 64;
+
+	/** Longest time to wait for a connection in microseconds. */
+	static final long CONNECT_TIMEOUT_MICROS = 1_000_000;
+
 	private final int index;
 
 	private final FleetShape shape;
 
-	private final FleetConfiguration configuration;
+	private final long incarnation;
+
+	private final SimulatedFleet fleet;
+
+	private final Map<Long, Integer> running = new TreeMap<>();
+
+	private final Map<Long, Integer> positions = new HashMap<>();
+
+	private final Set<Long> lostAttempts = new HashSet<>();
+
+	private boolean alive = true;
 
 	private final EventQueue queue;
 
@@ -73,29 +88,89 @@
 
 	private final Map<EndpointId, Integer> engineIndexes;
 
-	private final long[] cacheSequences;
-
-	private final Map<Long, Long> holdTokens = new HashMap<>();
+	private final EndpointCalls endpointCalls;
 
 	private long tickMicros = Long.MAX_VALUE;
 
-	SimulatedEntry(int index, FleetShape shape, FleetConfiguration configuration, EventQueue queue,
-			List<SimulatedEngine> engines, RunRecorder recorder, long seed) {
+	SimulatedEntry(int index, long incarnation, SimulatedFleet fleet) {
 		this.index = index;
-		this.shape = shape;
-		this.configuration = configuration;
-		this.queue = queue;
-		this.engines = engines;
-		this.recorder = recorder;
-		this.reducer = new Reducer(new InstanceIdentity(shape.entryId(index), shape.zoneOf(index), 1), seed);
-		this.engineIndexes = IntStream.range(0, shape.engines())
+		this.incarnation = incarnation;
+		this.fleet = fleet;
+		this.shape = fleet.shape();
+		this.queue = fleet.queue();
+		this.engines = fleet.engines();
+		this.recorder = fleet.recorder();
+		this.reducer = new Reducer(new InstanceIdentity(id(), zone(), incarnation), fleet.seedOf(index));
+		this.engineIndexes = IntStream.range(0, this.shape.engines())
 			.boxed()
-			.collect(Collectors.toMap(shape::engineId, (i) -> i));
-		this.cacheSequences = new long[shape.engines()];
-		queue.at(index * MICROS_PER_MILLI, () -> reduce(new ControlEvent.Tick(now())));
+			.collect(Collectors.toMap(this.shape::engineId, (i) -> i));
+		this.endpointCalls = new EndpointCalls(this, index, fleet, this.engineIndexes);
+		this.queue.after(index * MICROS_PER_MILLI, () -> reduce(new ControlEvent.Tick(now())));
+	}
+
+	InstanceId id() {
+		return this.shape.entryId(this.index);
+	}
+
+	ZoneId zone() {
+		return this.shape.zoneOf(this.index);
+	}
+
+	Reducer reducer() {
+		return this.reducer;
+	}
+
+	boolean isAlive() {
+		return this.alive;
 	}
 
-	private Moment now() {
+	boolean reaches(int engine) {
+		return !this.fleet.conditions().separated(zone(), this.shape.zoneOf(engine));
+	}
+
+	void receive(SimulatedEntry sender, PeerMessage message) {
+		if (message instanceof ConfigurationMessage.Push push) {
+			reduce(new PeerEvent.ConfigurationReceived(now(), sender.id(),
+					this.fleet.conditions().check(push.document().version())));
+		}
+		else {
+			reduce(new PeerEvent.Received(now(), sender.id(), sender.incarnation, message));
+		}
+	}
+
+	void shutDown() {
+		reduce(new ControlEvent.ShutdownRequested(now()));
+	}
+
+	/**
+	 * Ends the process at once; its engines see closed connections.
+	 */
+	void kill() {
+		this.alive = false;
+		this.running.forEach((attemptId, engine) -> this.engines.get(engine).cancel(engineRequestId(attemptId)));
+		this.running.clear();
+	}
+
+	/**
+	 * Breaks the connections of running attempts.
+	 * @param lost selects the engines whose connections break
+	 */
+	void loseConnections(IntPredicate lost) {
+		List<Long> attempts = this.running.keySet()
+			.stream()
+			.filter((attemptId) -> lost.test(this.running.get(attemptId)))
+			.toList();
+		for (long attemptId : attempts) {
+			int engine = this.running.remove(attemptId);
+			this.lostAttempts.add(attemptId);
+			this.engines.get(engine).cancel(engineRequestId(attemptId));
+			int position = this.positions.getOrDefault(attemptId, 0);
+			this.queue.after(this.shape.delayMicros(this.index, engine), () -> reduce(new AttemptEvent.Failed(now(),
+					attemptId, AttemptFailure.CONNECTION_LOST, position, OptionalLong.empty(), "connection lost")));
+		}
+	}
+
+	Moment now() {
 		long millis = this.queue.nowMicros() / MICROS_PER_MILLI;
 		return new Moment(millis, EPOCH_MILLIS + millis);
 	}
@@ -104,7 +179,10 @@
 		reduce(new RequestEvent.Arrived(now(), arrival.spec()));
 	}
 
-	private void reduce(Event event) {
+	void reduce(Event event) {
+		if (!this.alive) {
+			return;
+		}
 		for (Effect effect : this.reducer.reduce(event)) {
 			perform(effect);
 		}
@@ -129,10 +207,11 @@
 		}
 		else if (effect instanceof AttemptEffect.Cancel cancel) {
 			int engine = this.engineIndexes.get(cancel.endpoint());
+			this.running.remove(cancel.attemptId());
 			toEngine(engine, () -> this.engines.get(engine).cancel(engineRequestId(cancel.attemptId())));
 		}
 		else if (effect instanceof EndpointEffect endpointEffect) {
-			perform(endpointEffect);
+			this.endpointCalls.perform(endpointEffect);
 		}
 		else if (effect instanceof RequestEffect.Refuse refuse) {
 			this.recorder.refused(refuse.requestId(), refuse.refusal(), this.queue.nowMicros());
@@ -143,11 +222,18 @@
 		else if (effect instanceof PlatformEffect platformEffect) {
 			perform(platformEffect);
 		}
+		else if (effect instanceof PeerEffect.Send send) {
+			this.fleet.send(this, send.to(), send.message());
+		}
+		else if (effect instanceof ControlEffect.Exit) {
+			kill();
+		}
 	}
 
 	private void perform(PlatformEffect effect) {
 		if (effect instanceof PlatformEffect.ReadList) {
-			this.queue.after(PLATFORM_MICROS, () -> reduce(new PlatformEvent.ListRead(now(), this.shape.list())));
+			this.queue.after(PLATFORM_MICROS,
+					() -> reduce(new PlatformEvent.ListRead(now(), this.fleet.conditions().list())));
 		}
 		else if (effect instanceof PlatformEffect.WatchConfiguration watch) {
 			long waitMicros = PLATFORM_MICROS + watch.waitMillis() * MICROS_PER_MILLI;
@@ -156,40 +242,35 @@
 	}
 
 	private Event configurationEvent(long knownVersion) {
-		if (knownVersion >= 1) {
+		FaultConditions conditions = this.fleet.conditions();
+		if (knownVersion >= conditions.servedVersion()) {
 			return new PlatformEvent.ConfigurationUnchanged(now());
 		}
-		return new PlatformEvent.ConfigurationRead(now(),
-				new ConfigurationCheck.Accepted(new PublishedDocument(1, "{}"), this.configuration));
+		return new PlatformEvent.ConfigurationRead(now(), conditions.check(conditions.servedVersion()));
 	}
 
-	private void perform(EndpointEffect effect) {
-		int engine = this.engineIndexes.get(effect.endpoint());
-		if (effect instanceof EndpointEffect.ReadLoad) {
-			toEngine(engine, () -> readLoad(engine));
-		}
-		else if (effect instanceof EndpointEffect.AcquireHold acquire) {
-			this.holdTokens.put(acquire.hold().holdId(), acquire.hold().tokens());
-			toEngine(engine, () -> acquireHold(engine, acquire.hold()));
-		}
-		else if (effect instanceof EndpointEffect.ReleaseHold release) {
-			toEngine(engine, () -> releaseHold(engine, release.hold()));
-		}
-		else if (effect instanceof EndpointEffect.ListHolds) {
-			toEngine(engine, () -> listHolds(engine));
-		}
+	void toEngine(int engine, Runnable action) {
+		this.queue.after(this.shape.delayMicros(this.index, engine), () -> {
+			if (reaches(engine) && !this.engines.get(engine).isDead()) {
+				action.run();
+			}
+		});
 	}
 
-	private void toEngine(int engine, Runnable action) {
-		this.queue.after(this.shape.delayMicros(this.index, engine), action);
+	void fromEngine(int engine, Function<Moment, Event> event) {
+		this.queue.after(this.shape.delayMicros(this.index, engine), () -> reduce(event.apply(now())));
 	}
 
-	private void fromEngine(int engine, Function<Moment, Event> event) {
-		this.queue.after(this.shape.delayMicros(this.index, engine), () -> reduce(event.apply(now())));
+	private void fromAttempt(int engine, AttemptEffect.Dispatch dispatch, Function<Moment, Event> event) {
+		this.queue.after(this.shape.delayMicros(this.index, engine), () -> {
+			if (this.alive && !this.lostAttempts.contains(dispatch.attemptId())) {
+				reduce(event.apply(now()));
+			}
+		});
 	}
 
 	private long engineRequestId(long attemptId) {
-		return ((long) this.index << ENTRY_SHIFT) + attemptId;
+		return (((this.incarnation - 1) * INCARNATION_STEP + this.index) << ENTRY_SHIFT) + attemptId;
 	}
 
 	private void dispatch(AttemptEffect.Dispatch dispatch) {
@@ -198,18 +279,39 @@
 		EngineRequest request = new EngineRequest(engineRequestId(dispatch.attemptId()), dispatch.priority(),
 				arrival.promptTokens(), arrival.answerTokens(), dispatch.resumeOffsetTokens(), arrival.prefixBlocks(),
 				holdUse(dispatch));
-		toEngine(engine, () -> submit(engine, request, dispatch));
+		this.recorder.dispatched(dispatch.requestId(), this.index, engine);
+		if (!reaches(engine)) {
+			this.queue.after(CONNECT_TIMEOUT_MICROS, () -> reduce(notSent(now(), dispatch)));
+			return;
+		}
+		if (this.engines.get(engine).isDead()) {
+			fromEngine(engine, (now) -> notSent(now, dispatch));
+			return;
+		}
+		this.running.put(dispatch.attemptId(), engine);
+		toEngine(engine, () -> submitUnlessLost(engine, request, dispatch));
+	}
+
+	private static Event notSent(Moment now, AttemptEffect.Dispatch dispatch) {
+		return new AttemptEvent.Failed(now, dispatch.attemptId(), AttemptFailure.NOT_SENT, 0, OptionalLong.empty(),
+				"no connection");
+	}
+
+	private void submitUnlessLost(int engine, EngineRequest request, AttemptEffect.Dispatch dispatch) {
+		if (this.alive && !this.lostAttempts.contains(dispatch.attemptId())) {
+			submit(engine, request, dispatch);
+		}
 	}
 
 	private Optional<HoldUse> holdUse(AttemptEffect.Dispatch dispatch) {
 		if (dispatch.holds().isEmpty()) {
 			return Optional.empty();
 		}
-		HoldKey own = new HoldKey(this.shape.entryId(this.index).value(), 1, dispatch.holds().get(0).holdId());
+		HoldKey own = new HoldKey(id().value(), this.incarnation, dispatch.holds().get(0).holdId());
 		long otherTokens = dispatch.holds()
 			.stream()
 			.skip(1)
-			.mapToLong((hold) -> this.holdTokens.get(hold.holdId()))
+			.mapToLong((hold) -> this.endpointCalls.holdTokens(hold.holdId()))
 			.sum();
 		return Optional.of(new HoldUse(own, dispatch.holds().size(), otherTokens));
 	}
@@ -218,15 +320,18 @@
 		boolean accepted = this.engines.get(engine).submit(request, new SimulatedEngine.AttemptObserver() {
 			@Override
 			public void generated(int position) {
+				SimulatedEntry.this.positions.put(dispatch.attemptId(), position);
 				SimulatedEntry.this.reducer.advance(dispatch.attemptId(), position);
 				if (position == 1) {
-					fromEngine(engine, (now) -> started(now, dispatch));
+					fromAttempt(engine, dispatch, (now) -> started(now, dispatch));
 				}
 			}
 
 			@Override
 			public void ended(int cachedTokens, int answerTokens) {
-				fromEngine(engine, (now) -> {
+				fromAttempt(engine, dispatch, (now) -> {
+					SimulatedEntry.this.running.remove(dispatch.attemptId());
+					SimulatedEntry.this.positions.remove(dispatch.attemptId());
 					SimulatedEntry.this.recorder.finished(dispatch.requestId(), cachedTokens);
 					return new AttemptEvent.Finished(now, dispatch.attemptId(), request.promptTokens(), cachedTokens,
 							answerTokens, Optional.empty());
@@ -234,6 +339,7 @@
 			}
 		});
 		if (!accepted) {
+			this.running.remove(dispatch.attemptId());
 			fromEngine(engine, (now) -> new AttemptEvent.Failed(now, dispatch.attemptId(), AttemptFailure.TURNED_AWAY,
 					0, OptionalLong.empty(), "does not fit"));
 		}
@@ -244,51 +350,4 @@
 		return new AttemptEvent.Started(now, dispatch.attemptId());
 	}
 
-	private void readLoad(int engine) {
-		SimulatedEngine simulated = this.engines.get(engine);
-		simulated.apply((model) -> {
-			CacheReport cache = model.cacheReport(this.cacheSequences[engine], CACHE_LAG_MICROS);
-			this.cacheSequences[engine] = cache.sequence();
-			if (cache.added().length + cache.evicted().length > 0 || !cache.complete()) {
-				fromEngine(engine, (now) -> new EndpointEvent.CacheChanged(now, this.shape.engineId(engine),
-						cache.complete(), boxed(cache.added()), boxed(cache.evicted())));
-			}
-		});
-		LoadReport report = simulated.report();
-		fromEngine(engine, (now) -> new EndpointEvent.LoadReported(now, report));
-	}
-
-	private static List<Long> boxed(long[] keys) {
-		return Arrays.stream(keys).boxed().toList();
-	}
-
-	private void acquireHold(int engine, HoldDescription hold) {
-		this.engines.get(engine).apply((model) -> {
-			boolean granted = model.hold(key(hold), hold.tokens(), hold.expiresInMillis() * MICROS_PER_MILLI);
-			fromEngine(engine,
-					(now) -> new EndpointEvent.HoldAnswered(now, this.shape.engineId(engine), hold.holdId(), granted));
-		});
-	}
-
-	private void releaseHold(int engine, HoldDescription hold) {
-		this.engines.get(engine).apply((model) -> model.release(key(hold)));
-		fromEngine(engine, (now) -> new EndpointEvent.HoldReleased(now, this.shape.engineId(engine), hold));
-	}
-
-	private void listHolds(int engine) {
-		this.engines.get(engine).apply((model) -> {
-			List<HoldDescription> holds = model.holds()
-				.stream()
-				.map((hold) -> new HoldDescription(hold.key().holdId(), new InstanceId(hold.key().owner()),
-						hold.key().ownerIncarnation(), hold.tokens(),
-						Math.max(0, (hold.expiresAtMicros() - this.queue.nowMicros()) / MICROS_PER_MILLI)))
-				.toList();
-			fromEngine(engine, (now) -> new EndpointEvent.HoldsListed(now, this.shape.engineId(engine), holds));
-		});
-	}
-
-	private static HoldKey key(HoldDescription hold) {
-		return new HoldKey(hold.owner().value(), hold.ownerIncarnation(), hold.holdId());
-	}
-
 }
