Test a fleet of real processes under failure

Cause: nothing in the tests ran the promises across real processes, and the soak run could not find two kinds of violation: the platform wrote no history, so leaving endpoints were never judged, and no one recorded which version of the configuration was in force.

The soak run now records the platform's history and the versions of all instances.

Not run: all tests together; the tests with a mechanism off.

--- /dev/null
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests of a fleet of real processes under failure.
+ */
+package io.mulberrylift.daemon.process;
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetProcesses.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/FleetProcesses.java
@@ -4,12 +4,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.mulberrylift.core.model.WorkKind;
@@ -21,8 +24,9 @@
  * stand-in, endpoints and entry instances.
  *
  * <p>
- * Not safe for use by several threads but for the maps' contents, which are read only
- * between changes. Closing ends every process that this object has started.
+ * Used by one thread, but for {@link #instanceIds()}, {@link #instance(String)} and
+ * {@link #readInstance(String, String)}, which any thread may call. Closing ends every
+ * process that this object has started.
  * </p>
  */
 public final class FleetProcesses implements AutoCloseable {
@@ -52,7 +56,9 @@
 
 	private final Map<String, ManagedProcess> endpoints = new LinkedHashMap<>();
 
-	private final Map<String, InstanceProcess> instances = new LinkedHashMap<>();
+	private final Map<String, InstanceProcess> instances = Collections.synchronizedMap(new LinkedHashMap<>());
+
+	private final Map<String, String> zones = new HashMap<>();
 
 	/**
 	 * Starts the platform's stand-in.
@@ -63,7 +69,8 @@
 	public FleetProcesses(Path directory, Consumer<String> output) throws IOException {
 		this.directory = Files.createDirectories(directory);
 		this.output = output;
-		this.platform = startStandIn("platform", List.of("platform", "--id", "platform"));
+		this.platform = startStandIn("platform",
+				List.of("platform", "--id", "platform", "--history", history("platform")));
 	}
 
 	private ManagedProcess startStandIn(String name, List<String> arguments) throws IOException {
@@ -96,6 +103,7 @@
 		arguments.addAll(List.of(options));
 		ManagedProcess engine = startStandIn(id, arguments);
 		this.endpoints.put(id, engine);
+		this.zones.put(id, zone);
 		listEndpoint(new ListedEndpoint(id, WorkKind.MODEL, zone, engine.readyGroup(2), Set.of(modelName(model)),
 				FleetDefaults.ENGINE_MEMORY_TOKENS, true, false));
 	}
@@ -115,6 +123,7 @@
 	public void startService(String id, String zone, String service) throws IOException {
 		ManagedProcess runner = startStandIn(id, List.of("service", "--id", id, "--history", history(id)));
 		this.endpoints.put(id, runner);
+		this.zones.put(id, zone);
 		listEndpoint(
 				new ListedEndpoint(id, WorkKind.SERVICE, zone, runner.readyGroup(2), Set.of(service), 0, false, false));
 	}
@@ -137,6 +146,7 @@
 		InstanceProcess instance = new InstanceProcess(process, HOST + ":" + process.readyGroup(1),
 				HOST + ":" + process.readyGroup(2), HOST + ":" + process.readyGroup(3));
 		this.instances.put(id, instance);
+		this.zones.put(id, zone);
 		changeList(Map.of("addInstances",
 				List.of(new ListedInstance(id, zone, instance.peerAddress(), false, System.currentTimeMillis()))));
 		awaitReady(instance);
@@ -204,6 +214,41 @@
 		this.calls.post(instance(id).operatorAddress(), "/admin/cut", Map.of("instances", others));
 	}
 
+	/**
+	 * Cuts an availability zone off from the other zones and the platform, or heals it.
+	 * Callers reach all instances.
+	 * @param zone the zone
+	 * @param cut whether to cut
+	 * @throws IOException if a process refuses the switch
+	 */
+	public void cutZone(String zone, boolean cut) throws IOException {
+		for (String id : instanceIds()) {
+			boolean inside = zone(id).equals(zone);
+			Set<String> others = instanceIds().stream()
+				.filter((other) -> zone(other).equals(zone) != inside)
+				.collect(Collectors.toSet());
+			cutInstance(id, cut ? others : Set.of());
+		}
+		Set<String> otherZones = this.zones.values()
+			.stream()
+			.filter((other) -> !other.equals(zone))
+			.collect(Collectors.toSet());
+		for (String id : endpointIds()) {
+			Set<String> unreachable = zone(id).equals(zone) ? otherZones : Set.of(zone);
+			controlEndpoint(id, "cut", Map.of("zones", cut ? unreachable : Set.of()));
+		}
+		controlPlatform("cut", Map.of("zones", cut ? Set.of(zone) : Set.of()));
+	}
+
+	/**
+	 * Returns the zone of a process.
+	 * @param id the instance or endpoint
+	 * @return its zone, null when it was never started
+	 */
+	public String zone(String id) {
+		return this.zones.get(id);
+	}
+
 	/**
 	 * Reads a page of an endpoint.
 	 * @param id the endpoint
@@ -223,7 +268,30 @@
 	 * @throws IOException if the call fails
 	 */
 	public JsonNode readInstance(String id, String path) throws IOException {
-		return this.calls.get(instance(id).operatorAddress(), path);
+		return this.calls.get(operatorAddress(id), path);
+	}
+
+	/**
+	 * Reads a counter of an instance.
+	 * @param id the instance
+	 * @param name the counter's name in the page of metrics
+	 * @return its value, 0 when it has not been counted yet
+	 * @throws IOException if the call fails
+	 */
+	public long readCounter(String id, String name) throws IOException {
+		return this.calls.text(operatorAddress(id), "/metrics")
+			.lines()
+			.filter((line) -> line.startsWith(name + " "))
+			.mapToLong((line) -> (long) Double.parseDouble(line.substring(name.length() + 1)))
+			.sum();
+	}
+
+	private String operatorAddress(String id) throws IOException {
+		InstanceProcess instance = instance(id);
+		if (instance == null) {
+			throw new IOException("No instance " + id);
+		}
+		return instance.operatorAddress();
 	}
 
 	/**
@@ -256,7 +324,9 @@
 	 * @return identities in the order of their starts
 	 */
 	public List<String> instanceIds() {
-		return List.copyOf(this.instances.keySet());
+		synchronized (this.instances) {
+			return List.copyOf(this.instances.keySet());
+		}
 	}
 
 	/**
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/JsonCalls.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/JsonCalls.java
@@ -40,6 +40,18 @@
 		return this.client.execute(new HttpGet("http://" + address + path), this::read);
 	}
 
+	/**
+	 * Reads a page of text.
+	 * @param address host and port
+	 * @param path the path
+	 * @return the text
+	 * @throws IOException if the call fails
+	 */
+	public String text(String address, String path) throws IOException {
+		return this.client.execute(new HttpGet("http://" + address + path),
+				(response) -> EntityUtils.toString(response.getEntity(), StandardCharsets.UTF_8));
+	}
+
 	/**
 	 * Returns the status of a page.
 	 * @param address host and port
--- /dev/null
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/VersionRecorder.java
@@ -0,0 +1,86 @@
+package io.mulberrylift.testkit.fleet;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.mulberrylift.testkit.history.HistoryEvent;
+import io.mulberrylift.testkit.history.HistoryWriter;
+
+/**
+ * Asks all instances again and again which version of the configuration is in force, and
+ * writes the answers to a history.
+ *
+ * <p>
+ * Runs on a thread of its own until it is closed. An instance that does not answer is
+ * left out; a frozen one delays the next round until it wakes or ends.
+ * </p>
+ */
+public final class VersionRecorder implements AutoCloseable {
+
+	private static final long POLL_MILLIS = 250;
+
+	private static final long END_MILLIS = 10_000;
+
+	private final FleetProcesses fleet;
+
+	private final HistoryWriter history;
+
+	private final Thread thread = new Thread(this::run, "version-recorder");
+
+	private final AtomicLong recorded = new AtomicLong();
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a recorder and starts it.
+	 * @param fleet whose instances are asked
+	 * @param history takes the answers
+	 */
+	public VersionRecorder(FleetProcesses fleet, HistoryWriter history) {
+		this.fleet = fleet;
+		this.history = history;
+		this.thread.setDaemon(true);
+		this.thread.start();
+	}
+
+	private void run() {
+		try {
+			while (!this.closed) {
+				this.fleet.instanceIds().forEach(this::record);
+				Thread.sleep(POLL_MILLIS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void record(String id) {
+		try {
+			JsonNode version = this.fleet.readInstance(id, "/admin/configuration").path("versionInForce");
+			if (version.isNumber()) {
+				this.history.write(new HistoryEvent.InForce(System.currentTimeMillis(), id, version.asLong()));
+				this.recorded.incrementAndGet();
+			}
+		}
+		catch (IOException ex) {
+			// The instance ends or is cut short; the next round asks again.
+		}
+	}
+
+	/**
+	 * Returns how many answers were written.
+	 * @return the number of answers
+	 */
+	public long recorded() {
+		return this.recorded.get();
+	}
+
+	@Override
+	public void close() throws InterruptedException {
+		this.closed = true;
+		this.thread.join(END_MILLIS);
+	}
+
+}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakCommand.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakCommand.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 
 import io.mulberrylift.testkit.fleet.FleetProcesses;
+import io.mulberrylift.testkit.fleet.VersionRecorder;
 import io.mulberrylift.testkit.history.CheckLimits;
 import io.mulberrylift.testkit.history.HistoryChecker;
 import io.mulberrylift.testkit.history.HistoryEvent;
@@ -105,7 +106,10 @@
 	private LoadGenerator run(SoakFleet fleet, Path callers) throws Exception {
 		LoadPlan plan = new LoadPlan(this.seed, this.ratePerSecond, this.seconds * MILLIS_PER_SECOND, "outlook",
 				"council-notification", List.of("highways", "rm-sherwood"), 200_000);
-		try (HistoryWriter history = HistoryWriter.appendTo(callers)) {
+		Path versions = callers.resolveSibling("versions.history.jsonl");
+		try (HistoryWriter history = HistoryWriter.appendTo(callers);
+				HistoryWriter inForce = HistoryWriter.appendTo(versions);
+				VersionRecorder recorder = new VersionRecorder(fleet.processes(), inForce)) {
 			LoadGenerator generator = new LoadGenerator(plan, fleet::callerAddresses, history);
 			CompletableFuture<LoadStatistics> load = CompletableFuture.supplyAsync(() -> runLoad(generator));
 			injectFaults(fleet, load);
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakFault.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/soak/SoakFault.java
@@ -138,9 +138,9 @@
 		@Override
 		void inject(SoakFleet fleet, Disturbances disturbances, RandomGenerator random) throws Exception {
 			String zone = pick(FleetDefaults.ZONES, random);
-			fleet.cut(zone, true);
+			fleet.processes().cutZone(zone, true);
 			Thread.sleep(1_000 + random.nextInt(12_000));
-			fleet.cut(zone, false);
+			fleet.processes().cutZone(zone, false);
 		}
 	},
 
