Keep requests off endpoints whose load cannot be read; mend the start under a rejected version

Cause: a circuit breaker let a caller's request through as a trial while nothing listened at the endpoint; retries went from one dead engine to the next. Found by the experiment under faults: 16 to 48 dispatches to known-dead engines in 20 s, 1.115 to 1.148 dispatches per first try while engines were dead. Now no request goes there until a load read succeeds. Cause of the second: an instance that read a rejected version first held it for news that it had had and never took the accepted version from other instances. Also: promise and retry settings are range-checked, first tokens later than the profile wants are counted, an https address of the platform is refused as it was used over plain HTTP.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/Reducer.java
@@ -138,7 +138,7 @@
 
 	private void reduceAttempt(AttemptEvent event) {
 		if (event instanceof AttemptEvent.Started started) {
-			this.requests.started(started);
+			this.requests.started(started, this.effects);
 		}
 		else if (event instanceof AttemptEvent.Finished finished) {
 			this.requests.finished(finished, this.effects);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationChecks.java
@@ -12,8 +12,20 @@
 
 	private static final int MAX_PRIORITY = 9;
 
+	private static final int MAX_ATTEMPTS = 10;
+
 	private static final long MAX_TIMEOUT_MILLIS = 3_600_000;
 
+	private static final long MIN_WINDOW_MILLIS = 10_000;
+
+	private static final long MAX_WINDOW_MILLIS = 86_400_000;
+
+	private static final long MAX_SKEW_MILLIS = 10_000;
+
+	private static final long MIN_FRESHNESS_MILLIS = 1_000;
+
+	private static final long MAX_FRESHNESS_MILLIS = 600_000;
+
 	private ConfigurationChecks() {
 	}
 
@@ -30,6 +42,8 @@
 			.forEach((name, workspace) -> checkWorkspace("workspaces." + name, workspace, problems));
 		configuration.models().forEach((name, model) -> checkModel("models." + name, model, problems));
 		checkOrders(configuration.orders(), problems);
+		checkPromise(configuration.promise(), problems);
+		checkRetry(configuration.retry(), problems);
 		checkRouting(configuration.routing(), problems);
 		checkNotEmpty("profiles", configuration.profiles(), problems);
 		checkNotEmpty("workspaces", configuration.workspaces(), problems);
@@ -94,6 +108,25 @@
 		checkRange("routing.longEnginePercent", routing.longEnginePercent(), 1, 100, problems);
 	}
 
+	private static void checkPromise(PromiseSettings promise, List<ConfigurationProblem> problems) {
+		checkRange("promise.windowMillis", promise.windowMillis(), MIN_WINDOW_MILLIS, MAX_WINDOW_MILLIS, problems);
+		checkRange("promise.maxStoredAnswerBytes", promise.maxStoredAnswerBytes(), 1, Integer.MAX_VALUE, problems);
+		checkRange("promise.maxKeys", promise.maxKeys(), 1, Integer.MAX_VALUE, problems);
+		checkRange("promise.clockSkewMillis", promise.clockSkewMillis(), 1, MAX_SKEW_MILLIS, problems);
+		checkRange("promise.listFreshnessMillis", promise.listFreshnessMillis(), MIN_FRESHNESS_MILLIS,
+				MAX_FRESHNESS_MILLIS, problems);
+	}
+
+	private static void checkRetry(RetrySettings retry, List<ConfigurationProblem> problems) {
+		if (!(retry.budgetShare() > 0 && retry.budgetShare() <= 1)) {
+			problems.add(new ConfigurationProblem("retry.budgetShare", String.valueOf(retry.budgetShare()),
+					"above 0 and at most 1", "Set a share in this range."));
+		}
+		checkRange("retry.maxAttempts", retry.maxAttempts(), 1, MAX_ATTEMPTS, problems);
+		checkRange("retry.maxBackoffMillis", retry.maxBackoffMillis(), 1, MAX_TIMEOUT_MILLIS, problems);
+		checkRange("retry.baseBackoffMillis", retry.baseBackoffMillis(), 1, retry.maxBackoffMillis(), problems);
+	}
+
 	private static void checkRange(String key, long value, long least, long greatest,
 			List<ConfigurationProblem> problems) {
 		if (value < least || value > greatest) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationPart.java
@@ -91,15 +91,12 @@
 	 */
 	public boolean take(ConfigurationCheck check, Effects effects) {
 		long version = check.document().version();
-		if (version <= this.highestSeenVersion) {
+		if (version <= this.fleet.configurationVersion() || isRejected(version)) {
 			return false;
 		}
-		this.highestSeenVersion = version;
+		this.highestSeenVersion = Math.max(this.highestSeenVersion, version);
 		if (check instanceof ConfigurationCheck.Rejected rejection) {
-			this.rejected = rejection;
-			effects.warn(Part.CONFIGURATION, "version " + version + " is rejected and version "
-					+ this.fleet.configurationVersion() + " stays in force: " + rejection.problems().get(0));
-			effects.count(Part.CONFIGURATION, "rejected");
+			reject(rejection, effects);
 			return false;
 		}
 		ConfigurationCheck.Accepted acceptance = (ConfigurationCheck.Accepted) check;
@@ -110,6 +107,22 @@
 		return true;
 	}
 
+	private void reject(ConfigurationCheck.Rejected rejection, Effects effects) {
+		this.rejected = rejection;
+		effects.warn(Part.CONFIGURATION, "version " + rejection.document().version() + " is rejected and version "
+				+ this.fleet.configurationVersion() + " stays in force: " + rejection.problems().get(0));
+		effects.count(Part.CONFIGURATION, "rejected");
+	}
+
+	/**
+	 * Returns whether a version was rejected here last.
+	 * @param version the version
+	 * @return true if so
+	 */
+	boolean isRejected(long version) {
+		return this.rejected != null && this.rejected.document().version() == version;
+	}
+
 	/**
 	 * Takes a watch that ended without news.
 	 * @param now the current time
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationSpread.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/configuration/ConfigurationSpread.java
@@ -89,7 +89,7 @@
 	 * @param effects takes the messages
 	 */
 	public void peerHas(InstanceId from, long version, Moment now, Effects effects) {
-		boolean newer = version > this.configuration.highestSeenVersion();
+		boolean newer = version > this.fleet.configurationVersion() && !this.configuration.isRejected(version);
 		if (newer && now.monotonicMillis() >= this.pullUntilMonotonicMillis) {
 			this.pullUntilMonotonicMillis = now.monotonicMillis() + PULL_TIMEOUT_MILLIS;
 			pull(from, effects);
@@ -98,7 +98,7 @@
 
 	private void pull(InstanceId from, Effects effects) {
 		effects.count(Part.CONFIGURATION, "pulled");
-		send(from, new ConfigurationMessage.Pull(this.configuration.highestSeenVersion()), effects);
+		send(from, new ConfigurationMessage.Pull(this.fleet.configurationVersion()), effects);
 	}
 
 	private static void send(InstanceId to, PeerMessage message, Effects effects) {
@@ -151,7 +151,7 @@
 		}
 		this.nextTickMonotonicMillis = now.monotonicMillis() + TICK_MILLIS;
 		this.configuration.readAs(isWatcher(), MIN_POLL_MILLIS + this.random.nextLong(POLL_SPREAD_MILLIS));
-		boolean unknown = this.configuration.highestSeenVersion() == 0;
+		boolean unknown = this.fleet.configurationVersion() == 0;
 		if (unknown && now.monotonicMillis() >= this.nextFirstPullMonotonicMillis) {
 			this.nextFirstPullMonotonicMillis = now.monotonicMillis() + FIRST_PULL_INTERVAL_MILLIS;
 			this.fleet.list()
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/fleet/EndpointState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/fleet/EndpointState.java
@@ -12,13 +12,22 @@
  *
  * <p>
  * Not safe for use by several threads; owned by the reducer. Once a source says that the
- * endpoint is leaving it gets no new work until its process restarts.
+ * endpoint is leaving it gets no new work until its process restarts. An endpoint whose
+ * load could not be read gets no callers' requests, not even as a trial, until a read
+ * succeeds: at once when its machine refused the connection or its circuit breaker is
+ * open, else from the second failed read on.
  * </p>
  */
 public final class EndpointState {
 
+	private static final int FAILED_READS_TO_EXCLUDE = 2;
+
 	private final CircuitBreaker circuitBreaker = new CircuitBreaker();
 
+	private int failedLoadReads;
+
+	private boolean loadReadRefused;
+
 	private EndpointDescription description;
 
 	private LoadReport lastReport;
@@ -64,10 +73,12 @@
 	/**
 	 * Returns whether new work may be sent.
 	 * @param nowMonotonicMillis the current time
-	 * @return false when the endpoint is leaving or its circuit breaker is open
+	 * @return false when the endpoint is leaving, known to be unreachable, or its circuit
+	 * breaker is open
 	 */
 	public boolean accepts(long nowMonotonicMillis) {
-		return !this.draining && !this.description.leaving() && this.circuitBreaker.allows(nowMonotonicMillis);
+		return !this.draining && !this.description.leaving() && !isKnownUnreachable()
+				&& this.circuitBreaker.allows(nowMonotonicMillis);
 	}
 
 	/**
@@ -86,6 +97,8 @@
 	public boolean report(LoadReport report, long nowMonotonicMillis) {
 		boolean restarted = this.lastReport != null && this.lastReport.incarnation() != report.incarnation();
 		this.lastReport = report;
+		this.failedLoadReads = 0;
+		this.loadReadRefused = false;
 		this.lastReportMonotonicMillis = nowMonotonicMillis;
 		this.draining = report.draining() || (this.draining && !restarted);
 		return restarted;
@@ -146,6 +159,16 @@
 		return this.draining || this.description.leaving();
 	}
 
+	private boolean isKnownUnreachable() {
+		boolean suspected = this.failedLoadReads > 0 && !this.circuitBreaker.isClosed();
+		return this.loadReadRefused || suspected || this.failedLoadReads >= FAILED_READS_TO_EXCLUDE;
+	}
+
+	void loadReadFailed(boolean refused) {
+		this.failedLoadReads++;
+		this.loadReadRefused = refused;
+	}
+
 	boolean loadReadDue(long nowMonotonicMillis) {
 		return !this.loadReadPending && nowMonotonicMillis >= this.nextLoadReadMonotonicMillis;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/fleet/LoadPolling.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/fleet/LoadPolling.java
@@ -61,13 +61,14 @@
 	}
 
 	/**
-	 * Takes a failed read. An endpoint whose machine refuses connections gets no work but
-	 * for trials.
+	 * Takes a failed read. An endpoint that is known to be unreachable gets no work until
+	 * a read succeeds.
 	 * @param event the failure
 	 */
 	public void unreachable(EndpointEvent.Unreachable event) {
 		this.fleet.endpoint(event.endpoint()).ifPresent((endpoint) -> {
 			endpoint.loadReadEnded();
+			endpoint.loadReadFailed(event.refused());
 			if (event.refused() && endpoint.circuitBreaker().isClosed()) {
 				endpoint.circuitBreaker().unreachable(event.at().monotonicMillis());
 			}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/request/RequestPart.java
@@ -158,11 +158,17 @@
 	/**
 	 * Takes the first token of an attempt.
 	 * @param event the first token
+	 * @param effects takes the count of first tokens later than the profile wants
 	 */
-	public void started(AttemptEvent.Started event) {
+	public void started(AttemptEvent.Started event, Effects effects) {
 		this.table.findByAttempt(event.attemptId()).ifPresent((entry) -> {
 			entry.firstTokenMillis = event.at().monotonicMillis() - entry.dispatchedMonotonicMillis;
 			this.scheduler.started(entry.requestId(), event.at());
+			long targetMillis = entry.profile.firstTokenTargetMillis();
+			long waitedMillis = event.at().monotonicMillis() - entry.arrivedMonotonicMillis;
+			if (targetMillis > 0 && waitedMillis > targetMillis && entry.deliveredTokens == 0) {
+				effects.count(Part.REQUEST, "first-token.over-target." + entry.spec.profile());
+			}
 		});
 	}
 
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettingsReader.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/settings/InstanceSettingsReader.java
@@ -72,7 +72,7 @@
 
 	private static void checkBaseUrl(String baseUrl, List<ConfigurationProblem> problems) {
 		if (!isHttpUrl(baseUrl)) {
-			problems.add(new ConfigurationProblem("platform.baseUrl", baseUrl, "an http or https URL with a host",
+			problems.add(new ConfigurationProblem("platform.baseUrl", baseUrl, "an http URL with a host",
 					"Set the platform's address, such as http://10.0.0.1:8500."));
 		}
 	}
@@ -80,7 +80,7 @@
 	private static boolean isHttpUrl(String text) {
 		try {
 			URI uri = new URI(text);
-			return uri.getHost() != null && ("http".equals(uri.getScheme()) || "https".equals(uri.getScheme()));
+			return uri.getHost() != null && "http".equals(uri.getScheme());
 		}
 		catch (URISyntaxException ex) {
 			return false;
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/load/RequestMix.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/load/RequestMix.java
@@ -53,7 +53,7 @@
 	RequestMix(LoadPlan plan, RandomGenerator random) {
 		this.plan = Objects.requireNonNull(plan, "plan");
 		this.random = Objects.requireNonNull(random, "random");
-		int chars = plan.longPromptTokens() * AnswerText.CHARS_PER_TOKEN;
+		int chars = Math.max(plan.longPromptTokens(), MAX_MEDIUM_TOKENS) * AnswerText.CHARS_PER_TOKEN;
 		this.filler = FILLER.repeat(chars / FILLER.length() + 1);
 	}
 
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/experiment/FaultComparisonTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/experiment/FaultComparisonTests.java
@@ -73,4 +73,15 @@
 		assertThat(fleet.engines()).extracting((engine) -> engine.report().incarnation()).contains(1L, 2L);
 	}
 
+	@Test
+	void knownDeadEnginesGetNoDispatch() {
+		List<Arrival> arrivals = new Workload(FleetShape.TIMBANGAN, 1).generate(12, 60);
+		FaultSchedule schedule = new FaultSchedule(ExperimentFault.ENGINES_DIE, 20_000_000, 40_000_000);
+		RunRecorder recorder = ExperimentRun
+			.run(FleetShape.TIMBANGAN, RoutingPolicy.SLACK, arrivals, 1, Optional.of(schedule))
+			.recorder();
+		assertThat(recorder.refusedLoadReads()).isPositive();
+		assertThat(recorder.dispatchesToKnownDead()).isZero();
+	}
+
 }
