--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceRunner.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/instance/InstanceRunner.java
@@ -2,13 +2,15 @@
 
 import java.util.concurrent.CountDownLatch;
 
+import ch.qos.logback.classic.LoggerContext;
 import io.mulberrylift.daemon.cli.DaemonStarter;
 import io.mulberrylift.daemon.settings.InstanceSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Runs an instance until the process is asked to end, then shuts it down gracefully.
+ * Runs an instance until the process is asked to end, then shuts it down gracefully and
+ * writes the log lines that still wait.
  */
 public final class InstanceRunner implements DaemonStarter {
 
@@ -25,6 +27,12 @@
 		ended.await();
 	}
 
+	private static void flushLog() {
+		if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+			context.stop();
+		}
+	}
+
 	private static void shutDown(InstanceDaemon daemon, CountDownLatch ended) {
 		try {
 			daemon.shutDown(SHUTDOWN_TIMEOUT_MILLIS);
@@ -33,6 +41,7 @@
 			logger.error("instance: shutdown failed", ex);
 		}
 		finally {
+			flushLog();
 			ended.countDown();
 		}
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
@@ -38,6 +38,8 @@
 
 	private final CountDownLatch readyOrEnded = new CountDownLatch(1);
 
+	private final CountDownLatch outputEnded = new CountDownLatch(1);
+
 	private final Deque<String> lines = new ArrayDeque<>();
 
 	private volatile Matcher ready;
@@ -82,6 +84,7 @@
 			keep("output ended: " + ex.getMessage());
 		}
 		this.readyOrEnded.countDown();
+		this.outputEnded.countDown();
 	}
 
 	private void keep(String line) {
@@ -154,14 +157,18 @@
 	}
 
 	/**
-	 * Waits for the end of the process.
+	 * Waits for the end of the process and of its output.
 	 * @param timeoutMillis longest wait in milliseconds
 	 * @return its exit code, empty when it still runs
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public Optional<Integer> awaitExit(long timeoutMillis) throws InterruptedException {
 		boolean ended = this.process.waitFor(timeoutMillis, TimeUnit.MILLISECONDS);
-		return ended ? Optional.of(this.process.exitValue()) : Optional.empty();
+		if (!ended) {
+			return Optional.empty();
+		}
+		this.outputEnded.await(END_SECONDS, TimeUnit.SECONDS);
+		return Optional.of(this.process.exitValue());
 	}
 
 	/**
