Tell peers of large fleets sums of work by endpoint

Now the gateway tells sums by endpoint (4 bytes for plain work): new work first, then work that is over, then what was told longest ago; peers forget what is not repeated for 3 s. Ruled out: more bytes (the bound is the users'); relays (a peer must hear as much).

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -13,6 +13,7 @@
 import io.mulberrylift.core.gossip.CrashSighting;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import io.mulberrylift.core.placement.WorkTable;
 
@@ -183,6 +184,7 @@
 
 	private void peerHeard(InstanceDigest digest, long nowMillis) {
 		Map<Long, RequestWork> shifted = new HashMap<>();
+		this.work.summarised(digest.sender(), digest.summaries(), nowMillis);
 		digest.work().forEach((request, each) -> shifted.put(request, each.shifted(nowMillis)));
 		if (digest.whole().isEmpty()) {
 			this.work.changed(digest.sender(), shifted, digest.ended(), nowMillis);
@@ -224,6 +226,15 @@
 		return shifted;
 	}
 
+	/**
+	 * Returns this instance's work in sum for its peers in large fleets.
+	 * @param nowMillis the current time
+	 * @return sums by key of the endpoint, of endpoints with work only
+	 */
+	public Map<Integer, EndpointSummary> ownSummaries(long nowMillis) {
+		return this.work.ownSummaries(nowMillis);
+	}
+
 	/**
 	 * Returns the requests whose work has changed since the last call.
 	 * @return the requests, those that have ended included
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/InstanceDigest.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/InstanceDigest.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 
 /**
@@ -15,10 +16,12 @@
  * @param sequence larger for each message of an incarnation
  * @param work its work in progress by request; in a message of changes, what has changed
  * @param ended requests that have ended since the last message
+ * @param summaries its work in sum at some endpoints, instead of single requests in large
+ * fleets
  * @param whole the rest of a whole message, empty in a message of changes
  */
 public record InstanceDigest(String sender, long incarnation, long sequence, Map<Long, RequestWork> work,
-		List<Long> ended, Optional<WholeState> whole) {
+		List<Long> ended, List<EndpointSummary> summaries, Optional<WholeState> whole) {
 
 	/**
 	 * Creates the digest.
@@ -28,6 +31,7 @@
 		Objects.requireNonNull(whole, "whole");
 		work = Map.copyOf(work);
 		ended = List.copyOf(ended);
+		summaries = List.copyOf(summaries);
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,9 @@
 
 	private final Map<String, PeerReport> peers = new HashMap<>();
 
+	/** What peers told in sum, by peer and key of the endpoint. */
+	private final Map<String, Map<Integer, HeardSummary>> peerSummaries = new HashMap<>();
+
 	/** Requests whose work has changed since the last message to peers. */
 	private final Set<Long> changed = new LinkedHashSet<>();
 
@@ -111,12 +115,44 @@
 		this.peers.put(peer, new PeerReport(merged, nowMillis));
 	}
 
+	/**
+	 * Takes a peer's work in sum at some endpoints; what it told of others stays.
+	 * @param peer name of the peer
+	 * @param summaries the sums, empty ones for endpoints where it has no more work
+	 * @param nowMillis the current time
+	 */
+	public void summarised(String peer, List<EndpointSummary> summaries, long nowMillis) {
+		Map<Integer, HeardSummary> known = this.peerSummaries.computeIfAbsent(peer, (name) -> new HashMap<>());
+		summaries.forEach((each) -> known.put(each.endpointKey(), new HeardSummary(each, nowMillis)));
+	}
+
 	/**
 	 * Drops reports that are too old.
 	 * @param nowMillis the current time
 	 */
 	public void expire(long nowMillis) {
 		this.peers.values().removeIf((report) -> nowMillis - report.heardMillis() > PEER_REPORT_MILLIS);
+		this.peerSummaries.values()
+			.forEach((heard) -> heard.values()
+				.removeIf((each) -> each.summary().isEmpty() || nowMillis - each.heardMillis() > PEER_REPORT_MILLIS));
+		this.peerSummaries.values().removeIf(Map::isEmpty);
+	}
+
+	/**
+	 * Returns this instance's work in sum.
+	 * @param nowMillis the current time
+	 * @return sums by key of the endpoint, of endpoints with work only
+	 */
+	public Map<Integer, EndpointSummary> ownSummaries(long nowMillis) {
+		Map<Integer, List<WorkItem>> byKey = new LinkedHashMap<>();
+		for (RequestWork each : this.own.values()) {
+			for (WorkItem item : each.items()) {
+				byKey.computeIfAbsent(EndpointSummary.key(item.endpointHash()), (key) -> new ArrayList<>()).add(item);
+			}
+		}
+		Map<Integer, EndpointSummary> summaries = new LinkedHashMap<>();
+		byKey.forEach((key, items) -> summaries.put(key, EndpointSummary.of(key, items, nowMillis)));
+		return summaries;
 	}
 
 	/**
@@ -171,6 +207,7 @@
 		endpoints.forEach((endpoint) -> byEndpoint.put(hash(endpoint.id()), new ArrayList<>()));
 		collect(this.own, byEndpoint);
 		this.peers.values().forEach((report) -> collect(report.work(), byEndpoint));
+		collectSummaries(byEndpoint);
 		List<EndpointWork> view = new ArrayList<>(endpoints.size());
 		for (ForwardEndpoint endpoint : endpoints) {
 			view.add(new EndpointWork(endpoint, byEndpoint.get(hash(endpoint.id())), health(endpoint.id())));
@@ -198,6 +235,24 @@
 		}
 	}
 
+	private void collectSummaries(Map<Integer, List<WorkItem>> byEndpoint) {
+		if (this.peerSummaries.isEmpty()) {
+			return;
+		}
+		byEndpoint.forEach((hash, items) -> {
+			int key = EndpointSummary.key(hash);
+			for (Map<Integer, HeardSummary> told : this.peerSummaries.values()) {
+				HeardSummary heard = told.get(key);
+				if (heard != null) {
+					items.addAll(heard.summary().items(hash, heard.heardMillis()));
+				}
+			}
+		});
+	}
+
+	private record HeardSummary(EndpointSummary summary, long heardMillis) {
+	}
+
 	private record PeerReport(Map<Long, RequestWork> work, long heardMillis) {
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -251,7 +251,7 @@
 			WholeState state = new WholeState("zone-b", 1, 1, List.of(), List.of(new CrashSighting(42, hash)),
 					List.of());
 			this.fixture.reduce(new GatewayEvent.PeerHeard(
-					new InstanceDigest("10.0.0.9:1", 1, hash, Map.of(), List.of(), Optional.of(state))));
+					new InstanceDigest("10.0.0.9:1", 1, hash, Map.of(), List.of(), List.of(), Optional.of(state))));
 		}
 		this.fixture.arrive("/read/x", 0);
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -16,7 +16,7 @@
 	private static InstanceDigest digest(int host, long incarnation, long sequence, List<KnownMember> members) {
 		WholeState state = new WholeState("zone-" + host % 22, 5, 100 + host, List.of(), List.of(), members);
 		return new InstanceDigest("10.0." + host / 250 + "." + (host % 250 + 2) + ":1", incarnation, sequence, Map.of(),
-				List.of(), Optional.of(state));
+				List.of(), List.of(), Optional.of(state));
 	}
 
 	@Test
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/EndpointSummaryTests.java
@@ -0,0 +1,54 @@
+package io.mulberrylift.core.placement;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class EndpointSummaryTests {
+
+	private static final int HASH = 987_654_321;
+
+	private static WorkItem item(WorkPhase phase, double readMillis, long memoryTokens, long gapMillis) {
+		return new WorkItem(HASH, phase, readMillis, memoryTokens, gapMillis, 5000, 1000 + (long) readMillis, 2);
+	}
+
+	@Test
+	void sumCountsSlotsWritersReadingAndMemory() {
+		EndpointSummary sum = EndpointSummary.of(7, List.of(item(WorkPhase.WRITING, 0, 3000, 200),
+				item(WorkPhase.READING, 400, 20_000, 800), item(WorkPhase.HELPING, 300, 0, 100)), 1000);
+		assertThat(sum).isEqualTo(new EndpointSummary(7, 2, 1, 700, 23_000, 200));
+	}
+
+	@Test
+	void itemsHaveTheSameSum() {
+		EndpointSummary sum = new EndpointSummary(EndpointSummary.key(HASH), 3, 1, 800, 30_000, 200);
+		List<WorkItem> items = sum.items(HASH, 1000);
+		assertThat(items).hasSize(3).allMatch((each) -> each.endpointHash() == HASH);
+		assertThat(EndpointSummary.of(EndpointSummary.key(HASH), items, 1000)).isEqualTo(sum);
+	}
+
+	@Test
+	void helpingAloneTakesNoSlot() {
+		EndpointSummary sum = new EndpointSummary(7, 0, 0, 500, 4000, 0);
+		assertThat(sum.items(HASH, 0)).singleElement().matches((item) -> item.phase() == WorkPhase.HELPING);
+		assertThat(EndpointSummary.of(7, sum.items(HASH, 0), 0)).isEqualTo(sum);
+	}
+
+	@Test
+	void moreSlotsOrMemoryExceed() {
+		EndpointSummary told = new EndpointSummary(7, 2, 1, 700, 23_000, 200);
+		assertThat(new EndpointSummary(7, 3, 1, 0, 0, 200).exceeds(told)).isTrue();
+		assertThat(new EndpointSummary(7, 2, 1, 0, 24_000, 200).exceeds(told)).isTrue();
+		assertThat(told.exceeds(told)).isFalse();
+		assertThat(new EndpointSummary(7, 0, 0, 0, 0, 0).isEmpty()).isTrue();
+	}
+
+	@Test
+	void moreWritersThanSlotsAreRefused() {
+		assertThatIllegalArgumentException().isThrownBy(() -> new EndpointSummary(7, 1, 2, 0, 0, 0));
+	}
+
+}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipRounds.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipRounds.java
@@ -12,14 +12,16 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
 import io.mulberrylift.core.gossip.WholeState;
+import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
+import io.mulberrylift.gateway.peer.DigestCodec;
 import io.mulberrylift.gateway.peer.DigestSender;
 import io.mulberrylift.gateway.peer.PeerLink;
 
 /**
  * Decides when this instance tells its peers what: changes of its work at once, the whole
  * state at least once per {@value #WHOLE_INTERVAL_MILLIS} ms, and never more bytes than
- * allowed.
+ * allowed. In large fleets it tells sums by endpoint instead of single requests.
  *
  * <p>
  * Not safe for use by several threads; used on the event loop only. A lost message of
@@ -43,6 +45,12 @@
 	/** Least room for a message, which its fixed part needs. */
 	private static final int MIN_MESSAGE_BYTES = 160;
 
+	/** Time between messages of sums in large fleets, in milliseconds. */
+	private static final long SUMMARY_INTERVAL_MILLIS = 1000;
+
+	/** Bytes of a message of sums apart from them. */
+	private static final int SUMMARY_HEADER_BYTES = 16;
+
 	/** How long ends of requests wait for a message that goes anyway, in milliseconds. */
 	private static final long PATIENCE_MILLIS = 120;
 
@@ -68,8 +76,12 @@
 
 	private final Set<Long> pending = new LinkedHashSet<>();
 
+	private final SummaryQueue summaries = new SummaryQueue();
+
 	private long sequence;
 
+	private long lastSummaryMillis;
+
 	private boolean wholeDue = true;
 
 	private double allowedBytes;
@@ -101,6 +113,9 @@
 	 * @param nowMillis the current time
 	 */
 	void placed(long nowMillis) {
+		if (this.membership.isPartial()) {
+			return;
+		}
 		collect(nowMillis);
 		earn(nowMillis);
 		if (this.allowedBytes > 0) {
@@ -117,6 +132,9 @@
 		if (overdue || (this.wholeDue && this.allowedBytes > 0)) {
 			sendWhole(nowMillis);
 		}
+		else if (this.membership.isPartial()) {
+			sendSummaries(nowMillis);
+		}
 		else if (!this.pending.isEmpty() && this.allowedBytes > 0
 				&& nowMillis - this.pendingSinceMillis >= PATIENCE_MILLIS) {
 			sendChanges(nowMillis);
@@ -145,8 +163,33 @@
 		this.lastWholeMillis = nowMillis;
 		this.pending.clear();
 		List<String> targets = this.membership.targets(nowMillis);
-		send(targets, this.gateway.ownWork(nowMillis), List.of(), Optional.of(state),
-				room(targets, WHOLE_SHARE * MAX_WHOLE_INTERVAL_MILLIS));
+		int maxBytes = room(targets, WHOLE_SHARE * MAX_WHOLE_INTERVAL_MILLIS);
+		if (this.membership.isPartial()) {
+			int fixedBytes = DigestCodec.encode(digest(Map.of(), List.of(), List.of(), Optional.of(state)),
+					DigestCodec.MAX_BYTES).length;
+			List<EndpointSummary> told = this.summaries.take(this.gateway.ownSummaries(nowMillis),
+					maxBytes - fixedBytes, nowMillis);
+			send(targets, digest(Map.of(), List.of(), told, Optional.of(state)), DigestCodec.MAX_BYTES);
+		}
+		else {
+			send(targets, digest(this.gateway.ownWork(nowMillis), List.of(), List.of(), Optional.of(state)), maxBytes);
+		}
+	}
+
+	private void sendSummaries(long nowMillis) {
+		Map<Integer, EndpointSummary> current = this.gateway.ownSummaries(nowMillis);
+		boolean due = this.allowedBytes > 0 && nowMillis - this.lastSummaryMillis >= SUMMARY_INTERVAL_MILLIS;
+		if (!due || !this.summaries.hasNews(current)) {
+			return;
+		}
+		this.lastSummaryMillis = nowMillis;
+		this.pending.clear();
+		List<String> targets = this.membership.neighbours();
+		int bytes = perTarget(targets, (1 - WHOLE_SHARE) * SUMMARY_INTERVAL_MILLIS) - SUMMARY_HEADER_BYTES;
+		List<EndpointSummary> told = this.summaries.take(current, bytes, nowMillis);
+		if (!told.isEmpty()) {
+			send(targets, digest(Map.of(), List.of(), told, Optional.empty()), DigestCodec.MAX_BYTES);
+		}
 	}
 
 	/**
@@ -156,8 +199,12 @@
 	 * @return the size in bytes
 	 */
 	private int room(List<String> targets, double millis) {
+		return Math.max(MIN_MESSAGE_BYTES, perTarget(targets, millis));
+	}
+
+	private int perTarget(List<String> targets, double millis) {
 		double bytes = this.settings.controlBytesPerSecond() * millis / MILLIS_PER_SECOND / Math.max(1, targets.size());
-		return Math.max(MIN_MESSAGE_BYTES, (int) bytes - PeerLink.DATAGRAM_OVERHEAD_BYTES);
+		return (int) bytes - PeerLink.DATAGRAM_OVERHEAD_BYTES;
 	}
 
 	private void sendChanges(long nowMillis) {
@@ -166,14 +213,19 @@
 		List<Long> ended = this.pending.stream().filter((request) -> !work.containsKey(request)).toList();
 		this.pending.clear();
 		List<String> targets = this.membership.neighbours();
-		send(targets, work, ended, Optional.empty(), room(targets, MILLIS_PER_SECOND));
+		send(targets, digest(work, ended, List.of(), Optional.empty()), room(targets, MILLIS_PER_SECOND));
+	}
+
+	private InstanceDigest digest(Map<Long, RequestWork> work, List<Long> ended, List<EndpointSummary> told,
+			Optional<WholeState> state) {
+		return new InstanceDigest(this.settings.peers().toString(), this.incarnation, this.sequence + 1, work, ended,
+				told, state);
 	}
 
-	private void send(List<String> targets, Map<Long, RequestWork> work, List<Long> ended, Optional<WholeState> state,
-			int maxBytes) {
+	private void send(List<String> targets, InstanceDigest digest, int maxBytes) {
 		if (!targets.isEmpty()) {
-			this.allowedBytes -= this.link.send(new InstanceDigest(this.settings.peers().toString(), this.incarnation,
-					++this.sequence, work, ended, state), targets, maxBytes);
+			this.sequence++;
+			this.allowedBytes -= this.link.send(digest, targets, maxBytes);
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -13,6 +13,7 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.WholeState;
+import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -27,9 +28,15 @@
 	/** Largest message in bytes; fits one datagram on common links. */
 	public static final int MAX_BYTES = 1400;
 
-	private static final int WHOLE_FORMAT = 2;
+	private static final int WHOLE_FORMAT = 4;
 
-	private static final int CHANGES_FORMAT = 3;
+	private static final int CHANGES_FORMAT = 5;
+
+	/** Memory in sums is told in units of so many tokens. */
+	private static final int SUMMARY_MEMORY_UNIT_TOKENS = 4096;
+
+	/** Reading time in sums is told in units of so many milliseconds. */
+	private static final int SUMMARY_READ_UNIT_MILLIS = 8;
 
 	private static final int MAX_ENTRIES = 4096;
 
@@ -73,6 +80,10 @@
 			for (long request : digest.ended()) {
 				packer.packLong(request);
 			}
+			packer.packArrayHeader(digest.summaries().size());
+			for (EndpointSummary summary : digest.summaries()) {
+				pack(packer, summary);
+			}
 			if (digest.whole().isPresent()) {
 				pack(packer, digest.whole().get());
 			}
@@ -86,7 +97,8 @@
 	private static void pack(MessageBufferPacker packer, RequestWork work) throws IOException {
 		packer.packBoolean(work.writing()).packInt(work.endpointHash());
 		packer.packLong(work.gapTargetMillis() / TIME_UNIT_MILLIS).packInt((int) Math.round(work.weight()));
-		packer.packLong(units(work.memoryTokens())).packLong(units(work.helperMemoryTokens()));
+		packer.packLong(units(work.memoryTokens(), MEMORY_UNIT_TOKENS))
+			.packLong(units(work.helperMemoryTokens(), MEMORY_UNIT_TOKENS));
 		packer.packArrayHeader(work.helperHashes().size());
 		for (int helper : work.helperHashes()) {
 			packer.packInt(helper);
@@ -98,8 +110,43 @@
 		}
 	}
 
-	private static long units(long tokens) {
-		return (tokens + MEMORY_UNIT_TOKENS - 1) / MEMORY_UNIT_TOKENS;
+	/**
+	 * Writes a sum. Plain work is its number of slots alone; a negative number announces
+	 * the rest.
+	 * @param packer takes it
+	 * @param summary the sum
+	 * @throws IOException if the packer fails
+	 */
+	private static void pack(MessageBufferPacker packer, EndpointSummary summary) throws IOException {
+		packer.packInt(summary.endpointKey());
+		boolean plain = summary.readMillis() == 0 && summary.memoryTokens() == 0 && summary.writers() == 0
+				&& summary.gapTargetMillis() == 0;
+		packer.packInt(plain ? summary.slots() : -1 - summary.slots());
+		if (!plain) {
+			packer.packInt(summary.writers());
+			packer.packLong(units(summary.readMillis(), SUMMARY_READ_UNIT_MILLIS));
+			packer.packLong(units(summary.memoryTokens(), SUMMARY_MEMORY_UNIT_TOKENS));
+			packer.packLong(summary.gapTargetMillis() / TIME_UNIT_MILLIS);
+		}
+	}
+
+	/**
+	 * Returns the room that a sum takes in a message.
+	 * @param summary the sum
+	 * @return the size in bytes
+	 */
+	public static int size(EndpointSummary summary) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			pack(packer, summary);
+			return (int) packer.getTotalWrittenBytes();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("Packing to memory failed", ex);
+		}
+	}
+
+	private static long units(long value, int unit) {
+		return (value + unit - 1) / unit;
 	}
 
 	private static void pack(MessageBufferPacker packer, WholeState state) throws IOException {
@@ -141,9 +188,13 @@
 			for (int left = size(unpacker); left > 0; left--) {
 				ended.add(unpacker.unpackLong());
 			}
+			List<EndpointSummary> summaries = new ArrayList<>();
+			for (int left = size(unpacker); left > 0; left--) {
+				summaries.add(unpackSummary(unpacker));
+			}
 			Optional<WholeState> whole = (format == WHOLE_FORMAT) ? Optional.of(unpackWhole(unpacker))
 					: Optional.empty();
-			return new InstanceDigest(sender, incarnation, sequence, work, ended, whole);
+			return new InstanceDigest(sender, incarnation, sequence, work, ended, summaries, whole);
 		}
 		catch (RuntimeException ex) {
 			throw new IOException("Digest is malformed: " + ex.getMessage(), ex);
@@ -176,6 +227,19 @@
 				expectedFirstMillis, weight, endpointHash, helpers);
 	}
 
+	private static EndpointSummary unpackSummary(MessageUnpacker unpacker) throws IOException {
+		int key = unpacker.unpackInt();
+		int slots = unpacker.unpackInt();
+		if (slots >= 0) {
+			return new EndpointSummary(key, slots, 0, 0, 0, 0);
+		}
+		int writers = unpacker.unpackInt();
+		long readMillis = unpacker.unpackLong() * SUMMARY_READ_UNIT_MILLIS;
+		long memoryTokens = unpacker.unpackLong() * SUMMARY_MEMORY_UNIT_TOKENS;
+		long gapTargetMillis = unpacker.unpackLong() * TIME_UNIT_MILLIS;
+		return new EndpointSummary(key, -1 - slots, writers, readMillis, memoryTokens, gapTargetMillis);
+	}
+
 	private static WholeState unpackWhole(MessageUnpacker unpacker) throws IOException {
 		String zone = unpacker.unpackString();
 		long configurationVersion = unpacker.unpackLong();
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipRoundsTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipRoundsTests.java
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
@@ -30,6 +32,8 @@
 import io.mulberrylift.core.gossip.Membership;
 import io.mulberrylift.core.gossip.WholeState;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.placement.EndpointSummary;
+import io.mulberrylift.core.placement.WorkTable;
 import io.mulberrylift.gateway.http.NetAddress;
 import io.mulberrylift.gateway.peer.DigestCodec;
 import io.mulberrylift.gateway.peer.PeerLink;
@@ -53,17 +57,20 @@
 
 	private final List<Long> delaysMillis = new ArrayList<>();
 
+	private final Map<Integer, Set<Long>> openByEndpoint = new HashMap<>();
+
 	private long nowMillis;
 
 	private int record(InstanceDigest digest, List<String> targets, int maxBytes) {
 		this.sent.add(digest);
 		byte[] message = DigestCodec.encode(digest, maxBytes);
 		try {
-			for (long request : DigestCodec.decode("10.0.0.1:7340", message).work().keySet()) {
-				Long placed = this.placedMillis.remove(request);
-				if (placed != null) {
-					this.delaysMillis.add(this.nowMillis - placed);
-				}
+			InstanceDigest told = DigestCodec.decode("10.0.0.1:7340", message);
+			told.work().keySet().forEach(this::told);
+			for (EndpointSummary summary : told.summaries()) {
+				Set<Long> summed = this.openByEndpoint.getOrDefault(summary.endpointKey(), Set.of());
+				assertThat(summary.slots()).isEqualTo(summed.size());
+				summed.forEach(this::told);
 			}
 		}
 		catch (IOException ex) {
@@ -74,6 +81,13 @@
 		return bytes;
 	}
 
+	private void told(long request) {
+		Long placed = this.placedMillis.remove(request);
+		if (placed != null) {
+			this.delaysMillis.add(this.nowMillis - placed);
+		}
+	}
+
 	private static Gateway gateway(GatewayIdentity identity) {
 		Gateway gateway = new Gateway(identity, new SplittableRandom(1));
 		Route route = new Route("r", "h", "/", List.of(new WeightedService("s", 1)), RequestKind.IDEMPOTENT, 60_000,
@@ -97,7 +111,7 @@
 		Membership membership = new Membership(self.toString(), "zone-0", new SplittableRandom(2));
 		GatewaySettings settings = new GatewaySettings(identity, self, self, self, self, List.of(), RATE, 1000);
 		GossipRounds rounds = new GossipRounds(settings, gateway, membership, this::record, () -> 1);
-		Deque<Long> open = new ArrayDeque<>();
+		Deque<Placed> open = new ArrayDeque<>();
 		long request = 0;
 		for (long now = 0; now < SECONDS * 1000; now += 20) {
 			this.nowMillis = now;
@@ -109,14 +123,18 @@
 						request);
 				for (GatewayEffect effect : gateway.reduce(new GatewayEvent.Arrived(request, arrival), now)) {
 					if (effect instanceof GatewayEffect.Send send) {
-						open.addLast(send.attemptId());
+						int key = EndpointSummary.key(WorkTable.hash(send.endpoint().id()));
+						open.addLast(new Placed(request, send.attemptId(), key));
+						this.openByEndpoint.computeIfAbsent(key, (any) -> new HashSet<>()).add(request);
 						this.placedMillis.put(request, now);
 						rounds.placed(now);
 					}
 				}
 			}
 			while (open.size() > 2 * requestsPerSecond) {
-				gateway.reduce(new GatewayEvent.Ended(open.removeFirst(), AttemptOutcome.COMPLETED), now);
+				Placed ended = open.removeFirst();
+				this.openByEndpoint.get(ended.endpointKey()).remove(ended.request());
+				gateway.reduce(new GatewayEvent.Ended(ended.attemptId(), AttemptOutcome.COMPLETED), now);
 			}
 			rounds.tick(now);
 		}
@@ -126,7 +144,7 @@
 		for (int index = 1; index < instances; index++) {
 			WholeState state = new WholeState("zone-" + index % zones, 1, 1, List.of(), List.of(), List.of());
 			membership.heard(new InstanceDigest("10.1." + index / 200 + "." + index % 200 + ":7340", 1, now + 1,
-					Map.of(), List.of(), Optional.of(state)), now);
+					Map.of(), List.of(), List.of(), Optional.of(state)), now);
 		}
 	}
 
@@ -170,4 +188,7 @@
 		assertThat(inTime).isGreaterThan(SECONDS * 32 / 2);
 	}
 
+	private record Placed(long request, long attemptId, int endpointKey) {
+	}
+
 }
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -12,6 +12,7 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.WholeState;
+import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.junit.jupiter.api.Test;
 
@@ -27,7 +28,7 @@
 	}
 
 	private static InstanceDigest changes(Map<Long, RequestWork> work) {
-		return new InstanceDigest(SENDER, 1_800_000_000L, 77, work, List.of(8L, 9L), Optional.empty());
+		return new InstanceDigest(SENDER, 1_800_000_000L, 77, work, List.of(8L, 9L), List.of(), Optional.empty());
 	}
 
 	@Test
@@ -35,11 +36,20 @@
 		WholeState state = new WholeState("zone-a", 17, 4711, List.of(new AvoidedEndpoint(5, 400)),
 				List.of(new CrashSighting(Long.MIN_VALUE, -1)),
 				List.of(new KnownMember("10.0.0.2:7340", "zone-b", 30)));
-		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, reading()), List.of(4L),
+		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, reading()), List.of(4L), List.of(),
 				Optional.of(state));
 		assertThat(DigestCodec.decode(SENDER, DigestCodec.encode(digest, DigestCodec.MAX_BYTES))).isEqualTo(digest);
 	}
 
+	@Test
+	void sumsComeBackInTheirUnits() throws IOException {
+		List<EndpointSummary> sums = List.of(new EndpointSummary(65_535, 3, 0, 0, 0, 0),
+				new EndpointSummary(7, 4, 2, 800, 40_960, 200), new EndpointSummary(9, 0, 0, 0, 0, 0));
+		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(), List.of(), sums, Optional.empty());
+		assertThat(DigestCodec.decode(SENDER, DigestCodec.encode(digest, DigestCodec.MAX_BYTES))).isEqualTo(digest);
+		assertThat(sums).extracting(DigestCodec::size).containsExactly(4, 6, 2);
+	}
+
 	@Test
 	void writingWorkLosesOnlyWhatNoLongerMatters() throws IOException {
 		RequestWork begun = reading().begun();
@@ -56,7 +66,7 @@
 	void messageOfOnePlacementIsSmall() {
 		RequestWork one = new RequestWork(false, 22, 6656, 0, 200, 300, 80, 1, 123_456_789, List.of());
 		InstanceDigest digest = new InstanceDigest(SENDER, 1_800_000_000L, 7777, Map.of(5000L, one), List.of(),
-				Optional.empty());
+				List.of(), Optional.empty());
 		assertThat(DigestCodec.encode(digest, DigestCodec.MAX_BYTES).length).isLessThanOrEqualTo(48);
 	}
 
