Let the test of a stalled reader fill the socket before it waits

On a busy machine the buffer was full because the writing thread had not run yet; it then drained into the socket's buffers, nothing was pending, and no write could time out. A second cause: with 300 ms of idle time the server closed connections whose request it had not read yet. Now the test writes whenever the buffer has room, until the server gives the caller up, and asserts that the number of chunks is bounded; the idle timeout is 2 s.

--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ConnectionTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/caller/ConnectionTests.java
@@ -87,11 +87,17 @@
 
 	@Test
 	void stalledReaderIsGivenUpAfterTheIdleTimeout() throws Exception {
-		start("\"idleTimeoutMillis\": 300");
+		// A shorter timeout closed connections on a busy machine before their request was
+		// read.
+		start("\"idleTimeoutMillis\": 2000");
 		try (Socket socket = connect()) {
 			send(socket, request(STREAM_BODY));
-			writeUntilFull();
-			waitFor(() -> this.server.reducer.count(RequestEvent.CallerGone.class) == 1);
+			waitFor(() -> this.arrived != null);
+			// A full buffer may still drain into the socket's: only one that stays full
+			// shows a stalled reader.
+			waitFor(this::writeSeesLostCaller);
+			assertThat(this.server.reducer.count(RequestEvent.CallerGone.class)).isOne();
+			assertThat(this.arrived.sink().acceptedTokens()).isLessThan(MANY_CHUNKS);
 		}
 		waitFor(() -> this.server.openCalls.count() == 0);
 	}
@@ -162,7 +168,9 @@
 
 	private int writeUntilFull() throws InterruptedException {
 		waitFor(() -> this.arrived != null);
-		int chunks = 0;
+		this.arrived.sink().tokens(0, List.of(CHUNK));
+		waitFor(() -> ((AbstractExchange) this.arrived).stream().bufferedBytes() == 0);
+		int chunks = 1;
 		while (chunks < MANY_CHUNKS && this.arrived.sink().tokens(chunks, List.of(CHUNK))) {
 			chunks++;
 		}
@@ -170,7 +178,9 @@
 	}
 
 	private boolean writeSeesLostCaller() {
-		this.arrived.sink().tokens(this.arrived.sink().acceptedTokens(), List.of("b"));
+		if (((AbstractExchange) this.arrived).stream().bufferedBytes() <= AnswerSink.MAX_BUFFERED_BYTES) {
+			this.arrived.sink().tokens(this.arrived.sink().acceptedTokens(), List.of(CHUNK));
+		}
 		return this.server.reducer.count(RequestEvent.CallerGone.class) > 0;
 	}
 
