Place prompts by the engines' order of parts and refuse those that cost more than they earn

Ruled out: oldest part first (parts that came later were done in 0.4 s while older ones waited 5 s); lost answers (later requests of the same engines and instances went through).

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -134,7 +134,7 @@
 		PromptDemand demand = demand(state, nowMillis);
 		Optional<Placement> placement = placement(state, nowMillis);
 		if (placement.isPresent()) {
-			admit(state, placement.get(), nowMillis, effects);
+			offer(state, demand, placement.get(), nowMillis, effects);
 			return;
 		}
 		Optional<Placement> spread = this.promptPlacement.placeSpread(demand, candidates, model.get(),
@@ -143,6 +143,9 @@
 			giveUp(state, RefusalCause.OVERLOADED, effects);
 			return;
 		}
+		if (refusedForHarm(state, demand, spread.get(), effects)) {
+			return;
+		}
 		state.placement = spread.get();
 		this.reservations.begin(state, demand, nowMillis, effects);
 		recordWork(state, demand, nowMillis);
@@ -170,6 +173,24 @@
 				state.timeLeftMillis(nowMillis), state.route.gapTargetMillis());
 	}
 
+	private void offer(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
+			List<GatewayEffect> effects) {
+		if (!refusedForHarm(state, demand, placement, effects)) {
+			admit(state, placement, nowMillis, effects);
+		}
+	}
+
+	private boolean refusedForHarm(ForwardState state, PromptDemand demand, Placement placement,
+			List<GatewayEffect> effects) {
+		if (state.sends > 0 || this.promptPlacement.admits(demand, placement)) {
+			return false;
+		}
+		log(effects, "too-costly", "request", state.requestId, "prompt", demand.promptTokens(), "cost",
+				Math.round(placement.cost()), "weight", Math.round(demand.weight()));
+		giveUp(state, RefusalCause.OVERLOADED, effects);
+		return true;
+	}
+
 	private void admit(ForwardState state, Placement placement, long nowMillis, List<GatewayEffect> effects) {
 		if (placement.expectedFirstMillis() > ADMISSION_SHARE * state.timeLeftMillis(nowMillis)) {
 			log(effects, "too-late", "request", state.requestId, "expected", (long) placement.expectedFirstMillis(),
@@ -396,7 +417,7 @@
 	private void silent(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		EndpointHealth health = this.work.health(state.placement.endpoint().id());
 		long aliveMillis = Math.min(MAX_ALIVE_MILLIS, (long) (ALIVE_SHARE * silenceMillis(state.route)));
-		if (health.isAlive(nowMillis, aliveMillis)) {
+		if (health.isAlive(nowMillis, aliveMillis + longestPassMillis(state))) {
 			// The engine works for others: it is busy, and another engine would read the
 			// prompt again.
 			state.silentMillis = nowMillis + RECHECK_MILLIS;
@@ -419,6 +440,12 @@
 		send(state, placement.get(), nowMillis, effects);
 	}
 
+	private long longestPassMillis(ForwardState state) {
+		Optional<EngineModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
+		EndpointWork endpoint = this.work.view(List.of(state.placement.endpoint())).get(0);
+		return model.map((engine) -> (long) endpoint.longestPassMillis(engine)).orElse(0L);
+	}
+
 	private void giveUp(ForwardState state, RefusalCause wanted, List<GatewayEffect> effects) {
 		if (state.begun) {
 			log(effects, "broken-off", "request", state.requestId, "cause", wanted);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointSummary.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointSummary.java
@@ -102,11 +102,11 @@
 		for (int index = 0; index < this.slots; index++) {
 			boolean writing = index < this.writers;
 			double reading = (writing) ? 0 : (double) this.readMillis / readers;
-			items.add(new WorkItem(endpointHash, (writing) ? WorkPhase.WRITING : WorkPhase.READING, reading, memoryEach,
-					this.gapTargetMillis, heardMillis, heardMillis + (long) reading, 1));
+			items.add(new WorkItem(endpointHash, (writing) ? WorkPhase.WRITING : WorkPhase.READING, reading, 1,
+					memoryEach, this.gapTargetMillis, heardMillis, heardMillis + (long) reading, 1));
 		}
 		if (readers == 0 && (this.readMillis > 0 || this.slots == 0)) {
-			items.add(new WorkItem(endpointHash, WorkPhase.HELPING, this.readMillis,
+			items.add(new WorkItem(endpointHash, WorkPhase.HELPING, this.readMillis, 1,
 					(this.slots == 0) ? this.memoryTokens : 0, 0, heardMillis, heardMillis + this.readMillis, 1));
 		}
 		return items;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointWork.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointWork.java
@@ -69,16 +69,32 @@
 	}
 
 	/**
-	 * Returns the reading time that is left of parts for others, which go ahead of the
-	 * endpoint's own prompts.
+	 * Returns the longest reading that a pass with writers may hold here.
+	 * @param model cost model of the endpoint
 	 * @param nowMillis the current time
 	 * @return the time in milliseconds
 	 */
-	public double helpingMillis(long nowMillis) {
-		return this.items.stream()
-			.filter((item) -> item.phase() == WorkPhase.HELPING)
-			.mapToDouble((item) -> item.remainingReadMillis(nowMillis))
-			.sum();
+	public double passReadMillis(EngineModel model, long nowMillis) {
+		double longest = this.items.stream()
+			.filter((item) -> item.remainingReadMillis(nowMillis) > 0)
+			.mapToDouble((item) -> model.passReadMillis(item.wholeReadMillis()))
+			.max()
+			.orElse(0);
+		return Math.min(longest, backlogMillis(nowMillis));
+	}
+
+	/**
+	 * Returns how long the pass may take that the endpoint is in, by all work known there
+	 * that has not begun to write: the time in which its silence says nothing.
+	 * @param model cost model of the endpoint
+	 * @return the time in milliseconds
+	 */
+	public double longestPassMillis(EngineModel model) {
+		double reading = this.items.stream()
+			.mapToDouble((item) -> Math.min(item.readMillis(), model.passReadMillis(item.wholeReadMillis())))
+			.max()
+			.orElse(0);
+		return passMillis(model, 0) + reading;
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineModel.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineModel.java
@@ -59,6 +59,24 @@
 				+ contextTokens / THOUSAND * this.contextPerThousandMillis);
 	}
 
+	/**
+	 * Returns how much of a prompt's reading one pass with writers holds at most.
+	 * @param wholeReadMillis reading time of the whole prompt on one idle engine
+	 * @return the time in milliseconds; larger for long prompts, whose tokens have more
+	 * pairs
+	 */
+	public double passReadMillis(double wholeReadMillis) {
+		if (wholeReadMillis <= 0) {
+			return 0;
+		}
+		double perToken = 1 / this.readTokensPerMilli;
+		double perPair = this.pairsPerMillionMillis / MILLION;
+		double tokens = (perPair > 0)
+				? (Math.sqrt(perToken * perToken + 2 * perPair * wholeReadMillis) - perToken) / perPair
+				: wholeReadMillis / perToken;
+		return wholeReadMillis * Math.min(1, tokensPerPass() / tokens);
+	}
+
 	/**
 	 * Returns how many prompt tokens one pass with writers reads at most.
 	 * @return the number of tokens
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
@@ -32,7 +32,7 @@
 	private static final int[] PARTS = { 1, 2, 3, 4, 6, 8, 11, 14, MAX_HELPERS + 1 };
 
 	/** Share of a pause target at which lateness begins to be likely. */
-	private static final double GAP_SAFE_SHARE = 0.7;
+	private static final double GAP_SAFE_SHARE = 0.85;
 
 	/** Share of a pause target at which lateness is certain. */
 	private static final double GAP_LATE_SHARE = 1.05;
@@ -40,7 +40,7 @@
 	/**
 	 * Share of the time to a first token's target at which lateness begins to be likely.
 	 */
-	private static final double FIRST_SAFE_SHARE = 0.55;
+	private static final double FIRST_SAFE_SHARE = 0.35;
 
 	/** Share of the time to a first token's target at which lateness is certain. */
 	private static final double FIRST_LATE_SHARE = 1.0;
@@ -58,8 +58,11 @@
 	 */
 	private static final double OPENING_LOSS = 0.25;
 
-	/** Loss per share of an engine's slots in use, so that equal engines fill evenly. */
-	private static final double SLOT_LOSS = 0.5;
+	/**
+	 * Gain per share of an engine's slots in use for answers that bear pauses: beside
+	 * short answers, few long parts are read.
+	 */
+	private static final double COMPANY_GAIN = 1.0;
 
 	/**
 	 * Loss per share of slots beyond the comfortable one: arrivals not yet known fill the
@@ -94,6 +97,21 @@
 	/** Least reading time of a part that is worth another engine, in milliseconds. */
 	private static final double MIN_PART_MILLIS = 60;
 
+	/** Loss per second until a helper has read its part, in the order of helpers. */
+	private static final double HELPER_DELAY_LOSS = 3.0;
+
+	/** Share of the running pass's reading that a new part is taken to wait for. */
+	private static final double RUNNING_PASS_SHARE = 1.0;
+
+	/** Weight from which a prompt is large. */
+	private static final double LARGE_WEIGHT = 4;
+
+	/** Large prompts that may be refused for each one that is taken. */
+	private static final double REFUSED_PER_ADMITTED = 0.5;
+
+	/** Refusals that may follow one another. */
+	private static final double MAX_REFUSAL_CREDIT = 3;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	/**
@@ -107,6 +125,8 @@
 
 	private final RandomGenerator random;
 
+	private double refusalCredit = MAX_REFUSAL_CREDIT;
+
 	private double otherZoneLoss = OTHER_ZONE_LOSS;
 
 	/**
@@ -180,6 +200,26 @@
 		return best;
 	}
 
+	/**
+	 * Decides whether a prompt is taken. One that costs others more than it earns is
+	 * refused, but never more than a share of the large prompts, so that none of a size
+	 * is shut out.
+	 * @param demand what it asks
+	 * @param placement the best choice for it
+	 * @return false if it should be refused and come back later
+	 */
+	public boolean admits(PromptDemand demand, Placement placement) {
+		double late = lateness(demand, placement.expectedFirstMillis());
+		boolean worthwhile = placement.cost() - late <= (1 + 2 * SPEED_WEIGHT) * demand.weight() - late;
+		if (worthwhile || this.refusalCredit < 1) {
+			this.refusalCredit = Math.min(MAX_REFUSAL_CREDIT,
+					this.refusalCredit + ((demand.weight() >= LARGE_WEIGHT) ? REFUSED_PER_ADMITTED : 0));
+			return true;
+		}
+		this.refusalCredit--;
+		return false;
+	}
+
 	private static boolean worthless(PromptDemand demand, EngineModel model, int parts) {
 		return model.readMillis(demand.promptTokens(), parts) < MIN_PART_MILLIS;
 	}
@@ -189,7 +229,7 @@
 		double partMillis = model.readMillis(demand.promptTokens(), parts);
 		List<Candidate> candidates = new ArrayList<>(engines.size());
 		for (EndpointWork engine : engines) {
-			candidates.add(candidate(demand, engine, model, zone, partMillis, nowMillis));
+			candidates.add(candidate(demand, engine, model, zone, parts, partMillis, nowMillis));
 		}
 		Optional<Candidate> first = candidates.stream()
 			.filter((candidate) -> candidate.holds(memoryTokens, model))
@@ -216,30 +256,31 @@
 		return Optional.of(new Placement(first.get().engine().endpoint(), endpoints, partMillis, firstMillis, cost));
 	}
 
-	private Candidate candidate(PromptDemand demand, EndpointWork engine, EngineModel model, String zone,
+	private Candidate candidate(PromptDemand demand, EndpointWork engine, EngineModel model, String zone, int parts,
 			double partMillis, long nowMillis) {
 		double backlog = engine.backlogMillis(nowMillis);
 		double pass = engine.passMillis(model, 0);
-		double firstEnd = readEnd(backlog + partMillis, pass, model);
-		double helperEnd = readEnd(engine.helpingMillis(nowMillis) + partMillis, pass, model);
+		double running = (pass > 0) ? engine.passReadMillis(model, nowMillis) * RUNNING_PASS_SHARE : 0;
+		double ahead = (parts > 1) ? running : backlog;
+		double readEnd = ahead + readEnd(partMillis, pass, model.passReadMillis(partMillis * parts));
 		int taken = engine.slotsTaken();
 		int slots = engine.endpoint().slots();
 		double queued = Math.max(0, taken + 1 - slots) * QUEUED_MILLIS;
-		double firstMillis = firstEnd + queued + engine.endpoint().coldMillis();
-		double gapHarm = gapHarm(engine, model, backlog, partMillis);
-		double helperHarm = gapHarm + readerHarm(engine, partMillis, nowMillis);
+		double firstMillis = readEnd + queued + engine.endpoint().coldMillis();
+		double harm = gapHarm(engine, model, parts, partMillis, nowMillis);
+		harm += (parts > 1) ? readerHarm(engine, partMillis, nowMillis) : 0;
 		double extra = (zone.equals(engine.endpoint().zone())) ? 0 : this.otherZoneLoss;
 		extra += FAILURE_LOSS * engine.health().failureRate() * demand.weight();
 		extra += this.random.nextDouble() * JITTER_LOSS;
 		double lateness = lateness(demand, firstMillis);
-		double asFirst = gapHarm + extra + lateness + opening(demand, engine) + crowding(taken, slots)
+		double asFirst = harm + extra + lateness + opening(demand, engine) + crowding(demand, taken, slots)
 				+ ownGapLoss(demand, engine, model, nowMillis);
-		return new Candidate(engine, firstMillis, helperEnd, helperHarm, lateness, asFirst,
-				helperHarm + extra + helperEnd / MILLIS_PER_SECOND);
+		return new Candidate(engine, firstMillis, readEnd, harm, lateness, asFirst,
+				harm + extra + HELPER_DELAY_LOSS * readEnd / MILLIS_PER_SECOND);
 	}
 
-	private static double readEnd(double readMillis, double passMillis, EngineModel model) {
-		double passes = (passMillis > 0) ? Math.ceil(readMillis / readPerPassMillis(model)) : 0;
+	private static double readEnd(double readMillis, double passMillis, double perPassMillis) {
+		double passes = (passMillis > 0) ? Math.ceil(readMillis / perPassMillis) : 0;
 		return passMillis / 2 + readMillis + passes * passMillis;
 	}
 
@@ -257,16 +298,20 @@
 	 * fall into their answers.
 	 * @param engine the engine with its work
 	 * @param model cost model of the engine
-	 * @param backlog reading time that is left there
+	 * @param parts number of parts of the prompt
 	 * @param partMillis reading time of the part
+	 * @param nowMillis the current time
 	 * @return the loss
 	 */
-	private static double gapHarm(EndpointWork engine, EngineModel model, double backlog, double partMillis) {
+	private static double gapHarm(EndpointWork engine, EngineModel model, int parts, double partMillis,
+			long nowMillis) {
 		double pass = engine.passMillis(model, 0);
-		double longest = readPerPassMillis(model);
-		double before = pass + Math.min(longest, backlog);
-		double after = pass + Math.min(longest, backlog + partMillis);
-		double alone = model.passMillis(1, 0) + Math.min(longest, partMillis);
+		double backlog = engine.backlogMillis(nowMillis);
+		double known = engine.passReadMillis(model, nowMillis);
+		double added = model.passReadMillis(partMillis * parts);
+		double before = pass + known;
+		double after = pass + Math.min(Math.max(known, added), backlog + partMillis);
+		double alone = model.passMillis(1, 0) + Math.min(added, partMillis);
 		double harm = 0;
 		for (WorkItem item : engine.items()) {
 			if (item.gapTargetMillis() > 0 && item.phase() == WorkPhase.WRITING) {
@@ -281,21 +326,20 @@
 	}
 
 	/**
-	 * Returns the loss by delay of the engine's own prompts when a part for another
-	 * prompt is read here: such parts go ahead of them.
+	 * Returns the loss by delay of the prompts that are being read here: a new part of a
+	 * prompt that several engines read goes ahead of all of them.
 	 * @param engine the engine with its work
 	 * @param partMillis reading time of the part
 	 * @param nowMillis the current time
 	 * @return the loss
 	 */
 	private static double readerHarm(EndpointWork engine, double partMillis, long nowMillis) {
-		double ahead = engine.helpingMillis(nowMillis);
 		double harm = 0;
 		for (WorkItem item : engine.items()) {
-			if (item.phase() == WorkPhase.READING && item.readMillis() > 0 && item.dueMillis() > nowMillis) {
+			double reading = item.remainingReadMillis(nowMillis);
+			if (reading > 0 && item.dueMillis() > nowMillis) {
 				double left = item.dueMillis() - nowMillis;
-				double first = Math.max(item.expectedFirstMillis() - nowMillis,
-						ahead + item.remainingReadMillis(nowMillis));
+				double first = Math.max(item.expectedFirstMillis() - nowMillis, reading);
 				harm += item.weight() * LATE_LOSS
 						* (ramp((first + partMillis) / left, FIRST_SAFE_SHARE, FIRST_LATE_SHARE)
 								- ramp(first / left, FIRST_SAFE_SHARE, FIRST_LATE_SHARE));
@@ -315,41 +359,37 @@
 	 */
 	private static double ownGapLoss(PromptDemand demand, EndpointWork engine, EngineModel model, long nowMillis) {
 		double behind = 0;
+		double longest = 0;
 		for (WorkItem item : engine.items()) {
 			if (item.gapTargetMillis() > demand.gapTargetMillis()) {
 				behind += item.remainingReadMillis(nowMillis);
+				longest = Math.max(longest, model.passReadMillis(item.wholeReadMillis()));
 			}
 		}
-		double pause = engine.passMillis(model, 1) + Math.min(behind, readPerPassMillis(model));
+		double pause = engine.passMillis(model, 1) + Math.min(behind, longest);
 		return demand.weight() * LATE_LOSS * gapLate(pause, demand.gapTargetMillis());
 	}
 
-	/**
-	 * Returns the longest reading of one pass with writers, with the pairs of a long
-	 * prompt's first tokens.
-	 * @param model cost model of the engine
-	 * @return the time in milliseconds
-	 */
-	private static double readPerPassMillis(EngineModel model) {
-		return model.readMillis(model.tokensPerPass(), 1);
-	}
-
 	private static double gapLate(double pauseMillis, long gapTargetMillis) {
 		return (gapTargetMillis == 0) ? 0 : ramp(pauseMillis / gapTargetMillis, GAP_SAFE_SHARE, GAP_LATE_SHARE);
 	}
 
 	private static double opening(PromptDemand demand, EndpointWork engine) {
-		boolean shortAnswer = demand.gapTargetMillis() > 0 && demand.gapTargetMillis() <= SHORT_GAP_MILLIS;
 		boolean opened = engine.items()
 			.stream()
 			.anyMatch((item) -> item.gapTargetMillis() > 0 && item.gapTargetMillis() <= SHORT_GAP_MILLIS
 					&& item.phase() != WorkPhase.HELPING);
-		return (shortAnswer && !opened) ? OPENING_LOSS : 0;
+		return (isShortAnswer(demand) && !opened) ? OPENING_LOSS : 0;
 	}
 
-	private static double crowding(int taken, int slots) {
+	private static double crowding(PromptDemand demand, int taken, int slots) {
 		double share = (taken + 1.0) / slots;
-		return SLOT_LOSS * share + CROWDING_LOSS * Math.max(0, share - COMFORTABLE_SLOT_SHARE);
+		double company = isShortAnswer(demand) ? 0 : COMPANY_GAIN * share;
+		return CROWDING_LOSS * Math.max(0, share - COMFORTABLE_SLOT_SHARE) - company;
+	}
+
+	private static boolean isShortAnswer(PromptDemand demand) {
+		return demand.gapTargetMillis() > 0 && demand.gapTargetMillis() <= SHORT_GAP_MILLIS;
 	}
 
 	private static double ramp(double value, double from, double to) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/RequestWork.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/RequestWork.java
@@ -71,8 +71,8 @@
 	}
 
 	private WorkItem item(int hash, WorkPhase phase, long tokens) {
-		return new WorkItem(hash, phase, (this.writing) ? 0 : this.partMillis, tokens, this.gapTargetMillis,
-				this.dueMillis, this.expectedFirstMillis, this.weight);
+		return new WorkItem(hash, phase, (this.writing) ? 0 : this.partMillis, 1 + this.helperHashes.size(), tokens,
+				this.gapTargetMillis, this.dueMillis, this.expectedFirstMillis, this.weight);
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -12,6 +12,8 @@
 import io.mulberrylift.core.gossip.WholeState;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
+import io.mulberrylift.core.placement.RequestWork;
+import io.mulberrylift.core.placement.WorkTable;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -232,6 +234,35 @@
 		assertThat(waiting).isNotEqualTo(writing);
 	}
 
+	/**
+	 * Load: a prompt of 600,000 tokens is read beside answers being written; one pass
+	 * takes seconds, in which the engine is silent and sound.
+	 */
+	@Test
+	void streamIsNotMovedWhileALongPromptsPassExplainsTheSilence() {
+		this.fixture.started();
+		this.fixture.arrive("/stream/x", 3000);
+		GatewayEffect.Send sent = this.fixture.last(GatewayEffect.Send.class);
+		this.fixture.reduce(new GatewayEvent.Piece(sent.attemptId()));
+		int hash = WorkTable.hash(sent.endpoint().id());
+		for (int millis = 0; millis <= 2000; millis += 20) {
+			if (millis % 1000 == 0) {
+				RequestWork reading = new RequestWork(false, 6000, 200_000, 0, 800, 3000, 6000, 40, hash,
+						List.of(1, 2));
+				WholeState state = new WholeState("zone-b", 1, 1, List.of(), List.of(), List.of());
+				this.fixture.reduce(new GatewayEvent.PeerHeard(new InstanceDigest("10.0.0.9:1", 1, millis + 1,
+						Map.of(5L, reading), List.of(), List.of(), Optional.of(state))));
+			}
+			this.fixture.after(20);
+		}
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+		for (int millis = 0; millis <= 6000; millis += 20) {
+			this.fixture.after(20);
+		}
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class))
+			.containsExactly(new GatewayEffect.CancelAttempt(sent.attemptId()));
+	}
+
 	@Test
 	void callerWhoLeavesStopsRepeatableWorkButNotWorkThatRunsOnce() {
 		this.fixture.started();
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/EndpointSummaryTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/EndpointSummaryTests.java
@@ -12,7 +12,7 @@
 	private static final int HASH = 987_654_321;
 
 	private static WorkItem item(WorkPhase phase, double readMillis, long memoryTokens, long gapMillis) {
-		return new WorkItem(HASH, phase, readMillis, memoryTokens, gapMillis, 5000, 1000 + (long) readMillis, 2);
+		return new WorkItem(HASH, phase, readMillis, 1, memoryTokens, gapMillis, 5000, 1000 + (long) readMillis, 2);
 	}
 
 	@Test
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/EngineModelTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/EngineModelTests.java
@@ -24,6 +24,20 @@
 		assertThat(this.model.passMillis(11, 1_000_000)).isGreaterThan(this.model.passMillis(11, 0) + 100);
 	}
 
+	/**
+	 * Load: a prompt of 700,000 tokens beside answers being written; its tokens have more
+	 * pairs than those of a short one, so that a pass takes seconds.
+	 */
+	@Test
+	void passHoldsAllOfAnOrdinaryPromptAndSecondsOfALongOne() {
+		double ordinary = this.model.readMillis(45_000, 1);
+		assertThat(this.model.passReadMillis(ordinary)).isCloseTo(ordinary, within(0.01));
+		double whole = this.model.readMillis(700_000, 1);
+		double share = 94_208 / 700_000.0;
+		assertThat(this.model.passReadMillis(whole)).isCloseTo(share * whole, within(1.0)).isGreaterThan(3000);
+		assertThat(this.model.passReadMillis(0)).isZero();
+	}
+
 	@Test
 	void rejectsAnEngineThatDoesNotRead() {
 		assertThatIllegalArgumentException().isThrownBy(() -> new EngineModel(1, 0, 0, 0, 0, 1, 1, 1));
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/PromptPlacementTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/PromptPlacementTests.java
@@ -158,6 +158,79 @@
 			.parts()).isLessThanOrEqualTo(4);
 	}
 
+	/**
+	 * Load: prompts too long for one engine, read for seconds by all engines. New parts
+	 * go ahead of theirs, so that a prompt that arrives then need not wait for them.
+	 */
+	@Test
+	void partsOfANewPromptGoAheadOfThoseInReading() {
+		for (ForwardEndpoint engine : this.engines) {
+			this.work.put(this.nextRequest++, new RequestWork(false, 8000, 200_000, 0, 800, NOW - 1, NOW + 8000, 50,
+					WorkTable.hash(engine.id()), List.of(1, 2)));
+		}
+		assertThat(place(longPrompt(150_000)).expectedFirstMillis()).isLessThan(3000);
+	}
+
+	/**
+	 * Load: prompts in reading whose first tokens are due soon on some engines; a part
+	 * that goes ahead of them would make them late.
+	 */
+	@Test
+	void partsStayOffEnginesWhoseOlderPartsAreDueSoon() {
+		Set<ForwardEndpoint> urgent = Set.copyOf(this.engines.subList(0, 8));
+		for (ForwardEndpoint engine : urgent) {
+			this.work.put(this.nextRequest++, new RequestWork(false, 400, 200_000, 0, 800, NOW + 700, NOW + 400, 14,
+					WorkTable.hash(engine.id()), List.of(1, 2)));
+		}
+		Placement placement = place(longPrompt(250_000));
+		assertThat(urgent).doesNotContain(placement.endpoint());
+		assertThat(placement.helpers()).doesNotContainAnyElementsOf(urgent);
+	}
+
+	/**
+	 * Load: a long prompt in a burst of short answers on all engines: whichever engines
+	 * read it, more is lost than it earns.
+	 */
+	@Test
+	void promptThatCostsOthersMoreThanItEarnsIsRefusedButNotEachOne() {
+		for (ForwardEndpoint engine : this.engines) {
+			for (int count = 0; count < 10; count++) {
+				write(engine, shortPrompt());
+			}
+		}
+		PromptDemand demand = longPrompt(350_000);
+		Placement placement = this.policy.place(demand, this.work.view(this.engines), MODEL, "zone-0", NOW)
+			.orElseThrow();
+		int refused = 0;
+		for (int count = 0; count < 30; count++) {
+			refused += (this.policy.admits(demand, placement)) ? 0 : 1;
+		}
+		assertThat(refused).isBetween(8, 15);
+	}
+
+	@Test
+	void promptsAreAdmittedWhereNobodySuffers() {
+		for (int count = 0; count < 100; count++) {
+			PromptDemand demand = (count % 2 == 0) ? longPrompt(400_000) : shortPrompt();
+			assertThat(this.policy.admits(demand,
+					this.policy.place(demand, this.work.view(this.engines), MODEL, "zone-0", NOW).orElseThrow()))
+				.isTrue();
+		}
+	}
+
+	/**
+	 * Load: answers that bear pauses beside short ones; on idle engines they would take
+	 * the room where long parts do no harm.
+	 */
+	@Test
+	void answersThatBearPausesKeepCompanyWithShortOnes() {
+		for (int count = 0; count < 6; count++) {
+			write(this.engines.get(2), shortPrompt());
+		}
+		PromptDemand medium = new PromptDemand(20_000, 1000, 1500, 10_000, 500);
+		assertThat(place(medium).endpoint()).isEqualTo(this.engines.get(2));
+	}
+
 	@Test
 	void engineThatHelpsManyPromptsGetsNoFurtherParts() {
 		ForwardEndpoint busy = this.engines.get(0);
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PassEngine.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PassEngine.java
@@ -15,9 +15,10 @@
  * <p>
  * Not safe for use by several threads. A pass with writing requests runs the model's
  * stride of token steps and reads at most its chunk of prompt tokens beside each; a pass
- * without them reads one chunk. Parts for other engines are read first, then own prompts
- * in the order of their admission. A prompt is admitted when a slot and its memory are
- * free. Each pass yields one event of each answer.
+ * without them reads one chunk. Parts of prompts that several engines read go first, the
+ * newest of them at the head, then own whole prompts in the order of their admission. A
+ * prompt is admitted when a slot and its memory are free. Each pass yields one event of
+ * each answer.
  * </p>
  */
 final class PassEngine {
@@ -30,7 +31,7 @@
 
 	private final List<SimulatedPrompt> running = new ArrayList<>();
 
-	private final Deque<Part> helping = new ArrayDeque<>();
+	private final Deque<Part> shared = new ArrayDeque<>();
 
 	private final Deque<Part> own = new ArrayDeque<>();
 
@@ -55,7 +56,7 @@
 	 * @param prompt the prompt
 	 */
 	void help(SimulatedPrompt prompt) {
-		this.helping.addLast(new Part(prompt, prompt.partMillis()));
+		this.shared.addFirst(new Part(prompt));
 	}
 
 	private void admit() {
@@ -63,7 +64,12 @@
 				&& usedTokens() + this.waiting.peekFirst().memoryTokens() <= this.model.memoryTokens()) {
 			SimulatedPrompt prompt = this.waiting.removeFirst();
 			this.running.add(prompt);
-			this.own.addLast(new Part(prompt, prompt.partMillis()));
+			if (prompt.isShared()) {
+				this.shared.addFirst(new Part(prompt));
+			}
+			else {
+				this.own.addLast(new Part(prompt));
+			}
 		}
 	}
 
@@ -81,33 +87,32 @@
 	 */
 	double beginPass() {
 		List<SimulatedPrompt> writers = this.running.stream().filter(SimulatedPrompt::isWriting).toList();
-		if (writers.isEmpty() && this.helping.isEmpty() && this.own.isEmpty()) {
+		if (writers.isEmpty() && this.shared.isEmpty() && this.own.isEmpty()) {
 			return 0;
 		}
 		this.inPass = true;
 		long context = writers.stream().mapToLong(SimulatedPrompt::memoryTokens).sum();
 		double steps = this.model.passMillis(writers.size(), context);
-		double room = this.model.readMillis((writers.isEmpty()) ? this.model.chunkTokens() : this.model.tokensPerPass(),
-				1);
-		double read = read(this.helping, room);
-		read += read(this.own, room - read);
-		return steps + read;
+		double roomTokens = (writers.isEmpty()) ? this.model.chunkTokens() : this.model.tokensPerPass();
+		return steps + read(roomTokens);
 	}
 
-	private static double read(Deque<Part> parts, double roomMillis) {
-		double read = 0;
-		while (!parts.isEmpty() && read < roomMillis) {
-			Part first = parts.peekFirst();
-			double now = Math.min(first.leftMillis, roomMillis - read);
-			first.leftMillis -= now;
-			read += now;
-			if (first.leftMillis > 0) {
-				break;
+	private double read(double roomTokens) {
+		double left = roomTokens;
+		double millis = 0;
+		while (left > 0 && !(this.shared.isEmpty() && this.own.isEmpty())) {
+			Deque<Part> queue = (this.shared.isEmpty()) ? this.own : this.shared;
+			Part first = queue.peekFirst();
+			double tokens = Math.min(first.leftTokens, left);
+			first.leftTokens -= tokens;
+			left -= tokens;
+			millis += tokens * first.prompt.millisPerToken();
+			if (first.leftTokens <= 0) {
+				queue.removeFirst();
+				first.prompt.partRead();
 			}
-			parts.removeFirst();
-			first.prompt.partRead();
 		}
-		return read;
+		return millis;
 	}
 
 	/**
@@ -133,11 +138,11 @@
 
 		private final SimulatedPrompt prompt;
 
-		private double leftMillis;
+		private double leftTokens;
 
-		Part(SimulatedPrompt prompt, double leftMillis) {
+		Part(SimulatedPrompt prompt) {
 			this.prompt = prompt;
-			this.leftMillis = leftMillis;
+			this.leftTokens = prompt.partTokens();
 		}
 
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementRule.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementRule.java
@@ -48,7 +48,8 @@
 			case LEAST_TOKENS -> holding(demand, engines, model).map((list) -> alone(demand,
 					least(list, Comparator.comparingLong(EndpointWork::memoryTokens), ties), model));
 			case PREDICTED_LOSS -> policy.place(demand, engines, model, "zone", now)
-				.or(() -> policy.placeSpread(demand, engines, model, "zone", now));
+				.or(() -> policy.placeSpread(demand, engines, model, "zone", now))
+				.filter((placement) -> policy.admits(demand, placement));
 		};
 	}
 
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/SimulatedPrompt.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/SimulatedPrompt.java
@@ -21,6 +21,8 @@
 
 	private final long memoryTokens;
 
+	private final int parts;
+
 	private int partsLeft;
 
 	private int eventsLeft;
@@ -36,6 +38,7 @@
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.tokens = tokens;
 		this.eventsLeft = events;
+		this.parts = parts;
 		this.partsLeft = parts;
 		this.partMillis = partMillis;
 		this.memoryTokens = memoryTokens;
@@ -46,6 +49,26 @@
 		return this.partMillis;
 	}
 
+	double partTokens() {
+		return (double) this.tokens / this.parts;
+	}
+
+	/**
+	 * Returns the reading time per token; the pairs of long prompts make it larger.
+	 * @return the time in milliseconds
+	 */
+	double millisPerToken() {
+		return this.partMillis / partTokens();
+	}
+
+	/**
+	 * Returns whether several engines read it.
+	 * @return true if so
+	 */
+	boolean isShared() {
+		return this.parts > 1;
+	}
+
 	long memoryTokens() {
 		return this.memoryTokens;
 	}
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/PassEngineTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/PassEngineTests.java
@@ -51,6 +51,20 @@
 		assertThat(end).isCloseTo(own.partMillis() + other.partMillis(), within(1.0));
 	}
 
+	@Test
+	void newestPartGoesFirst() {
+		SimulatedPrompt older = prompt(100_000, 2, 1);
+		SimulatedPrompt newer = prompt(45_000, 2, 1);
+		older.partRead();
+		newer.partRead();
+		this.engine.queue(older);
+		this.engine.queue(newer);
+		double newerEnd = passUntilBegun(newer);
+		assertThat(newerEnd).isCloseTo(newer.partMillis(), within(1.0));
+		assertThat(older.isWriting()).isFalse();
+		assertThat(newerEnd + passUntilBegun(older)).isCloseTo(older.partMillis() + newer.partMillis(), within(20.0));
+	}
+
 	@Test
 	void promptsWaitForASlotAndForMemory() {
 		SimulatedPrompt first = prompt(300_000, 1, 1);
