Apply limits of settings that are read again and take the memory's time from the platform

A reload took seeds only: bounds of repeats, the drain grace and how long engine memory is held stayed as at the start. They now reach the reducer as an event.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -49,7 +49,7 @@
 	/** Time between two looks at a silent stream of a busy endpoint, in milliseconds. */
 	private static final long RECHECK_MILLIS = 200;
 
-	private final GatewayIdentity identity;
+	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
 
@@ -86,13 +86,19 @@
 		this.suspects = suspects;
 		this.promptPlacement = new PromptPlacement(random);
 		this.plainPlacement = new PlainPlacement(random);
-		this.reservations = new MemoryReservations();
+		this.reservations = new MemoryReservations(identity.memoryHoldMillis());
 	}
 
 	void configured(ForwardingConfiguration current) {
 		this.configuration = current;
 	}
 
+	void setIdentity(GatewayIdentity current) {
+		this.identity = current;
+		this.reservations.setHoldMillis(current.memoryHoldMillis());
+		this.allowances.values().forEach((allowance) -> allowance.setBounds(current.retryBounds()));
+	}
+
 	void setLiveInstances(int instances) {
 		this.liveInstances = instances;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -37,7 +37,7 @@
 	 */
 	private static final long NAMED_AVOIDANCE_MILLIS = 400;
 
-	private final GatewayIdentity identity;
+	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
 
@@ -117,6 +117,13 @@
 			log("fault-named", "name", named.name(), "known", id.isPresent());
 			id.ifPresent((known) -> this.work.health(known).avoidOnWord(nowMillis + NAMED_AVOIDANCE_MILLIS));
 		}
+		else if (event instanceof GatewayEvent.LimitsRead read) {
+			this.identity = read.identity();
+			this.forwarder.setIdentity(read.identity());
+			log("limits", "retry-ratio", read.identity().retryBounds().ratio(), "retry-extra",
+					read.identity().retryBounds().extra(), "drain-grace", read.identity().drainGraceMillis(),
+					"memory-hold", read.identity().memoryHoldMillis());
+		}
 		else if (event instanceof GatewayEvent.ShutdownRequested) {
 			this.shutdownMillis = Math.min(this.shutdownMillis, nowMillis);
 			log("shutdown-began", "requests", this.forwarder.inProgress());
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.core.forwarding;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 
 import io.mulberrylift.core.gossip.InstanceDigest;
@@ -97,6 +98,22 @@
 	record FaultNamed(String name) implements GatewayEvent {
 	}
 
+	/**
+	 * Settings were read again.
+	 *
+	 * @param identity the limits that apply from now on; name and zone stay the same
+	 */
+	record LimitsRead(GatewayIdentity identity) implements GatewayEvent {
+
+		/**
+		 * Creates the event.
+		 */
+		public LimitsRead {
+			Objects.requireNonNull(identity, "identity");
+		}
+
+	}
+
 	/** Time has passed. */
 	record Tick() implements GatewayEvent {
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
@@ -17,12 +17,8 @@
  */
 final class MemoryReservations {
 
-	/**
-	 * How long memory is kept without renewal; below the time in which it must come back.
-	 */
-	static final long HOLD_MILLIS = 3300;
-
-	private static final long RENEW_INTERVAL_MILLIS = 1300;
+	/** Share of the hold after which memory is renewed; a lost renewal is made good. */
+	private static final double RENEW_SHARE = 0.4;
 
 	/** Longest wait for the answers of all engines. */
 	private static final long ANSWER_MILLIS = 700;
@@ -30,6 +26,20 @@
 	/** Memory beyond the even share, for rounding up to blocks. */
 	private static final long MARGIN_TOKENS = 512;
 
+	private long holdMillis;
+
+	MemoryReservations(long holdMillis) {
+		this.holdMillis = holdMillis;
+	}
+
+	void setHoldMillis(long millis) {
+		this.holdMillis = millis;
+	}
+
+	private long renewMillis(long nowMillis) {
+		return nowMillis + (long) (RENEW_SHARE * this.holdMillis);
+	}
+
 	void begin(ForwardState state, PromptDemand demand, long nowMillis, List<GatewayEffect> effects) {
 		List<ForwardEndpoint> engines = new ArrayList<>();
 		engines.add(state.placement.endpoint());
@@ -37,7 +47,7 @@
 		state.memoryTokensEach = tokensEach(demand, engines.size());
 		state.memoryAnswersDue = engines.size();
 		state.memoryAskedMillis = nowMillis;
-		state.memoryRenewMillis = nowMillis + RENEW_INTERVAL_MILLIS;
+		state.memoryRenewMillis = renewMillis(nowMillis);
 		for (int index = 0; index < engines.size(); index++) {
 			state.memory.put(memoryName(state, index), engines.get(index));
 		}
@@ -55,8 +65,8 @@
 	}
 
 	private void ask(ForwardState state, List<GatewayEffect> effects) {
-		state.memory.forEach((name, engine) -> effects
-			.add(new GatewayEffect.SetMemoryAside(state.requestId, engine, name, state.memoryTokensEach, HOLD_MILLIS)));
+		state.memory.forEach((name, engine) -> effects.add(new GatewayEffect.SetMemoryAside(state.requestId, engine,
+				name, state.memoryTokensEach, this.holdMillis)));
 	}
 
 	Progress answered(ForwardState state, Optional<Boolean> granted) {
@@ -74,7 +84,7 @@
 
 	void renew(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		if (!state.memory.isEmpty() && nowMillis >= state.memoryRenewMillis) {
-			state.memoryRenewMillis = nowMillis + RENEW_INTERVAL_MILLIS;
+			state.memoryRenewMillis = renewMillis(nowMillis);
 			ask(state, effects);
 		}
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RetryAllowance.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RetryAllowance.java
@@ -18,7 +18,7 @@
 	/** Part of the fleet's bound that is used; the rest covers unknown instances. */
 	private static final double USED_SHARE = 0.7;
 
-	private final RetryBounds bounds;
+	private RetryBounds bounds;
 
 	private final Deque<Long> requestMillis = new ArrayDeque<>();
 
@@ -28,6 +28,10 @@
 		this.bounds = bounds;
 	}
 
+	void setBounds(RetryBounds current) {
+		this.bounds = current;
+	}
+
 	void requested(long nowMillis) {
 		this.requestMillis.addLast(nowMillis);
 		expire(nowMillis);
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -388,6 +388,19 @@
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).retryAfterMillis()).isPresent();
 	}
 
+	@Test
+	void limitsThatAreReadAgainApplyAtOnce() {
+		this.fixture.started();
+		this.fixture.reduce(new GatewayEvent.LimitsRead(
+				new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0, 10_000, 0), 0, 2000)));
+		this.fixture.arrive("/stream/x", 600_000);
+		assertThat(this.fixture.last(GatewayEffect.SetMemoryAside.class).holdMillis()).isEqualTo(2000);
+		this.fixture.arrive("/read/x", 0);
+		this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.REFUSED_FULL);
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
+		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.NOT_RUN);
+	}
+
 	@Test
 	void memoryWithoutAnAnswerIsGivenBackInTime() {
 		this.fixture.started();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -19,6 +19,7 @@
 import io.mulberrylift.core.forwarding.Gateway;
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.core.forwarding.GatewayEvent;
+import io.mulberrylift.core.forwarding.GatewayIdentity;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
 import io.mulberrylift.core.model.EndpointId;
@@ -178,11 +179,16 @@
 	}
 
 	/**
-	 * Takes new addresses of instances to ask for members.
-	 * @param seeds the addresses
+	 * Takes settings that were read again: seeds and limits. Addresses stay as they were
+	 * at the start.
+	 * @param read the settings
 	 */
-	public void setSeeds(List<String> seeds) {
-		this.membership.setSeeds(seeds);
+	public void settingsRead(GatewaySettings read) {
+		this.membership.setSeeds(read.seeds());
+		GatewayIdentity limits = read.identity();
+		GatewayIdentity self = this.settings.identity();
+		run(new GatewayEvent.LimitsRead(new GatewayIdentity(self.name(), self.zone(), limits.retryBounds(),
+				limits.drainGraceMillis(), limits.memoryHoldMillis())));
 	}
 
 	/**
