--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -197,6 +197,22 @@
 		assertThat(this.fixture.last(GatewayEffect.Send.class).endpoint().id()).isNotEqualTo(first.endpoint().id());
 	}
 
+	/** Trouble: a process is killed and starts again with nothing. */
+	@Test
+	void startedProcessRefusesUntilItKnowsConfigurationAndEndpointsAndServesAtOnceThen() {
+		this.fixture.arrive("/read/x", 0);
+		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.NOT_READY);
+		this.fixture
+			.reduce(new GatewayEvent.ConfigurationRead(GatewayFixture.configuration(1, GatewayFixture.usualRoutes())));
+		assertThat(this.fixture.gateway.isReady()).isFalse();
+		this.fixture.arrive("/read/x", 0);
+		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).hasSize(2);
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.usualEndpoints()));
+		assertThat(this.fixture.gateway.isReady()).isTrue();
+		this.fixture.arrive("/read/x", 0);
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
+	}
+
 	/**
 	 * Silence alone must not end an answer: hunted days, mix, seeds 1007676154886 and
 	 * 712001995681.
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -60,6 +60,20 @@
 		assertThat(this.membership.neighbours()).hasSizeLessThanOrEqualTo(370 / 22 + 1);
 	}
 
+	/** Trouble: a zone is cut off and comes back. */
+	@Test
+	void membersOfAZoneThatIsCutOffStopCountingAndComeBack() {
+		this.membership.heard(digest(1, 1, 1, List.of()), 0);
+		this.membership.heard(digest(22, 1, 1, List.of()), 0);
+		this.membership.heard(digest(22, 1, 2, List.of()), Membership.LIVE_MILLIS);
+		assertThat(this.membership.liveInstances(Membership.LIVE_MILLIS)).isEqualTo(3);
+		long later = Membership.LIVE_MILLIS + 1;
+		assertThat(this.membership.liveInstances(later)).isEqualTo(2);
+		assertThat(this.membership.targets(later)).hasSize(2);
+		this.membership.heard(digest(1, 1, 9, List.of()), later);
+		assertThat(this.membership.liveInstances(later)).isEqualTo(3);
+	}
+
 	@Test
 	void peersWithANewerViewAreNamedNewestFirst() {
 		this.membership.heard(digest(1, 1, 1, List.of()), 0);
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/WorkTableTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/WorkTableTests.java
@@ -64,6 +64,16 @@
 		assertThat(slotsTaken()).containsExactly(0, 0);
 	}
 
+	/** Trouble: links lose messages; the change that tells an end is lost. */
+	@Test
+	void lostMessageOfChangesIsMadeGoodByTheNextWholeReport() {
+		this.table.reported("p", Map.of(1L, plain(this.busy)), 0);
+		this.table.changed("p", Map.of(3L, plain(this.free)), List.of(), 20);
+		assertThat(slotsTaken()).containsExactly(1, 1);
+		this.table.reported("p", Map.of(3L, plain(this.free)), 1200);
+		assertThat(slotsTaken()).containsExactly(0, 1);
+	}
+
 	@Test
 	void ownSumsLeaveOutEndpointsWithoutWork() {
 		this.table.put(1, plain(this.busy));
