Tell sums more often where few neighbours are told

Cause: sums went out once a second in every fleet of more than 16 instances, though six neighbours in a zone can be told several times a second within 4 KB/s. The interval now keeps the fixed parts of messages at 15 % of the rate: 0.36 s for 5 neighbours, 1.15 s for 16. With the fixed second the new test of a fleet of 18 fails, now it passes; the tests of the full size pass as before. Fleets of up to 16 instances are not concerned.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipRounds.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipRounds.java
@@ -45,8 +45,11 @@
 	/** Least room for a message, which its fixed part needs. */
 	private static final int MIN_MESSAGE_BYTES = 160;
 
-	/** Time between messages of sums in large fleets, in milliseconds. */
-	private static final long SUMMARY_INTERVAL_MILLIS = 1000;
+	/**
+	 * Share of the rate that the fixed parts of messages of sums may take: with few
+	 * neighbours they go out often, with many seldom.
+	 */
+	private static final double SUMMARY_HEADER_SHARE = 0.15;
 
 	/** Bytes of a message of sums apart from them. */
 	private static final int SUMMARY_HEADER_BYTES = 16;
@@ -178,14 +181,16 @@
 
 	private void sendSummaries(long nowMillis) {
 		Map<Integer, EndpointSummary> current = this.gateway.ownSummaries(nowMillis);
-		boolean due = this.allowedBytes > 0 && nowMillis - this.lastSummaryMillis >= SUMMARY_INTERVAL_MILLIS;
+		List<String> targets = this.membership.neighbours();
+		double intervalMillis = targets.size() * (PeerLink.DATAGRAM_OVERHEAD_BYTES + SUMMARY_HEADER_BYTES)
+				* MILLIS_PER_SECOND / (SUMMARY_HEADER_SHARE * this.settings.controlBytesPerSecond());
+		boolean due = this.allowedBytes > 0 && nowMillis - this.lastSummaryMillis >= intervalMillis;
 		if (!due || !this.summaries.hasNews(current)) {
 			return;
 		}
 		this.lastSummaryMillis = nowMillis;
 		this.pending.clear();
-		List<String> targets = this.membership.neighbours();
-		int bytes = perTarget(targets, (1 - WHOLE_SHARE) * SUMMARY_INTERVAL_MILLIS) - SUMMARY_HEADER_BYTES;
+		int bytes = perTarget(targets, (1 - WHOLE_SHARE) * intervalMillis) - SUMMARY_HEADER_BYTES;
 		List<EndpointSummary> told = this.summaries.take(current, bytes, nowMillis);
 		if (!told.isEmpty()) {
 			send(targets, digest(Map.of(), List.of(), told, Optional.empty()), DigestCodec.MAX_BYTES);
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipRoundsTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipRoundsTests.java
@@ -177,6 +177,18 @@
 			.allMatch((delay) -> delay <= SHARES_FOLLOW_MILLIS);
 	}
 
+	/**
+	 * Load: a fleet just above the size of a full view, 18 instances in 3 zones; few
+	 * neighbours can be told soon.
+	 */
+	@Test
+	void placementsOfAMediumFleetAreToldSoon() {
+		play(18, 3, 5);
+		assertThat(this.sentBytes).isLessThanOrEqualTo(RATE * (SECONDS + 2));
+		long soon = this.delaysMillis.stream().filter((delay) -> delay <= SHARES_FOLLOW_MILLIS / 4).count();
+		assertThat(soon).isGreaterThan(SECONDS * 5 * 3 / 4);
+	}
+
 	/**
 	 * Load: the full size; placements that do not fit are told by the next whole state or
 	 * not at all.
