Sum work for peers only when a message is due

Read from the code: in fleets of more than 16 instances the sums were built at each step of 20 ms and thrown away until a message was due. Now they are built when it is.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipRounds.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipRounds.java
@@ -180,12 +180,15 @@
 	}
 
 	private void sendSummaries(long nowMillis) {
-		Map<Integer, EndpointSummary> current = this.gateway.ownSummaries(nowMillis);
 		List<String> targets = this.membership.neighbours();
 		double intervalMillis = targets.size() * (PeerLink.DATAGRAM_OVERHEAD_BYTES + SUMMARY_HEADER_BYTES)
 				* MILLIS_PER_SECOND / (SUMMARY_HEADER_SHARE * this.settings.controlBytesPerSecond());
 		boolean due = this.allowedBytes > 0 && nowMillis - this.lastSummaryMillis >= intervalMillis;
-		if (!due || !this.summaries.hasNews(current)) {
+		if (!due) {
+			return;
+		}
+		Map<Integer, EndpointSummary> current = this.gateway.ownSummaries(nowMillis);
+		if (!this.summaries.hasNews(current)) {
 			return;
 		}
 		this.lastSummaryMillis = nowMillis;
