--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -86,7 +86,7 @@
 		this.suspects = suspects;
 		this.promptPlacement = new PromptPlacement(random);
 		this.plainPlacement = new PlainPlacement(random);
-		this.reservations = new MemoryReservations(identity.memoryHoldMillis());
+		this.reservations = new MemoryReservations(identity.memoryFreeMillis());
 	}
 
 	void configured(ForwardingConfiguration current) {
@@ -95,7 +95,7 @@
 
 	void setIdentity(GatewayIdentity current) {
 		this.identity = current;
-		this.reservations.setHoldMillis(current.memoryHoldMillis());
+		this.reservations.setFreeMillis(current.memoryFreeMillis());
 		this.allowances.values().forEach((allowance) -> allowance.setBounds(current.retryBounds()));
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -122,7 +122,7 @@
 			this.forwarder.setIdentity(read.identity());
 			log("limits", "retry-ratio", read.identity().retryBounds().ratio(), "retry-extra",
 					read.identity().retryBounds().extra(), "drain-grace", read.identity().drainGraceMillis(),
-					"memory-hold", read.identity().memoryHoldMillis());
+					"memory-free", read.identity().memoryFreeMillis());
 		}
 		else if (event instanceof GatewayEvent.ShutdownRequested) {
 			this.shutdownMillis = Math.min(this.shutdownMillis, nowMillis);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayIdentity.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayIdentity.java
@@ -9,11 +9,10 @@
  * @param zone its availability zone
  * @param retryBounds bounds of repeats in the whole fleet
  * @param drainGraceMillis how long after a request to end new work is still taken
- * @param memoryHoldMillis how long engine memory is set aside without renewal; below the
- * time in which it must come back
+ * @param memoryFreeMillis time in which engine memory that was set aside must come back
  */
 public record GatewayIdentity(String name, String zone, RetryBounds retryBounds, long drainGraceMillis,
-		long memoryHoldMillis) {
+		long memoryFreeMillis) {
 
 	/**
 	 * Creates the identity.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
@@ -17,6 +17,12 @@
  */
 final class MemoryReservations {
 
+	/**
+	 * Share of the time in which memory must come back for which it is set aside; the
+	 * rest covers orders that are carried out late.
+	 */
+	private static final double HOLD_SHARE = 0.825;
+
 	/** Share of the hold after which memory is renewed; a lost renewal is made good. */
 	private static final double RENEW_SHARE = 0.4;
 
@@ -28,12 +34,12 @@
 
 	private long holdMillis;
 
-	MemoryReservations(long holdMillis) {
-		this.holdMillis = holdMillis;
+	MemoryReservations(long freeMillis) {
+		setFreeMillis(freeMillis);
 	}
 
-	void setHoldMillis(long millis) {
-		this.holdMillis = millis;
+	void setFreeMillis(long freeMillis) {
+		this.holdMillis = (long) (HOLD_SHARE * freeMillis);
 	}
 
 	private long renewMillis(long nowMillis) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
@@ -17,7 +17,7 @@
 	static final EngineModel MODEL = new EngineModel(0.925, 0.007, 0.00254, 256, 0.0917, 2048, 46, 450_000);
 
 	final Gateway gateway = new Gateway(
-			new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0.2, 10_000, 100), 2600, 3300),
+			new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0.2, 10_000, 100), 2600, 4000),
 			new SplittableRandom(7));
 
 	final List<GatewayEffect> effects = new ArrayList<>();
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -410,7 +410,7 @@
 		this.fixture.reduce(new GatewayEvent.LimitsRead(
 				new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0, 10_000, 0), 0, 2000)));
 		this.fixture.arrive("/stream/x", 600_000);
-		assertThat(this.fixture.last(GatewayEffect.SetMemoryAside.class).holdMillis()).isEqualTo(2000);
+		assertThat(this.fixture.last(GatewayEffect.SetMemoryAside.class).holdMillis()).isEqualTo(1650);
 		this.fixture.arrive("/read/x", 0);
 		this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.REFUSED_FULL);
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -188,7 +188,7 @@
 		GatewayIdentity limits = read.identity();
 		GatewayIdentity self = this.settings.identity();
 		run(new GatewayEvent.LimitsRead(new GatewayIdentity(self.name(), self.zone(), limits.retryBounds(),
-				limits.drainGraceMillis(), limits.memoryHoldMillis())));
+				limits.drainGraceMillis(), limits.memoryFreeMillis())));
 	}
 
 	/**
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipRoundsTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipRoundsTests.java
@@ -106,7 +106,7 @@
 
 	private void play(int instances, int zones, int requestsPerSecond) {
 		NetAddress self = new NetAddress("10.0.0.1", 7340);
-		GatewayIdentity identity = new GatewayIdentity("i", "zone-0", new RetryBounds(0.2, 10_000, 100), 0, 3300);
+		GatewayIdentity identity = new GatewayIdentity("i", "zone-0", new RetryBounds(0.2, 10_000, 100), 0, 4000);
 		Gateway gateway = gateway(identity);
 		Membership membership = new Membership(self.toString(), "zone-0", new SplittableRandom(2));
 		GatewaySettings settings = new GatewaySettings(identity, self, self, self, self, List.of(), RATE, 1000);
