Refuse only large prompts for what they cost others

Found on reading: the bound on refusals counted large prompts, but any prompt could be refused; a short one that was late in a burst paid for full slots and a new engine as if it harmed others, and used up the refusals that large ones earn. A test of that burst failed before and passes now.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
@@ -103,7 +103,7 @@
 	/** Share of the running pass's reading that a new part is taken to wait for. */
 	private static final double RUNNING_PASS_SHARE = 1.0;
 
-	/** Weight from which a prompt is large. */
+	/** Weight from which a prompt is large: 56,000 tokens. */
 	private static final double LARGE_WEIGHT = 4;
 
 	/** Large prompts that may be refused for each one that is taken. */
@@ -201,19 +201,21 @@
 	}
 
 	/**
-	 * Decides whether a prompt is taken. One that costs others more than it earns is
-	 * refused, but never more than a share of the large prompts, so that none of a size
-	 * is shut out.
+	 * Decides whether a prompt is taken. A large one that costs others more than it earns
+	 * is refused, but never more than a share of the large ones, so that no size is shut
+	 * out.
 	 * @param demand what it asks
 	 * @param placement the best choice for it
 	 * @return false if it should be refused and come back later
 	 */
 	public boolean admits(PromptDemand demand, Placement placement) {
+		if (demand.weight() < LARGE_WEIGHT) {
+			return true;
+		}
 		double late = lateness(demand, placement.expectedFirstMillis());
 		boolean worthwhile = placement.cost() - late <= (1 + 2 * SPEED_WEIGHT) * demand.weight() - late;
 		if (worthwhile || this.refusalCredit < 1) {
-			this.refusalCredit = Math.min(MAX_REFUSAL_CREDIT,
-					this.refusalCredit + ((demand.weight() >= LARGE_WEIGHT) ? REFUSED_PER_ADMITTED : 0));
+			this.refusalCredit = Math.min(MAX_REFUSAL_CREDIT, this.refusalCredit + REFUSED_PER_ADMITTED);
 			return true;
 		}
 		this.refusalCredit--;
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/PromptPlacementTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/PromptPlacementTests.java
@@ -208,6 +208,22 @@
 		assertThat(refused).isBetween(8, 15);
 	}
 
+	/**
+	 * Load: a burst that fills the slots of all engines; a short prompt there is late and
+	 * harms nobody as a long one does.
+	 */
+	@Test
+	void shortPromptsAreNeverRefusedForTheirCost() {
+		for (ForwardEndpoint engine : this.engines) {
+			for (int count = 0; count < 14; count++) {
+				write(engine, shortPrompt());
+			}
+		}
+		for (int count = 0; count < 30; count++) {
+			assertThat(this.policy.admits(shortPrompt(), place(shortPrompt()))).isTrue();
+		}
+	}
+
 	@Test
 	void promptsAreAdmittedWhereNobodySuffers() {
 		for (int count = 0; count < 100; count++) {
