--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/process/ProcessFailureTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/process/ProcessFailureTests.java
@@ -305,9 +305,11 @@
 			run.start(109, RATE, 14_000);
 			for (String id : fleet.processes().instanceIds()) {
 				assertThat(fleet.replace(id)).isPresent();
+				printSeats(id);
 				fleet.processes().killAndDrop(id);
 			}
 			print("replace-all", run.await().table());
+			fleet.processes().instanceIds().forEach(ProcessFailureTests::printSeats);
 			assertThat(run.judge()).isEmpty();
 			List<Send> keys = run.sends().stream().filter((send) -> !send.toModel()).toList();
 			long refused = keys.stream()
@@ -426,6 +428,15 @@
 			.toList();
 	}
 
+	private static void printSeats(String id) {
+		fleet.processes()
+			.process(id)
+			.output()
+			.lines()
+			.filter((line) -> line.contains("seat") || line.contains("shutdown"))
+			.forEach((line) -> print("replace-all " + id, line));
+	}
+
 	private static void print(String test, String text) {
 		System.out.println("process: " + test + ": " + text);
 	}
