--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -231,7 +231,7 @@
 				: this.reservations.helpers(state);
 		log(effects, "sent", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "attempt", state.attemptId, "endpoint", placement.endpoint().id(), "parts",
-				placement.parts(), "helpers",
+				placement.parts(), "listed-helpers", helpers.size(), "helpers",
 				placement.helpers().stream().map((each) -> each.id().value()).collect(Collectors.joining(" ")),
 				"prompt", state.request.promptTokens(), "expected-first-token-millis",
 				(long) placement.expectedFirstTokenMillis(), "cost", Math.round(placement.cost() * 100) / 100.0,
@@ -306,9 +306,9 @@
 		AttemptOutcome outcome = event.outcome();
 		long firstChunkMillis = (state.attemptStarted) ? state.firstChunkMillis - state.sentMillis : -1;
 		log(effects, "attempt-ended", "request", state.requestId, "attempt", event.attemptId(), "endpoint", endpoint,
-				"outcome", outcome, "millis", nowMillis - state.sentMillis, "expected-first-token-millis",
-				(long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis", firstChunkMillis,
-				"longest-gap-millis", state.longestGapMillis);
+				"outcome", outcome, "status", event.status(), "millis", nowMillis - state.sentMillis,
+				"expected-first-token-millis", (long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis",
+				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
 		if (outcome == AttemptOutcome.COMPLETED) {
@@ -389,6 +389,9 @@
 			admit(state, state.placement, nowMillis, effects);
 		}
 		else if (progress == MemoryReservations.Progress.REFUSED) {
+			log(effects, "memory-refused", "request", state.requestId, "endpoint", event.endpoint(), "answered",
+					event.granted().isPresent(), "engines", state.placement.parts(), "tokens-per-engine",
+					state.reservedTokensPerEngine, "millis", nowMillis - state.reservationSentMillis);
 			this.work.remove(state.requestId);
 			this.reservations.release(state, effects);
 			giveUp(state, RefusalCause.OVERLOADED, effects);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -43,8 +43,9 @@
 	 *
 	 * @param attemptId the attempt
 	 * @param outcome outcome of the attempt
+	 * @param status status code of the endpoint's answer, 0 if none was received
 	 */
-	record AttemptEnded(long attemptId, AttemptOutcome outcome) implements GatewayEvent {
+	record AttemptEnded(long attemptId, AttemptOutcome outcome, int status) implements GatewayEvent {
 	}
 
 	/**
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
@@ -1,10 +1,12 @@
 package io.mulberrylift.core.forwarding;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.stream.IntStream;
 
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EngineCostModel;
@@ -43,6 +45,8 @@
 
 	static List<Route> defaultRoutes() {
 		return List.of(route("/stream/", "engines", RequestKind.RESUMABLE_STREAM, 2),
+				new Route("route/long/", "api.example", "/long/", List.of(new WeightedService("engines", 1)),
+						RequestKind.RESUMABLE_STREAM, 15_000, 4000, 800, 2, 1, false),
 				route("/once-stream/", "engines", RequestKind.STREAM, 2),
 				route("/read/", "plain", RequestKind.IDEMPOTENT, 2),
 				route("/post/", "plain", RequestKind.NON_IDEMPOTENT, 2));
@@ -85,7 +89,31 @@
 	}
 
 	void end(long attemptId, AttemptOutcome outcome) {
-		reduce(new GatewayEvent.AttemptEnded(attemptId, outcome));
+		reduce(new GatewayEvent.AttemptEnded(attemptId, outcome, 0));
+	}
+
+	void listEngines(int count) {
+		reduce(new GatewayEvent.EndpointsRead(
+				IntStream.range(0, count).mapToObj((index) -> endpoint("engine-" + index, "engines", false)).toList()));
+	}
+
+	void grantReservations() {
+		all(GatewayEffect.ReserveMemory.class).forEach((each) -> reduce(
+				new GatewayEvent.ReservationAnswered(each.requestId(), each.endpoint().id(), Optional.of(true))));
+	}
+
+	/**
+	 * Returns the fields of the last log line of an event.
+	 */
+	Map<String, Object> logged(String event) {
+		Map<String, Object> fields = new HashMap<>();
+		all(GatewayEffect.Log.class).stream().filter((line) -> line.event().equals(event)).forEach((line) -> {
+			fields.clear();
+			for (int index = 0; index < line.fields().size(); index += 2) {
+				fields.put((String) line.fields().get(index), line.fields().get(index + 1));
+			}
+		});
+		return fields;
 	}
 
 	<T extends GatewayEffect> List<T> all(Class<T> type) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -419,6 +419,21 @@
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.NOT_RUN);
 	}
 
+	@Test
+	void logTellsTheStatusOfAnAttemptAndTheEngineThatRefusedMemory() {
+		this.fixture.started();
+		this.fixture.arrive("/read/x", 0);
+		this.fixture.reduce(new GatewayEvent.AttemptEnded(this.fixture.last(GatewayEffect.Send.class).attemptId(),
+				AttemptOutcome.REFUSED_FULL, 400));
+		assertThat(this.fixture.logged("attempt-ended")).containsEntry("status", 400);
+		this.fixture.arrive("/stream/x", 600_000);
+		GatewayEffect.ReserveMemory reserved = this.fixture.last(GatewayEffect.ReserveMemory.class);
+		this.fixture.reduce(new GatewayEvent.ReservationAnswered(reserved.requestId(), reserved.endpoint().id(),
+				Optional.of(false)));
+		assertThat(this.fixture.logged("memory-refused")).containsEntry("endpoint", reserved.endpoint().id())
+			.containsEntry("answered", true);
+	}
+
 	@Test
 	void reservationWithoutAnAnswerIsReleasedAfterTheTimeout() {
 		this.fixture.started();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -20,8 +20,9 @@
 	 * Called once when an attempt ended; no further events of the attempt follow.
 	 * @param attemptId the attempt
 	 * @param outcome how it ended
+	 * @param status status code of the endpoint's answer, 0 if none was received
 	 */
-	void attemptEnded(long attemptId, AttemptOutcome outcome);
+	void attemptEnded(long attemptId, AttemptOutcome outcome, int status);
 
 	/**
 	 * Called when an endpoint named another endpoint as the cause of its refusal.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -197,7 +197,7 @@
 	void end(AttemptOutcome outcome) {
 		if (!this.ended) {
 			this.ended = true;
-			this.listener.attemptEnded(id(), outcome);
+			this.listener.attemptEnded(id(), outcome, this.status);
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -373,10 +373,10 @@
 	}
 
 	@Override
-	public void attemptEnded(long attemptId, AttemptOutcome outcome) {
+	public void attemptEnded(long attemptId, AttemptOutcome outcome, int status) {
 		this.metrics.countAttempt(outcome);
 		this.endpointPool.removeAttempt(attemptId);
-		run(new GatewayEvent.AttemptEnded(attemptId, outcome));
+		run(new GatewayEvent.AttemptEnded(attemptId, outcome, status));
 		removeAttempt(attemptId);
 	}
 
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
@@ -134,7 +134,7 @@
 			while (open.size() > 2 * requestsPerSecond) {
 				Placed ended = open.removeFirst();
 				this.openByEndpoint.get(ended.endpointKey()).remove(ended.request());
-				gateway.reduce(new GatewayEvent.AttemptEnded(ended.attemptId(), AttemptOutcome.COMPLETED), now);
+				gateway.reduce(new GatewayEvent.AttemptEnded(ended.attemptId(), AttemptOutcome.COMPLETED, 200), now);
 			}
 			rounds.tick(now);
 		}
