--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -381,6 +381,25 @@
 		assertThat(this.fixture.all(GatewayEffect.ReleaseMemory.class)).hasSize(reserved.size());
 	}
 
+	/**
+	 * Failure: prompts larger than an engine's memory were rejected by every engine of a
+	 * large deployment, because the decoding engine's own reservation made the list of
+	 * helpers one entry too long.
+	 */
+	@Test
+	void reservedPromptListsNoMoreHelpersThanEnginesAccept() {
+		this.fixture.started();
+		this.fixture.listEngines(40);
+		for (long tokens = 500_000; tokens <= 1_000_000; tokens += 100_000) {
+			this.fixture.effects.clear();
+			this.fixture.arrive("/long/x", tokens);
+			this.fixture.grantReservations();
+			assertThat(this.fixture.last(GatewayEffect.Send.class).helpers()).as("%d tokens", tokens)
+				.hasSizeBetween(2, 16);
+			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.COMPLETED);
+		}
+	}
+
 	@Test
 	void reservationIsRenewedWhileInUseAndExpiresInTime() {
 		this.fixture.started();
