Do not send a request that an endpoint rejected as invalid to another one

Callers saw 503 after two engines had answered 400 in turn. Every answer that says it did not run the request counted as REFUSED_FULL, an engine without capacity, so the same request was sent unchanged to a second engine, took from the retry budget and looked like overload in logs and metrics.

Answers of other statuses with the header are classified as before.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -16,6 +16,12 @@
 	 */
 	REFUSED_FULL(false, false, false),
 
+	/**
+	 * The endpoint reported that it did not run the request because the request is
+	 * invalid. Other endpoints would reject it as well.
+	 */
+	REJECTED(false, false, false),
+
 	/** The endpoint reported that it is a different process from the expected one. */
 	MISDIRECTED(false, false, true),
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -356,7 +356,8 @@
 	private boolean mayRetry(ForwardState state, AttemptOutcome outcome, long nowMillis) {
 		boolean repeatable = !state.mayHaveRun || state.route.kind().isRepeatable();
 		boolean hasTimeLeft = state.timeLeftMillis(nowMillis) > MIN_RETRY_MILLIS;
-		if (!repeatable || !hasTimeLeft || this.suspects.isIsolated(state.request.fingerprint())) {
+		if (outcome == AttemptOutcome.REJECTED || !repeatable || !hasTimeLeft
+				|| this.suspects.isIsolated(state.request.fingerprint())) {
 			return false;
 		}
 		if (outcome == AttemptOutcome.NOT_CONNECTED) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AnswerClass.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AnswerClass.java
@@ -11,6 +11,11 @@
 	/** The endpoint states that it did not run the request. */
 	NOT_RUN,
 
+	/**
+	 * The endpoint states that it did not run the request because the request is invalid.
+	 */
+	REJECTED,
+
 	/**
 	 * The endpoint states that it is not the process that the request is addressed to.
 	 */
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -175,6 +175,7 @@
 				end(AttemptOutcome.ENDPOINT_ERROR);
 			}
 			case NOT_RUN -> end(AttemptOutcome.REFUSED_FULL);
+			case REJECTED -> end(AttemptOutcome.REJECTED);
 			case MISDIRECTED -> end(AttemptOutcome.MISDIRECTED);
 			default -> end(AttemptOutcome.GARBLED);
 		}
