List at most 16 engines for a prompt across several memories

Callers of prompts larger than an engine's memory got 503 in large deployments, after one or two engines had answered 400.

Cause: the placement counts parts, the engines count list entries. Without reservations the engine that decodes is not listed, so 17 parts are 16 entries. With reservations it lists its own reservation too, and the 17 parts that the placement prefers for the largest prompts became 17 entries, one more than engines accept. 17 free engines are only found in a large fleet.

Change: a placement across memories has at most 16 parts. The limit is also checked where the list is encoded: a request that exceeds it is not sent, is logged as send-rejected and ends as REJECTED, not run.

Engines fit 16 entries whatever the load, so that no choice of engines helps against a longer list.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -18,7 +18,8 @@
 
 	/**
 	 * The endpoint reported that it did not run the request because the request is
-	 * invalid. Other endpoints would reject it as well.
+	 * invalid, or the request was not sent because it exceeds a limit of the endpoint.
+	 * Other endpoints would reject it as well.
 	 */
 	REJECTED(false, false, false),
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
@@ -25,12 +25,19 @@
 public final class PromptPlacement {
 
 	/**
-	 * Maximum number of helpers that prefill parts of one prompt; a limit of the engines.
+	 * Maximum number of engines that a request may list as helpers; a limit of the
+	 * engines.
 	 */
 	public static final int MAX_HELPERS = 16;
 
 	private static final int[] PART_COUNTS = { 1, 2, 3, 4, 6, 8, 11, 14, MAX_HELPERS + 1 };
 
+	/**
+	 * Numbers of parts of a prompt whose memory is reserved on each engine. The engine
+	 * that decodes is then listed as a helper, too.
+	 */
+	private static final int[] RESERVED_PART_COUNTS = { 2, 3, 4, 6, 8, 11, 14, MAX_HELPERS };
+
 	/** Share of an inter-token gap target from which a late token is possible. */
 	private static final double GAP_SAFE_SHARE = 0.85;
 
@@ -190,12 +197,12 @@
 	public Optional<Placement> placeAcrossMemories(PromptDemand demand, List<EndpointWork> engines,
 			EngineCostModel model, String zone, long nowMillis) {
 		Optional<Placement> best = Optional.empty();
-		for (int parts : PART_COUNTS) {
+		for (int parts : RESERVED_PART_COUNTS) {
 			long tokensPerEngine = demand.memoryTokens() / parts + MEMORY_MARGIN_TOKENS;
 			List<EndpointWork> withMemory = engines.stream()
 				.filter((engine) -> engine.memoryTokens() + tokensPerEngine <= model.memoryTokens())
 				.toList();
-			if (parts < 2 || withMemory.size() < parts) {
+			if (withMemory.size() < parts) {
 				continue;
 			}
 			PromptDemand part = new PromptDemand(demand.promptTokens(), 0, demand.firstTokenTimeLeftMillis(),
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -25,6 +25,13 @@
 	 */
 	HttpHeaders requestHeaders(BufferedRequest request, GatewayEffect.Send send, Optional<String> resumeAfter);
 
+	/**
+	 * Returns the limit of the endpoints that a request would exceed.
+	 * @param send the endpoint and how the request is sent
+	 * @return description of the excess, empty if the request may be sent
+	 */
+	Optional<String> exceededLimit(GatewayEffect.Send send);
+
 	/**
 	 * Classifies the head of an answer.
 	 * @param answer the head
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -283,6 +283,13 @@
 		ForwardedAnswer answer = this.answersByRequest.get(send.requestId());
 		this.requestByAttempt.put(send.attemptId(), send.requestId());
 		this.attemptByRequest.put(send.requestId(), send.attemptId());
+		Optional<String> exceededLimit = this.endpointProtocol.exceededLimit(send);
+		if (exceededLimit.isPresent()) {
+			this.log.write("send-rejected", "request", send.requestId(), "attempt", send.attemptId(), "problem",
+					exceededLimit.get());
+			attemptEnded(send.attemptId(), AttemptOutcome.REJECTED, 0);
+			return;
+		}
 		this.metrics.count("sends");
 		this.endpointPool.send(send, answer);
 		this.gossip.requestPlaced(nowMillis());
