Simulate the grown deployment in the placement experiment

The test that compares the policy with the baselines keeps its two shapes; the new shape has other bounds.

--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/IterationEngine.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/IterationEngine.java
@@ -35,6 +35,8 @@
 
 	private final Deque<Part> unsplitPrompts = new ArrayDeque<>();
 
+	private long reservedTokens;
+
 	private boolean iterating;
 
 	IterationEngine(EngineCostModel model, int slots) {
@@ -59,9 +61,27 @@
 		this.splitParts.addFirst(new Part(prompt));
 	}
 
+	/**
+	 * Reserves memory for a part of a prompt that is larger than an engine's memory.
+	 * @param tokens size of the part
+	 * @return false if the memory is not free
+	 */
+	boolean reserve(long tokens) {
+		if (usedTokens() + tokens > this.model.memoryTokens()) {
+			return false;
+		}
+		this.reservedTokens += tokens;
+		return true;
+	}
+
+	void release(long tokens) {
+		this.reservedTokens -= tokens;
+		admit();
+	}
+
 	private void admit() {
 		while (!this.waiting.isEmpty() && this.running.size() < this.slots
-				&& usedTokens() + this.waiting.peekFirst().memoryTokens() <= this.model.memoryTokens()) {
+				&& usedTokens() + this.waiting.peekFirst().unreservedTokens() <= this.model.memoryTokens()) {
 			SimulatedPrompt prompt = this.waiting.removeFirst();
 			this.running.add(prompt);
 			if (prompt.isSplit()) {
@@ -74,7 +94,7 @@
 	}
 
 	private long usedTokens() {
-		return this.running.stream().mapToLong(SimulatedPrompt::memoryTokens).sum();
+		return this.reservedTokens + this.running.stream().mapToLong(SimulatedPrompt::unreservedTokens).sum();
 	}
 
 	boolean isIdle() {
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementCommand.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementCommand.java
@@ -43,9 +43,12 @@
 							this.seconds * MILLIS_PER_SECOND)
 						.run();
 					Map<PromptKind, Double> kinds = result.byKind();
-					out.printf(Locale.ROOT, "%-10s %-15s seed %d  %.3f  %.3f %.3f %.3f%n", shape, rule, seed,
+					out.printf(Locale.ROOT, "%-13s %-15s seed %d  %.3f  %.3f %.3f %.3f %.3f", shape, rule, seed,
 							result.overall(), kinds.get(PromptKind.SHORT), kinds.get(PromptKind.MEDIUM),
-							kinds.get(PromptKind.LONG));
+							kinds.get(PromptKind.LONG), kinds.get(PromptKind.VERY_LONG));
+					out.printf(Locale.ROOT, "  served %.2f %.2f %.2f%n", result.servedShare(PromptKind.VERY_LONG, 0, 1),
+							result.servedShare(PromptKind.VERY_LONG, 0, 0.1),
+							result.servedShare(PromptKind.VERY_LONG, 0.1, 0.3));
 				}
 			}
 		}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementExperiment.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementExperiment.java
@@ -12,15 +12,20 @@
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.EngineCostModel;
 import io.mulberrylift.core.placement.Placement;
 import io.mulberrylift.core.placement.PromptDemand;
+import io.mulberrylift.core.placement.PromptPlacement;
 import io.mulberrylift.core.placement.RequestWork;
 import io.mulberrylift.core.placement.WorkTable;
 
 /**
  * Simulates one load with one placement rule in virtual time. Instances learn of each
- * other's placements after a delay. Equal arguments give equal results.
+ * other's placements after a delay; in a deployment of several availability zones, only
+ * of those in their own zone, as summaries by endpoint. Engines reject requests that list
+ * too many helpers and refuse reservations for which they have no free memory. A caller
+ * retries a refused prompt once. Equal arguments give equal results.
  *
  * <p>
  * Not safe for use by several threads. Each object runs once.
@@ -29,24 +34,32 @@
 public final class PlacementExperiment {
 
 	/** Cost model of the users' engines. */
-	public static final EngineCostModel MODEL = new EngineCostModel(0.925, 0.007, 0.00254, 256, 0.0917, 2048, 46,
-			450_000);
-
-	private static final int SLOTS = 11;
+	public static final EngineCostModel MODEL = DeploymentShape.PRAIRIE.model();
 
 	private static final int EVENT_TOKENS = 46;
 
 	/** Delay until the other instances receive an update, in milliseconds. */
 	private static final double PEER_UPDATE_DELAY_MILLIS = 60;
 
+	/** Interval between summaries in deployments of several availability zones. */
+	private static final double SUMMARY_INTERVAL_MILLIS = 1700;
+
+	/** Time after which a caller retries a refused prompt. */
+	private static final double CALLER_RETRY_MILLIS = 600;
+
 	private static final int MILLIS_PER_SECOND = 1000;
 
 	private final DeploymentShape shape;
 
+	private final EngineCostModel model;
+
 	private final long lengthMillis;
 
 	private final Random random;
 
+	/** Separate, so that the load does not depend on the number of retries. */
+	private final Random retryRandom;
+
 	private final List<ForwardEndpoint> endpoints = new ArrayList<>();
 
 	private final Map<EndpointId, IterationEngine> engines = new HashMap<>();
@@ -61,6 +74,8 @@
 
 	private final Map<PromptKind, double[]> benefitSums = new EnumMap<>(PromptKind.class);
 
+	private final List<PromptOutcome> outcomes = new ArrayList<>();
+
 	private long nextEventOrder;
 
 	private long nextRequest;
@@ -74,23 +89,29 @@
 	 */
 	public PlacementExperiment(DeploymentShape shape, PlacementRule rule, long seed, long lengthMillis) {
 		this.shape = Objects.requireNonNull(shape, "shape");
+		this.model = shape.model();
 		this.lengthMillis = lengthMillis;
 		this.random = new Random(seed);
+		this.retryRandom = new Random(seed + 1);
 		for (int index = 0; index < shape.engines(); index++) {
 			ForwardEndpoint endpoint = new ForwardEndpoint(new EndpointId("engine-" + index), "engines",
-					"10.0.0." + (index + 1), 8080, "zone", SLOTS, false, 0);
+					"10.0.0." + (index + 1), 8080, zone(index), shape.slots(), false, 0);
 			this.endpoints.add(endpoint);
-			this.engines.put(endpoint.id(), new IterationEngine(MODEL, SLOTS));
+			this.engines.put(endpoint.id(), new IterationEngine(this.model, shape.slots()));
 		}
 		for (int index = 0; index < shape.instances(); index++) {
 			this.tables.add(new WorkTable());
-			this.placers.add(rule.placer(seed * MILLIS_PER_SECOND + index));
+			this.placers.add(rule.placer(seed * MILLIS_PER_SECOND + index, zone(index), shape.zones() > 1));
 		}
 		for (PromptKind kind : PromptKind.values()) {
 			this.benefitSums.put(kind, new double[2]);
 		}
 	}
 
+	private String zone(int index) {
+		return "zone-" + index % this.shape.zones();
+	}
+
 	/**
 	 * Runs the experiment.
 	 * @return the earned share of the attainable benefit
@@ -99,6 +120,11 @@
 		for (PromptKind kind : PromptKind.values()) {
 			scheduleArrival(kind, 0);
 		}
+		if (this.shape.zones() > 1) {
+			for (int instance = 0; instance < this.tables.size(); instance++) {
+				scheduleSummaries(instance, SUMMARY_INTERVAL_MILLIS * instance / this.tables.size());
+			}
+		}
 		while (!this.queue.isEmpty()) {
 			ScheduledAction next = this.queue.remove();
 			next.action.run(next.atMillis);
@@ -111,7 +137,7 @@
 			attainable += sum.getValue()[0];
 			earned += sum.getValue()[1];
 		}
-		return new PlacementResult(earned / attainable, byKind);
+		return new PlacementResult(earned / attainable, byKind, this.outcomes);
 	}
 
 	private void schedule(double atMillis, Action action) {
@@ -120,6 +146,9 @@
 
 	private void scheduleArrival(PromptKind kind, double afterMillis) {
 		double perSecond = this.shape.ratePerSecond(kind, afterMillis / this.lengthMillis);
+		if (perSecond == 0) {
+			return;
+		}
 		double arrivalMillis = afterMillis - Math.log(1 - this.random.nextDouble()) / perSecond * MILLIS_PER_SECOND;
 		if (arrivalMillis < this.lengthMillis) {
 			schedule(arrivalMillis, (now) -> {
@@ -129,31 +158,103 @@
 		}
 	}
 
+	private void scheduleSummaries(int instance, double atMillis) {
+		if (atMillis >= this.lengthMillis) {
+			return;
+		}
+		schedule(atMillis, (now) -> {
+			List<EndpointSummary> summaries = new ArrayList<>(
+					this.tables.get(instance).ownSummaries((long) now).values());
+			schedule(now + PEER_UPDATE_DELAY_MILLIS, (later) -> {
+				for (int other = instance % this.shape.zones(); other < this.tables.size(); other += this.shape
+					.zones()) {
+					if (other != instance) {
+						this.tables.get(other).applyPeerSummaries("instance-" + instance, summaries, (long) later);
+						this.tables.get(other).expire((long) later);
+					}
+				}
+			});
+			scheduleSummaries(instance, now + SUMMARY_INTERVAL_MILLIS);
+		});
+	}
+
 	private void handleArrival(PromptKind kind, double now) {
 		long tokens = kind.drawPromptTokens(this.random);
 		int events = kind.drawAnswerEvents(this.random);
-		int instance = this.random.nextInt(this.tables.size());
-		long nowMillis = (long) now;
+		this.benefitSums.get(kind)[0] += kind.benefit(tokens, true);
+		place(kind, tokens, events, this.random.nextInt(this.tables.size()), now, now);
+	}
+
+	private void place(PromptKind kind, long tokens, int events, int instance, double arrivalMillis, double now) {
 		PromptDemand demand = new PromptDemand(tokens, (long) events * EVENT_TOKENS, kind.firstTokenTargetMillis(),
 				kind.deadlineMillis(), kind.gapTargetMillis());
-		this.benefitSums.get(kind)[0] += kind.benefit(tokens, true);
 		Optional<Placement> placement = this.placers.get(instance)
-			.place(demand, this.tables.get(instance).view(this.endpoints), MODEL, nowMillis);
-		placement.ifPresent((chosen) -> start(kind, demand, events, instance, chosen, now));
+			.place(demand, this.tables.get(instance).view(this.endpoints), this.model, (long) now)
+			.filter((chosen) -> accept(demand, chosen));
+		if (placement.isPresent()) {
+			start(kind, demand, events, instance, placement.get(), arrivalMillis, now);
+		}
+		else if (now == arrivalMillis) {
+			schedule(now + CALLER_RETRY_MILLIS, (later) -> place(kind, tokens, events,
+					this.retryRandom.nextInt(this.tables.size()), arrivalMillis, later));
+		}
+		else {
+			this.outcomes.add(new PromptOutcome(kind, tokens, false, false));
+		}
+	}
+
+	private boolean isAcrossMemories(PromptDemand demand) {
+		return demand.memoryTokens() > this.model.memoryTokens();
+	}
+
+	/**
+	 * Reserves the memory of a prompt that is larger than an engine's memory.
+	 * @param demand the prompt
+	 * @param chosen its placement
+	 * @return false if an engine has no free memory or would reject the request
+	 */
+	private boolean accept(PromptDemand demand, Placement chosen) {
+		if (!isAcrossMemories(demand)) {
+			return chosen.helpers().size() <= PromptPlacement.MAX_HELPERS;
+		}
+		if (chosen.parts() > PromptPlacement.MAX_HELPERS) {
+			return false;
+		}
+		List<IterationEngine> reserved = new ArrayList<>();
+		for (IterationEngine engine : engines(chosen)) {
+			if (!engine.reserve(partTokens(demand, chosen))) {
+				reserved.forEach((each) -> each.release(partTokens(demand, chosen)));
+				return false;
+			}
+			reserved.add(engine);
+		}
+		return true;
+	}
+
+	private static long partTokens(PromptDemand demand, Placement chosen) {
+		return demand.memoryTokens() / chosen.parts();
+	}
+
+	private List<IterationEngine> engines(Placement chosen) {
+		List<IterationEngine> all = new ArrayList<>();
+		all.add(this.engines.get(chosen.endpoint().id()));
+		chosen.helpers().forEach((helper) -> all.add(this.engines.get(helper.id())));
+		return all;
 	}
 
-	private void start(PromptKind kind, PromptDemand demand, int events, int instance, Placement chosen, double now) {
-		boolean split = demand.memoryTokens() > MODEL.memoryTokens();
-		long partTokens = (split) ? demand.memoryTokens() / chosen.parts() : 0;
+	private void start(PromptKind kind, PromptDemand demand, int events, int instance, Placement chosen,
+			double arrivalMillis, double now) {
+		boolean acrossMemories = isAcrossMemories(demand);
+		long partTokens = (acrossMemories) ? partTokens(demand, chosen) : 0;
 		long request = this.nextRequest++;
 		RequestWork work = new RequestWork(false, chosen.partPrefillMillis(),
-				(split) ? partTokens : demand.memoryTokens(), partTokens, demand.gapTargetMillis(),
+				(acrossMemories) ? partTokens : demand.memoryTokens(), partTokens, demand.gapTargetMillis(),
 				(long) now + demand.firstTokenTimeLeftMillis(), (long) (now + chosen.expectedFirstTokenMillis()),
 				demand.weight(), WorkTable.hash(chosen.endpoint().id()),
 				chosen.helpers().stream().map((helper) -> WorkTable.hash(helper.id())).toList());
 		SimulatedPrompt prompt = new SimulatedPrompt(kind, demand.promptTokens(), events, chosen.parts(),
-				chosen.partPrefillMillis(), work.memoryTokens(), now);
-		this.runningPrompts.put(prompt, new RunningPrompt(request, instance, work));
+				chosen.partPrefillMillis(), work.memoryTokens(), acrossMemories, arrivalMillis);
+		this.runningPrompts.put(prompt, new RunningPrompt(request, instance, work, chosen, partTokens));
 		publishWork(instance, request, Optional.of(work), now);
 		IterationEngine engine = this.engines.get(chosen.endpoint().id());
 		engine.enqueue(prompt);
@@ -165,6 +266,9 @@
 	private void publishWork(int instance, long request, Optional<RequestWork> work, double now) {
 		work.ifPresentOrElse((known) -> this.tables.get(instance).put(request, known),
 				() -> this.tables.get(instance).remove(request));
+		if (this.shape.zones() > 1) {
+			return;
+		}
 		schedule(now + PEER_UPDATE_DELAY_MILLIS, (later) -> {
 			for (int other = 0; other < this.tables.size(); other++) {
 				if (other != instance) {
@@ -185,9 +289,7 @@
 		if (millis > 0) {
 			schedule(now + millis, (end) -> {
 				for (SimulatedPrompt prompt : engine.endIteration(end)) {
-					RunningPrompt ended = this.runningPrompts.remove(prompt);
-					this.benefitSums.get(prompt.kind())[1] += prompt.earnedBenefit(end);
-					publishWork(ended.instance(), ended.request(), Optional.empty(), end);
+					handleEnd(prompt, end);
 				}
 				publishDecodingStarts(end);
 				iterate(engine, end);
@@ -195,12 +297,23 @@
 		}
 	}
 
+	private void handleEnd(SimulatedPrompt prompt, double now) {
+		RunningPrompt ended = this.runningPrompts.remove(prompt);
+		this.benefitSums.get(prompt.kind())[1] += prompt.earnedBenefit(now);
+		this.outcomes.add(prompt.outcome(now));
+		if (ended.reservedTokens() > 0) {
+			engines(ended.placement()).forEach((engine) -> engine.release(ended.reservedTokens()));
+		}
+		publishWork(ended.instance(), ended.request(), Optional.empty(), now);
+	}
+
 	private void publishDecodingStarts(double now) {
 		for (Map.Entry<SimulatedPrompt, RunningPrompt> entry : this.runningPrompts.entrySet()) {
 			RunningPrompt known = entry.getValue();
 			if (entry.getKey().hasFirstToken() && !known.work().decoding()) {
 				RequestWork decodingWork = known.work().toDecoding();
-				entry.setValue(new RunningPrompt(known.request(), known.instance(), decodingWork));
+				entry.setValue(new RunningPrompt(known.request(), known.instance(), decodingWork, known.placement(),
+						known.reservedTokens()));
 				publishWork(known.instance(), known.request(), Optional.of(decodingWork), now);
 			}
 		}
@@ -213,7 +326,8 @@
 
 	}
 
-	private record RunningPrompt(long request, int instance, RequestWork work) {
+	private record RunningPrompt(long request, int instance, RequestWork work, Placement placement,
+			long reservedTokens) {
 	}
 
 	private record ScheduledAction(double atMillis, long order, Action action) implements Comparable<ScheduledAction> {
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementRule.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementRule.java
@@ -34,11 +34,14 @@
 	/**
 	 * Creates the placer of one instance.
 	 * @param seed seed of its random choices
+	 * @param zone availability zone of the instance
+	 * @param otherZonesUnknown whether the work of other zones is unknown
 	 * @return the placer
 	 */
-	Placer placer(long seed) {
+	Placer placer(long seed, String zone, boolean otherZonesUnknown) {
 		RandomGenerator random = new SplittableRandom(seed);
 		PromptPlacement policy = new PromptPlacement(random);
+		policy.setOtherZonesUnknown(otherZonesUnknown);
 		Random ties = new Random(seed);
 		return (demand, engines, model, now) -> switch (this) {
 			case RANDOM -> enginesThatFit(demand, engines, model)
@@ -47,8 +50,8 @@
 					leastLoaded(list, Comparator.comparingInt(EndpointWork::slotsInUse), ties), model));
 			case LEAST_TOKENS -> enginesThatFit(demand, engines, model).map((list) -> onSingleEngine(demand,
 					leastLoaded(list, Comparator.comparingLong(EndpointWork::memoryTokens), ties), model));
-			case PREDICTED_LOSS -> policy.place(demand, engines, model, "zone", now)
-				.or(() -> policy.placeAcrossMemories(demand, engines, model, "zone", now))
+			case PREDICTED_LOSS -> policy.place(demand, engines, model, zone, now)
+				.or(() -> policy.placeAcrossMemories(demand, engines, model, zone, now))
 				.filter((placement) -> policy.admits(demand, placement));
 		};
 	}
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PromptKind.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PromptKind.java
@@ -19,7 +19,13 @@
 	MEDIUM(45_000, 0.5, 110_000, 20.9, 0.6, 1500, 500, 10_000, 3.1, 0.79),
 
 	/** Hundreds of thousands of tokens, sometimes more than the memory of one engine. */
-	LONG(210_000, 0.55, 1_000_000, 17.4, 0.5, 3000, 800, 15_000, 22, 5.4);
+	LONG(210_000, 0.55, 1_000_000, 17.4, 0.5, 3000, 800, 15_000, 22, 5.4),
+
+	/**
+	 * Hundreds of thousands of tokens; the largest quarter exceeds the memory of one
+	 * engine.
+	 */
+	VERY_LONG(300_000, 0.55, 1_000_000, 16.5, 0.5, 4000, 800, 15_000, 30, 7.5);
 
 	private static final double BASE_SHARE = 0.3;
 
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/SimulatedPrompt.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/SimulatedPrompt.java
@@ -21,6 +21,8 @@
 
 	private final long memoryTokens;
 
+	private final boolean memoryReserved;
+
 	private final int parts;
 
 	private int remainingParts;
@@ -34,7 +36,7 @@
 	private double longestGapMillis;
 
 	SimulatedPrompt(PromptKind kind, long tokens, int events, int parts, double partMillis, long memoryTokens,
-			double arrivedMillis) {
+			boolean memoryReserved, double arrivedMillis) {
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.tokens = tokens;
 		this.remainingEvents = events;
@@ -42,6 +44,7 @@
 		this.remainingParts = parts;
 		this.partPrefillMillis = partMillis;
 		this.memoryTokens = memoryTokens;
+		this.memoryReserved = memoryReserved;
 		this.arrivalMillis = arrivedMillis;
 	}
 
@@ -74,6 +77,14 @@
 		return this.memoryTokens;
 	}
 
+	/**
+	 * Returns the memory that the prompt takes in addition to what is reserved for it.
+	 * @return the size in tokens
+	 */
+	long unreservedTokens() {
+		return (this.memoryReserved) ? 0 : this.memoryTokens;
+	}
+
 	void completePart() {
 		this.remainingParts--;
 	}
@@ -111,12 +122,15 @@
 	}
 
 	double earnedBenefit(double nowMillis) {
-		if (nowMillis - this.arrivalMillis > this.kind.deadlineMillis()) {
-			return 0;
-		}
-		boolean metTargets = this.firstTokenMillis <= this.kind.firstTokenTargetMillis()
+		PromptOutcome outcome = outcome(nowMillis);
+		return (outcome.served()) ? this.kind.benefit(this.tokens, outcome.timely()) : 0;
+	}
+
+	PromptOutcome outcome(double nowMillis) {
+		boolean served = nowMillis - this.arrivalMillis <= this.kind.deadlineMillis();
+		boolean timely = served && this.firstTokenMillis <= this.kind.firstTokenTargetMillis()
 				&& this.longestGapMillis <= this.kind.gapTargetMillis();
-		return this.kind.benefit(this.tokens, metTargets);
+		return new PromptOutcome(this.kind, this.tokens, served, timely);
 	}
 
 	PromptKind kind() {
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/IterationEngineTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/IterationEngineTests.java
@@ -11,7 +11,7 @@
 
 	private static SimulatedPrompt prompt(long tokens, int parts, int events) {
 		double prefillMillis = PlacementExperiment.MODEL.partPrefillMillis(tokens, parts);
-		return new SimulatedPrompt(PromptKind.SHORT, tokens, events, parts, prefillMillis, tokens, 0);
+		return new SimulatedPrompt(PromptKind.SHORT, tokens, events, parts, prefillMillis, tokens, false, 0);
 	}
 
 	private double iterateUntilFirstToken(SimulatedPrompt prompt) {
@@ -66,6 +66,17 @@
 			.isCloseTo(older.partPrefillMillis() + newer.partPrefillMillis(), within(20.0));
 	}
 
+	@Test
+	void reservedMemoryIsNotAvailableUntilItIsReleased() {
+		assertThat(this.engine.reserve(400_000)).isTrue();
+		assertThat(this.engine.reserve(100_000)).isFalse();
+		SimulatedPrompt waiting = prompt(100_000, 1, 1);
+		this.engine.enqueue(waiting);
+		assertThat(this.engine.beginIteration()).isZero();
+		this.engine.release(400_000);
+		assertThat(iterateUntilFirstToken(waiting)).isPositive();
+	}
+
 	@Test
 	void promptsWaitForASlotAndForMemory() {
 		SimulatedPrompt first = prompt(300_000, 1, 1);
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/PlacementExperimentTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/PlacementExperimentTests.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.testkit.placement;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -15,7 +17,7 @@
 	/** The load alternates between long and short prompts within a run. */
 	@Test
 	void policyOutperformsEveryBaselineOnBothShapes() {
-		for (DeploymentShape shape : DeploymentShape.values()) {
+		for (DeploymentShape shape : List.of(DeploymentShape.PRAIRIE, DeploymentShape.TIMBANGAN)) {
 			for (long seed = 1; seed <= 3; seed++) {
 				double policy = run(shape, PlacementRule.PREDICTED_LOSS, seed).overall();
 				for (PlacementRule rule : PlacementRule.values()) {
@@ -28,6 +30,30 @@
 		}
 	}
 
+	private static void assertServedAtLeastHalfAsOftenAsAll(double from, double to) {
+		for (long seed = 1; seed <= 3; seed++) {
+			PlacementResult result = run(DeploymentShape.PRAIRIE_GROWN, PlacementRule.PREDICTED_LOSS, seed);
+			assertThat(result.servedShare(PromptKind.VERY_LONG, from, to)).as("seed %d", seed)
+				.isGreaterThanOrEqualTo(result.servedShare(PromptKind.VERY_LONG, 0, 1) / 2);
+		}
+	}
+
+	/**
+	 * Failure: engines of a large deployment rejected prompts larger than their memory.
+	 */
+	@Test
+	void largestTenthIsServedAtLeastHalfAsOftenAsAll() {
+		assertServedAtLeastHalfAsOftenAsAll(0, 0.1);
+	}
+
+	/**
+	 * Failure: engines of a large deployment rejected prompts larger than their memory.
+	 */
+	@Test
+	void nextLargestFifthIsServedAtLeastHalfAsOftenAsAll() {
+		assertServedAtLeastHalfAsOftenAsAll(0.1, 0.3);
+	}
+
 	@Test
 	void equalSeedsGiveEqualResults() {
 		assertThat(run(DeploymentShape.TIMBANGAN, PlacementRule.PREDICTED_LOSS, 5))
