Spread short answers while the work of other zones is unknown

Cause of a part of it: short answers are concentrated on the engines that generate some already, and the least cost decides among the rest. That needs views that are complete and fresh. In a large fleet an instance knows the work of its zone only, seconds late, so that instances with similar views choose the same engine: engines rejected 913 of 4,578 arrivals as full, the busiest received 1.93 times the mean.

Change: while the work of other zones is unknown, short answers are not concentrated, and their choice among engines has a random cost of up to 3 instead of 0.05. Small fleets, whose views are complete, choose as before.

Test: PromptPlacementTests#shortAnswersAreSpreadWhileTheWorkOfOtherZonesIsUnknown failed before (more than 8 of 25 instances chose one engine).

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
@@ -135,11 +135,17 @@
 	/** Maximum random cost, which spreads the choice among nearly equal engines. */
 	private static final double JITTER_COST = 0.05;
 
+	/**
+	 * Maximum random cost of a short answer while the work of other zones is unknown.
+	 * Instances with similar incomplete views would otherwise choose the same engine.
+	 */
+	private static final double UNKNOWN_WORK_JITTER_COST = 3;
+
 	private final RandomGenerator random;
 
 	private double refusalCredit = MAX_REFUSAL_CREDIT;
 
-	private double otherZoneCost = OTHER_ZONE_COST;
+	private boolean otherZonesUnknown;
 
 	/**
 	 * Creates the policy.
@@ -150,11 +156,12 @@
 	}
 
 	/**
-	 * Sets whether the work of other zones is unknown.
+	 * Sets whether the work of other zones is unknown. While it is, short answers are
+	 * spread across engines of similar cost instead of being concentrated on few.
 	 * @param unknown true if it is unknown
 	 */
 	public void setOtherZonesUnknown(boolean unknown) {
-		this.otherZoneCost = (unknown) ? UNKNOWN_ZONE_COST : OTHER_ZONE_COST;
+		this.otherZonesUnknown = unknown;
 	}
 
 	/**
@@ -288,9 +295,9 @@
 		double firstMillis = prefillEndMillis + queuedMillis + engine.endpoint().warmUpLeftMillis();
 		double addedDelayCost = tokenGapDelayCost(engine, model, parts, partMillis, nowMillis);
 		addedDelayCost += (parts > 1) ? prefillDelayCost(engine, partMillis, nowMillis) : 0;
-		double otherCost = (zone.equals(engine.endpoint().zone())) ? 0 : this.otherZoneCost;
+		double otherCost = (zone.equals(engine.endpoint().zone())) ? 0 : otherZoneCost();
 		otherCost += FAILURE_COST * engine.health().failureRate() * demand.weight();
-		otherCost += this.random.nextDouble() * JITTER_COST;
+		otherCost += this.random.nextDouble() * maxJitterCost(demand);
 		double lateness = latenessCost(demand, firstMillis);
 		double asFirst = addedDelayCost + otherCost + lateness + firstShortAnswerCost(demand, engine)
 				+ slotPressureCost(demand, slotsInUse, slots) + ownTokenGapCost(demand, engine, model, nowMillis);
@@ -298,6 +305,14 @@
 				addedDelayCost + otherCost + HELPER_DELAY_COST * prefillEndMillis / MILLIS_PER_SECOND);
 	}
 
+	private double maxJitterCost(PromptDemand demand) {
+		return (this.otherZonesUnknown && isShortAnswer(demand)) ? UNKNOWN_WORK_JITTER_COST : JITTER_COST;
+	}
+
+	private double otherZoneCost() {
+		return (this.otherZonesUnknown) ? UNKNOWN_ZONE_COST : OTHER_ZONE_COST;
+	}
+
 	private static double prefillEnd(double prefillMillis, double decodeMillis, double iterationPrefillMillis) {
 		double iterations = (decodeMillis > 0) ? Math.ceil(prefillMillis / iterationPrefillMillis) : 0;
 		return decodeMillis / 2 + prefillMillis + iterations * decodeMillis;
@@ -399,7 +414,10 @@
 		return (gapTargetMillis == 0) ? 0 : ramp(gapMillis / gapTargetMillis, GAP_SAFE_SHARE, GAP_LATE_SHARE);
 	}
 
-	private static double firstShortAnswerCost(PromptDemand demand, EndpointWork engine) {
+	private double firstShortAnswerCost(PromptDemand demand, EndpointWork engine) {
+		if (this.otherZonesUnknown) {
+			return 0;
+		}
 		boolean hasShortAnswer = engine.items()
 			.stream()
 			.anyMatch((item) -> item.gapTargetMillis() > 0 && item.gapTargetMillis() <= SHORT_GAP_MILLIS
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/PromptPlacementTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/placement/PromptPlacementTests.java
@@ -78,6 +78,24 @@
 		assertThat(used.size()).isLessThanOrEqualTo(3);
 	}
 
+	/**
+	 * Load: a short prompt at each of 25 instances that know of one engine with a short
+	 * answer, and not of each other's placements. All chose that engine.
+	 */
+	@Test
+	void shortAnswersAreSpreadWhileTheWorkOfOtherZonesIsUnknown() {
+		recordDecoding(this.engines.get(2), shortPrompt());
+		Map<ForwardEndpoint, Integer> counts = new HashMap<>();
+		for (int instance = 0; instance < 25; instance++) {
+			PromptPlacement placement = new PromptPlacement(new SplittableRandom(instance));
+			placement.setOtherZonesUnknown(true);
+			counts.merge(placement.place(shortPrompt(), this.work.view(this.engines), MODEL, "zone-2", NOW)
+				.orElseThrow()
+				.endpoint(), 1, Integer::sum);
+		}
+		assertThat(counts.values()).allMatch((placed) -> placed <= 8);
+	}
+
 	/** Load: a burst of short prompts that occupies most of the fleet. */
 	@Test
 	void burstOfShortAnswersUsesTheSlotsOfAllEnginesBeforeQueueing() {
