--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/PlacementExperimentTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/placement/PlacementExperimentTests.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.testkit.placement;
 
 import java.util.List;
+import java.util.stream.LongStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -31,9 +32,13 @@
 	}
 
 	private static void assertServedAtLeastHalfAsOftenAsAll(double from, double to) {
-		for (long seed = 1; seed <= 3; seed++) {
-			PlacementResult result = run(DeploymentShape.PRAIRIE_GROWN, PlacementRule.PREDICTED_LOSS, seed);
-			assertThat(result.servedShare(PromptKind.VERY_LONG, from, to)).as("seed %d", seed)
+		List<PlacementResult> results = LongStream.rangeClosed(1, 12)
+			.parallel()
+			.mapToObj((seed) -> run(DeploymentShape.PRAIRIE_GROWN, PlacementRule.PREDICTED_LOSS, seed))
+			.toList();
+		for (int index = 0; index < results.size(); index++) {
+			PlacementResult result = results.get(index);
+			assertThat(result.servedShare(PromptKind.VERY_LONG, from, to)).as("seed %d", index + 1)
 				.isGreaterThanOrEqualTo(result.servedShare(PromptKind.VERY_LONG, 0, 1) / 2);
 		}
 	}
