Read and log the limits of requests that endpoints name

The adapter decodes Server-Limit of every answer of the endpoint that a request was sent to, whatever its status, and of answers to control calls. The gateway keeps it by endpoint and logs request-limit when it is learned, changes or ends, and request-limit-malformed for a value that is not a decimal number. The state page lists the limits and the metrics have a gauge. A report that raises or ends a limit counts only if its request was sent after the last report was received, since answers may overtake each other.

No decision uses the limit yet.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -112,6 +112,15 @@
 		this.promptPlacement.setOtherZonesUnknown(partial);
 	}
 
+	/**
+	 * Returns when the request of an attempt in progress was sent.
+	 * @param attemptId the attempt
+	 * @return the time, empty if the attempt has ended
+	 */
+	Optional<Long> sentMillis(long attemptId) {
+		return Optional.ofNullable(this.byAttemptId.get(attemptId)).map((state) -> state.sentMillis);
+	}
+
 	int inProgress() {
 		return this.byRequestId.size();
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -12,6 +12,7 @@
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
@@ -36,6 +37,12 @@
 	 */
 	private static final long REPORTED_AVOIDANCE_MILLIS = 400;
 
+	/** Time in the far past; differences to it do not overflow. */
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
+	/** Value of a limit in log lines if there is none. */
+	private static final double UNLIMITED_PER_SECOND = -1;
+
 	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
@@ -46,6 +53,8 @@
 
 	private final CrashSuspects suspects = new CrashSuspects();
 
+	private final RequestLimits limits = new RequestLimits();
+
 	private final Forwarder forwarder;
 
 	private List<GatewayEffect> effects = new ArrayList<>();
@@ -111,6 +120,9 @@
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
+		else if (event instanceof GatewayEvent.RequestLimitReported reported) {
+			requestLimitReported(reported, nowMillis);
+		}
 		else if (event instanceof GatewayEvent.EndpointFaultReported reported) {
 			Optional<EndpointId> id = this.endpoints.findByName(reported.endpointName());
 			log("endpoint-fault-reported", "name", reported.endpointName(), "known", id.isPresent());
@@ -179,6 +191,7 @@
 		boolean first = !this.endpoints.isKnown();
 		List<EndpointId> leaving = this.endpoints.replace(listed);
 		this.work.retainHealth(this.endpoints.ids());
+		this.limits.retain(this.endpoints.ids());
 		leaving.forEach((id) -> {
 			log("endpoint-leaving", "endpoint", id);
 			this.effects.add(new GatewayEffect.DiscardConnections(id));
@@ -188,6 +201,19 @@
 		}
 	}
 
+	private void requestLimitReported(GatewayEvent.RequestLimitReported event, long nowMillis) {
+		event.report()
+			.malformedValue()
+			.filter((value) -> this.limits.recordMalformed(event.endpoint(), value))
+			.ifPresent((value) -> log("request-limit-malformed", "endpoint", event.endpoint(), "value", value));
+		Optional<Long> sentMillis = this.forwarder.sentMillis(event.attemptId());
+		this.limits.apply(event.endpoint(), event.report(), sentMillis.orElse(NEVER), nowMillis)
+			.ifPresent((change) -> log("request-limit", "endpoint", event.endpoint(), "per-second",
+					change.after().orElse(UNLIMITED_PER_SECOND), "before", change.before().orElse(UNLIMITED_PER_SECOND),
+					"source", sentMillis.isPresent() ? "answer" : "control-call", "age-millis",
+					sentMillis.map((sent) -> nowMillis - sent).orElse(0L)));
+	}
+
 	private void digestReceived(InstanceDigest digest, long nowMillis) {
 		Map<Long, RequestWork> shifted = new HashMap<>();
 		this.work.applyPeerSummaries(digest.sender(), digest.summaries(), nowMillis);
@@ -322,6 +348,14 @@
 				&& this.forwarder.inProgress() == 0;
 	}
 
+	/**
+	 * Returns the limits that endpoints name.
+	 * @return requests per second by endpoint
+	 */
+	public Map<EndpointId, Double> requestLimits() {
+		return this.limits.all();
+	}
+
 	/**
 	 * Returns the number of requests in progress.
 	 * @return the number
@@ -338,8 +372,8 @@
 	public Map<String, Object> describe(long nowMillis) {
 		return Map.of("ready", isReady(), "configuration", configurationVersion(), "requests", inProgress(),
 				"endpoints", this.endpoints.available(), "instances", this.liveInstances, "avoided",
-				avoidedEndpoints(nowMillis).toString(), "crashes", recentCrashes(nowMillis).size(), "loads",
-				this.work.recentLoads(nowMillis).toString());
+				avoidedEndpoints(nowMillis).toString(), "limits", this.limits.all().toString(), "crashes",
+				recentCrashes(nowMillis).size(), "loads", this.work.recentLoads(nowMillis).toString());
 	}
 
 	private void log(String event, Object... fields) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 
@@ -57,6 +58,17 @@
 	record LoadObserved(EndpointId endpoint, ObservedLoad load) implements GatewayEvent {
 	}
 
+	/**
+	 * An answer named, or did not name, the limit of requests that its endpoint accepts.
+	 *
+	 * @param endpoint the endpoint
+	 * @param attemptId attempt that was answered, 0 for a control call
+	 * @param report what the answer says; that of a control call cannot raise a limit
+	 */
+	record RequestLimitReported(EndpointId endpoint, long attemptId,
+			RequestLimitReport report) implements GatewayEvent {
+	}
+
 	/**
 	 * A configuration was read.
 	 *
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
@@ -0,0 +1,61 @@
+package io.mulberrylift.core.limit;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.mulberrylift.core.model.EndpointId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RequestLimitsTests {
+
+	private static final EndpointId ENDPOINT = new EndpointId("e1");
+
+	private final RequestLimits limits = new RequestLimits();
+
+	private Optional<RequestLimits.LimitChange> report(RequestLimitReport report, long sentMillis, long nowMillis) {
+		return this.limits.apply(ENDPOINT, report, sentMillis, nowMillis);
+	}
+
+	@Test
+	void limitIsLearnedChangedAndEnded() {
+		assertThat(report(RequestLimitReport.unlimited(), 0, 10)).isEmpty();
+		assertThat(report(RequestLimitReport.of(2), 0, 20))
+			.hasValue(new RequestLimits.LimitChange(Optional.empty(), Optional.of(2.0)));
+		assertThat(report(RequestLimitReport.of(2), 21, 30)).isEmpty();
+		assertThat(report(RequestLimitReport.of(3), 31, 40))
+			.hasValue(new RequestLimits.LimitChange(Optional.of(2.0), Optional.of(3.0)));
+		assertThat(report(RequestLimitReport.unlimited(), 41, 50))
+			.hasValue(new RequestLimits.LimitChange(Optional.of(3.0), Optional.empty()));
+		assertThat(this.limits.all()).isEmpty();
+	}
+
+	@Test
+	void answerToARequestSentBeforeTheLastReportOnlyLowersALimit() {
+		report(RequestLimitReport.of(2), 0, 100);
+		assertThat(report(RequestLimitReport.unlimited(), 99, 110)).isEmpty();
+		assertThat(report(RequestLimitReport.of(5), 100, 120)).isEmpty();
+		assertThat(this.limits.limit(ENDPOINT)).hasValue(2.0);
+		assertThat(report(RequestLimitReport.of(1), 50, 130)).isPresent();
+		assertThat(this.limits.limit(ENDPOINT)).hasValue(1.0);
+	}
+
+	@Test
+	void malformedLimitChangesNothing() {
+		report(RequestLimitReport.of(2), 0, 100);
+		assertThat(report(RequestLimitReport.malformed("NaN"), 110, 120)).isEmpty();
+		assertThat(this.limits.limit(ENDPOINT)).hasValue(2.0);
+		assertThat(this.limits.recordMalformed(ENDPOINT, "NaN")).isTrue();
+		assertThat(this.limits.recordMalformed(ENDPOINT, "NaN")).isFalse();
+		assertThat(this.limits.recordMalformed(ENDPOINT, "-1")).isTrue();
+	}
+
+	@Test
+	void limitsOfUnlistedEndpointsAreRemoved() {
+		report(RequestLimitReport.of(2), 0, 100);
+		this.limits.retain(List.of(new EndpointId("e2")));
+		assertThat(this.limits.all()).isEmpty();
+	}
+
+}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AnswerClass.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AnswerClass.java
@@ -28,6 +28,14 @@
 	FAILURE,
 
 	/** The answer is not a valid answer of the endpoint. */
-	INVALID
+	INVALID;
+
+	/**
+	 * Returns whether the answer is one of the endpoint that the request was sent to.
+	 * @return false if it is invalid or comes from another process or another request
+	 */
+	boolean isFromExpectedEndpoint() {
+		return this != OTHER_REQUEST && this != MISDIRECTED && this != INVALID;
+	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.gateway.endpoint;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 
@@ -37,4 +38,13 @@
 	 */
 	void loadReported(EndpointId endpoint, ObservedLoad load);
 
+	/**
+	 * Called when an endpoint answered an attempt, whether or not the answer names a
+	 * limit of requests.
+	 * @param endpoint the endpoint
+	 * @param attemptId the attempt
+	 * @param report what the answer says about the limit
+	 */
+	void limitReported(EndpointId endpoint, long attemptId, RequestLimitReport report);
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -99,6 +99,10 @@
 		if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
 			classified = AnswerClass.INVALID;
 		}
+		if (classified.isFromExpectedEndpoint()) {
+			this.listener.limitReported(this.send.endpoint().id(), id(),
+					this.protocol.reportedLimit(response.headers()));
+		}
 		if (classified == AnswerClass.NOT_RUN) {
 			this.protocol.reportedFault(response).ifPresent(this.listener::faultReported);
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.mulberrylift.core.forwarding.GatewayEffect;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.gateway.caller.BufferedRequest;
 import io.mulberrylift.gateway.http.CallResult;
@@ -54,6 +55,15 @@
 	 */
 	Optional<ObservedLoad> reportedLoad(HttpResponse answer);
 
+	/**
+	 * Returns what an answer says about the requests that its endpoint accepts from all
+	 * instances together.
+	 * @param headers headers of any answer
+	 * @return the report, malformed if the limit is not a decimal number or is named with
+	 * different values
+	 */
+	RequestLimitReport reportedLimit(HttpHeaders headers);
+
 	/**
 	 * Returns the endpoint that a refusal names as its cause.
 	 * @param answer the head of a refusal
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
@@ -9,6 +9,7 @@
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.forwarding.GatewayEffect;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.http.CallResult;
 import io.mulberrylift.gateway.http.NetAddress;
@@ -90,12 +91,20 @@
 		queue.waiting
 			.addLast(() -> queue.client.call(HttpMethod.POST, call.target(), call.body(), TIMEOUT_MILLIS, (result) -> {
 				queue.busy = false;
+				reportLimit(endpoint.id(), result);
 				handler.handle(result);
 				startNext(endpoint.id(), queue);
 			}));
 		startNext(endpoint.id(), queue);
 	}
 
+	private void reportLimit(EndpointId endpoint, CallResult result) {
+		RequestLimitReport report = this.protocol.reportedLimit(result.headers());
+		if (!report.isUnlimited()) {
+			this.listener.limitReported(endpoint, report);
+		}
+	}
+
 	private void startNext(EndpointId endpoint, Queue queue) {
 		if (queue.busy) {
 			return;
@@ -112,7 +121,6 @@
 	/**
 	 * Receives the results of reservations.
 	 */
-	@FunctionalInterface
 	public interface Listener {
 
 		/**
@@ -123,6 +131,14 @@
 		 */
 		void reservationAnswered(long requestId, EndpointId endpoint, Optional<Boolean> granted);
 
+		/**
+		 * Called when the answer to a call names a limit of requests. An answer without
+		 * one is not reported: engines may name their limit in answers to requests only.
+		 * @param endpoint the engine
+		 * @param report the limit
+		 */
+		void limitReported(EndpointId endpoint, RequestLimitReport report);
+
 	}
 
 	@FunctionalInterface
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
@@ -163,7 +163,7 @@
 				SequentialHttpClient.this.channel = null;
 				context.close();
 			}
-			complete(new CallResult(response.status().code(), body, ""));
+			complete(new CallResult(response.status().code(), response.headers(), body, ""));
 		}
 
 		@Override
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -22,6 +22,7 @@
 import io.mulberrylift.core.forwarding.GatewayIdentity;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.gateway.caller.BufferedRequest;
@@ -54,7 +55,7 @@
  * {@link #awaitTermination} may be called from other threads.
  * </p>
  */
-public final class GatewayLoop implements CallerListener, AttemptListener {
+public final class GatewayLoop implements CallerListener, AttemptListener, MemoryReservationClient.Listener {
 
 	/** Path of the page from which peers read this instance's view of the platform. */
 	public static final String SNAPSHOT_PATH = "/view";
@@ -124,8 +125,7 @@
 				random.split());
 		this.membership.setSeeds(settings.seedAddresses());
 		this.endpointPool = new EndpointPool(this.group, endpointProtocol, this, GatewayLoop::nowMillis);
-		this.memoryReservationClient = new MemoryReservationClient(this.group, endpointProtocol, log,
-				this::reservationAnswered);
+		this.memoryReservationClient = new MemoryReservationClient(this.group, endpointProtocol, log, this);
 	}
 
 	/**
@@ -219,7 +219,8 @@
 		}
 	}
 
-	private void reservationAnswered(long requestId, EndpointId endpoint, Optional<Boolean> granted) {
+	@Override
+	public void reservationAnswered(long requestId, EndpointId endpoint, Optional<Boolean> granted) {
 		run(new GatewayEvent.ReservationAnswered(requestId, endpoint, granted));
 	}
 
@@ -397,13 +398,24 @@
 		run(new GatewayEvent.LoadObserved(endpoint, load));
 	}
 
+	@Override
+	public void limitReported(EndpointId endpoint, RequestLimitReport report) {
+		limitReported(endpoint, 0, report);
+	}
+
+	@Override
+	public void limitReported(EndpointId endpoint, long attemptId, RequestLimitReport report) {
+		run(new GatewayEvent.RequestLimitReported(endpoint, attemptId, report));
+	}
+
 	private Page page(String path) {
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
 			case "/state" -> Page.text(200, this.gateway.describe(nowMillis()) + "\n");
 			case "/metrics" -> Page.text(200,
 					this.metrics.text() + "mulberrylift_connections_opened " + this.endpointPool.openedConnections()
-							+ "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes() + "\n");
+							+ "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
+							+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size() + "\n");
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot());
 			default -> Page.NOT_FOUND;
 		};
