--- /dev/null
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -0,0 +1,278 @@
+package io.mulberrylift.gateway.loop;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+import java.util.stream.IntStream;
+
+import io.mulberrylift.core.forwarding.AttemptOutcome;
+import io.mulberrylift.core.forwarding.ClientLimits;
+import io.mulberrylift.core.forwarding.ForwardEndpoint;
+import io.mulberrylift.core.forwarding.ForwardRequest;
+import io.mulberrylift.core.forwarding.ForwardedService;
+import io.mulberrylift.core.forwarding.ForwardingConfiguration;
+import io.mulberrylift.core.forwarding.Gateway;
+import io.mulberrylift.core.forwarding.GatewayEffect;
+import io.mulberrylift.core.forwarding.GatewayEvent;
+import io.mulberrylift.core.forwarding.GatewayIdentity;
+import io.mulberrylift.core.forwarding.RequestKind;
+import io.mulberrylift.core.forwarding.RetryBounds;
+import io.mulberrylift.core.forwarding.Route;
+import io.mulberrylift.core.forwarding.RouteTable;
+import io.mulberrylift.core.forwarding.WeightedService;
+import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.limit.RequestLimitReport;
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.gateway.http.NetAddress;
+import io.mulberrylift.gateway.peer.DigestCodec;
+import io.mulberrylift.gateway.peer.PeerLink;
+
+/**
+ * Instances of several availability zones in virtual time, with their gossip, before
+ * endpoints of one service that may name limits of requests.
+ */
+final class SimulatedFleet {
+
+	private static final int MAX_PEER_BYTES_PER_SECOND = 4096;
+
+	private static final long TICK_MILLIS = 20;
+
+	private static final long NETWORK_MILLIS = 2;
+
+	private static final long WORK_MILLIS = 40;
+
+	private final SplittableRandom random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
+
+	final List<SimulatedRunner> runners = new ArrayList<>();
+
+	private final Map<String, Instance> instances = new LinkedHashMap<>();
+
+	private final int zones;
+
+	private final double requestsPerSecond;
+
+	/** Whether messages from one zone reach another one. */
+	private BiPredicate<String, String> connected = (from, to) -> true;
+
+	private long nowMillis;
+
+	private long eventNumber;
+
+	private long requestNumber;
+
+	int answered;
+
+	final List<GatewayEffect.Refuse> refused = new ArrayList<>();
+
+	SimulatedFleet(int instances, int zones, int runners, double requestsPerSecond, long seed) {
+		this.zones = zones;
+		this.requestsPerSecond = requestsPerSecond;
+		this.random = new SplittableRandom(seed);
+		for (int index = 0; index < runners; index++) {
+			this.runners.add(new SimulatedRunner(new ForwardEndpoint(new EndpointId("runner-" + index), "s",
+					"10.99.0.1", 1000 + index, zone(index), 1000, false, 0)));
+		}
+		for (int index = 0; index < instances; index++) {
+			startInstance(index);
+		}
+	}
+
+	private String zone(int index) {
+		return "zone-" + index % this.zones;
+	}
+
+	private static NetAddress address(int index) {
+		return new NetAddress("10.0." + index / 250 + "." + (1 + index % 250), 7340);
+	}
+
+	/**
+	 * Starts an instance, or replaces it by a new process at the same address.
+	 */
+	void startInstance(int index) {
+		Instance instance = new Instance(index);
+		Instance previous = this.instances.put(instance.address, instance);
+		if (previous != null) {
+			previous.stopped = true;
+		}
+		at(this.nowMillis + this.random.nextLong(TICK_MILLIS), instance::tick);
+		instance.scheduleRequest();
+	}
+
+	void stopInstance(int index) {
+		this.instances.remove(address(index).toString()).stopped = true;
+	}
+
+	/**
+	 * Separates zones.
+	 * @param reaches whether messages from the first zone reach the second one
+	 */
+	void connect(BiPredicate<String, String> reaches) {
+		this.connected = reaches;
+	}
+
+	long nowMillis() {
+		return this.nowMillis;
+	}
+
+	void limit(int runner, double requestsPerSecond) {
+		this.runners.get(runner).setLimit(Optional.of(requestsPerSecond), this.nowMillis);
+	}
+
+	void endLimit(int runner) {
+		this.runners.get(runner).setLimit(Optional.empty(), this.nowMillis);
+	}
+
+	void run(long millis) {
+		long endMillis = this.nowMillis + millis;
+		while (this.events.peek().atMillis() <= endMillis) {
+			Event event = this.events.poll();
+			this.nowMillis = event.atMillis();
+			event.action().run();
+		}
+		this.nowMillis = endMillis;
+	}
+
+	List<String> violations() {
+		return this.runners.stream().flatMap((runner) -> runner.violation().stream()).toList();
+	}
+
+	private void at(long millis, Runnable action) {
+		this.events.add(new Event(millis, this.eventNumber++, action));
+	}
+
+	private record Event(long atMillis, long number, Runnable action) {
+	}
+
+	private final class Instance {
+
+		private final String address;
+
+		private final String zone;
+
+		private final Gateway gateway;
+
+		private final Membership membership;
+
+		private final GossipScheduler gossip;
+
+		private boolean stopped;
+
+		Instance(int index) {
+			NetAddress self = address(index);
+			this.address = self.toString();
+			this.zone = zone(index);
+			GatewayIdentity identity = new GatewayIdentity(this.address, this.zone, new RetryBounds(0.2, 10_000, 100),
+					0, 4000);
+			this.gateway = new Gateway(identity, SimulatedFleet.this.random.split());
+			this.membership = new Membership(this.address, this.zone, SimulatedFleet.this.random.split());
+			List<String> seeds = IntStream.range(0, 3).mapToObj((seed) -> address(seed).toString()).toList();
+			this.membership.setSeeds(seeds);
+			this.gossip = new GossipScheduler(
+					new GatewaySettings(identity, self, self, self, self, seeds, MAX_PEER_BYTES_PER_SECOND, 1000),
+					this.gateway, this.membership, this::send, () -> 1);
+			Route route = new Route("r", "h", "/", List.of(new WeightedService("s", 1)), RequestKind.IDEMPOTENT, 60_000,
+					300, 0, 2, 1, true);
+			reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(1, new RouteTable(List.of(route)),
+					Map.of("s", new ForwardedService("s", 100, Optional.empty())), Map.of(), false,
+					ClientLimits.DEFAULT)));
+			reduce(new GatewayEvent.EndpointsRead(
+					SimulatedFleet.this.runners.stream().map((runner) -> runner.endpoint).toList()));
+		}
+
+		private int send(InstanceDigest digest, List<String> targets, int maxBytes) {
+			byte[] message = DigestCodec.encode(digest, maxBytes);
+			for (String target : targets) {
+				at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> deliver(target, message));
+			}
+			return targets.size() * (message.length + PeerLink.DATAGRAM_OVERHEAD_BYTES);
+		}
+
+		private void deliver(String target, byte[] message) {
+			Instance receiver = SimulatedFleet.this.instances.get(target);
+			if (receiver == null || !SimulatedFleet.this.connected.test(this.zone, receiver.zone)) {
+				return;
+			}
+			try {
+				InstanceDigest digest = DigestCodec.decode(this.address, message);
+				if (receiver.membership.receive(digest, SimulatedFleet.this.nowMillis)) {
+					receiver.reduce(new GatewayEvent.DigestReceived(digest));
+				}
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
+		}
+
+		private void tick() {
+			if (this.stopped) {
+				return;
+			}
+			long now = SimulatedFleet.this.nowMillis;
+			this.gateway.setLiveInstances(this.membership.liveInstances(now));
+			this.gateway.setPartialView(this.membership.isPartial());
+			reduce(new GatewayEvent.Tick());
+			this.gossip.tick(now);
+			at(now + TICK_MILLIS, this::tick);
+		}
+
+		private void scheduleRequest() {
+			double perInstance = SimulatedFleet.this.requestsPerSecond
+					/ Math.max(1, SimulatedFleet.this.instances.size());
+			double gapMillis = -Math.log(1 - SimulatedFleet.this.random.nextDouble()) * 1000 / perInstance;
+			at(SimulatedFleet.this.nowMillis + 1 + (long) gapMillis, () -> {
+				if (!this.stopped) {
+					arrive();
+					scheduleRequest();
+				}
+			});
+		}
+
+		private void arrive() {
+			long id = SimulatedFleet.this.requestNumber++;
+			reduce(new GatewayEvent.RequestArrived(id,
+					new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, id)));
+		}
+
+		private void reduce(GatewayEvent event) {
+			for (GatewayEffect effect : this.gateway.reduce(event, SimulatedFleet.this.nowMillis)) {
+				if (effect instanceof GatewayEffect.Send send) {
+					at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> serve(send));
+				}
+				else if (effect instanceof GatewayEffect.Deliver) {
+					SimulatedFleet.this.answered++;
+				}
+				else if (effect instanceof GatewayEffect.Refuse refuse) {
+					SimulatedFleet.this.refused.add(refuse);
+				}
+			}
+		}
+
+		private void serve(GatewayEffect.Send send) {
+			SimulatedRunner runner = SimulatedFleet.this.runners.stream()
+				.filter((each) -> each.endpoint.id().equals(send.endpoint().id()))
+				.findFirst()
+				.orElseThrow();
+			RequestLimitReport report = runner.arrive(SimulatedFleet.this.nowMillis);
+			at(SimulatedFleet.this.nowMillis + WORK_MILLIS + NETWORK_MILLIS, () -> {
+				if (!this.stopped) {
+					reduce(new GatewayEvent.RequestLimitReported(runner.endpoint.id(), send.attemptId(), report));
+					reduce(new GatewayEvent.AttemptEnded(send.attemptId(), AttemptOutcome.COMPLETED, 200));
+				}
+			});
+		}
+
+	}
+
+}
