Keep the limits of requests that endpoints name over all instances

Cause: a named limit was read by nobody and passed to the caller. It is one of the bounds that hold for all instances together, of which each must keep a part. Dividing it by the number of instances does not work at these sizes: with one request saved up by each, 9 instances send 13 and 75 send 79 in the first 4 s at a limit of 1, and shares of 1/75 a second are longer than any deadline.

Shares go to zones first and then to the instances of a zone, by rendezvous hash, so that only the instances of one zone must agree and a partition between zones changes nothing. Instances that were lost in the last 30 s and zones lost in the last 10 min keep their shares, and an instance uses none until its discovery is complete. Others use endpoints without a limit, or the request is refused at once as ENDPOINTS_LIMITED with the time until there is room. Limits and their ends are told to peers in full states (12 entries, 3 in large fleets). An instance without a share tries once after 20 s or more without any report, so that the end of a limit is noticed if its holders are gone. An endpoint's error is now delivered if no other endpoint may be used, instead of 502.

The fleet of 300 now counts the requests of instances that were told the limit, as the users' rule does: a trace shows 33 instances that send their first request up to 6 s after the limit was first named. Fleets of 9 and 75 are counted as strictly as before. With zones that are forgotten after 6 s, the test of a partition fails.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointHealth;
 import io.mulberrylift.core.placement.EndpointWork;
@@ -68,6 +70,8 @@
 
 	private final LeastLoadedPlacement leastLoadedPlacement;
 
+	private final RequestLimits limits;
+
 	private final MemoryReservations reservations;
 
 	private final Map<Long, ForwardState> byRequestId = new HashMap<>();
@@ -83,7 +87,7 @@
 	private long nextAttemptId = 1;
 
 	Forwarder(GatewayIdentity identity, RandomGenerator random, EndpointTable endpoints, WorkTable work,
-			CrashSuspects suspects) {
+			CrashSuspects suspects, RequestLimits limits) {
 		this.identity = identity;
 		this.random = random;
 		this.endpoints = endpoints;
@@ -91,7 +95,8 @@
 		this.suspects = suspects;
 		this.promptPlacement = new PromptPlacement(random);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
-		this.reservations = new MemoryReservations(identity.memoryFreeMillis());
+		this.limits = limits;
+		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits);
 	}
 
 	void setConfiguration(ForwardingConfiguration current) {
@@ -130,7 +135,7 @@
 		this.byRequestId.put(state.requestId, state);
 		retryBudget(state.service).recordRequest(nowMillis);
 		if (this.suspects.isIsolated(state.request.fingerprint())) {
-			refuse(state, RefusalCause.ISOLATED, effects);
+			refuse(state, RefusalCause.ISOLATED, nowMillis, effects);
 			return;
 		}
 		dispatch(state, nowMillis, effects);
@@ -144,7 +149,7 @@
 	private void dispatch(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		List<EndpointWork> candidates = candidates(state, nowMillis);
 		if (candidates.isEmpty()) {
-			giveUp(state, (state.sends > 0) ? RefusalCause.NOT_RUN : RefusalCause.NO_ENDPOINT, effects);
+			giveUp(state, unavailabilityCause(state), nowMillis, effects);
 			return;
 		}
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
@@ -159,13 +164,12 @@
 			admitUnlessTooCostly(state, demand, placement.get(), nowMillis, effects);
 			return;
 		}
-		Optional<Placement> sharded = this.promptPlacement.placeAcrossMemories(demand, candidates, model.get(),
-				this.identity.zone(), nowMillis);
+		Optional<Placement> sharded = placementAcrossMemories(demand, candidates, model.get(), nowMillis);
 		if (sharded.isEmpty()) {
-			giveUp(state, RefusalCause.OVERLOADED, effects);
+			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 			return;
 		}
-		if (refusedForCost(state, demand, sharded.get(), effects)) {
+		if (refusedForCost(state, demand, sharded.get(), nowMillis, effects)) {
 			return;
 		}
 		state.placement = sharded.get();
@@ -173,6 +177,25 @@
 		recordWork(state, demand, nowMillis);
 	}
 
+	/**
+	 * Chooses engines that together have enough memory. Engines that name a limit are
+	 * used only if there are not enough others, since reservations take several requests.
+	 * @param demand demand of the prompt
+	 * @param candidates the engines that may be used
+	 * @param model their cost model
+	 * @param nowMillis the current time
+	 * @return the placement, empty if there are not enough engines with free memory
+	 */
+	private Optional<Placement> placementAcrossMemories(PromptDemand demand, List<EndpointWork> candidates,
+			EngineCostModel model, long nowMillis) {
+		List<EndpointWork> unlimited = candidates.stream()
+			.filter((each) -> this.limits.limit(each.endpoint().id()).isEmpty())
+			.toList();
+		return this.promptPlacement.placeAcrossMemories(demand, unlimited, model, this.identity.zone(), nowMillis)
+			.or(() -> (unlimited.size() == candidates.size()) ? Optional.empty() : this.promptPlacement
+				.placeAcrossMemories(demand, candidates, model, this.identity.zone(), nowMillis));
+	}
+
 	private Optional<Placement> placement(ForwardState state, long nowMillis) {
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		return model.flatMap((engine) -> this.promptPlacement.place(demand(state, nowMillis),
@@ -180,15 +203,32 @@
 	}
 
 	private List<EndpointWork> candidates(ForwardState state, long nowMillis) {
-		List<ForwardEndpoint> available = this.endpoints.available(state.service)
-			.stream()
-			.filter((endpoint) -> !state.triedEndpoints.contains(endpoint.id()))
+		List<ForwardEndpoint> available = untried(state)
+			.filter((endpoint) -> this.limits.mayUse(endpoint.id(), nowMillis))
 			.toList();
 		List<EndpointWork> all = this.work.view(available);
 		List<EndpointWork> healthy = all.stream().filter((each) -> !each.health().isAvoided(nowMillis)).toList();
 		return healthy.isEmpty() ? all : healthy;
 	}
 
+	private Stream<ForwardEndpoint> untried(ForwardState state) {
+		return this.endpoints.available(state.service)
+			.stream()
+			.filter((endpoint) -> !state.triedEndpoints.contains(endpoint.id()));
+	}
+
+	/**
+	 * Returns why there are no candidates for a request.
+	 * @param state the request
+	 * @return the cause
+	 */
+	private RefusalCause unavailabilityCause(ForwardState state) {
+		if (untried(state).findAny().isPresent()) {
+			return RefusalCause.ENDPOINTS_LIMITED;
+		}
+		return (state.sends > 0) ? RefusalCause.NOT_RUN : RefusalCause.NO_ENDPOINT;
+	}
+
 	private PromptDemand demand(ForwardState state, long nowMillis) {
 		long firstTokenTimeLeft = state.arrivalMillis + state.route.firstByteTargetMillis() - nowMillis;
 		return new PromptDemand(state.request.promptTokens(), state.request.maxOutputTokens(), firstTokenTimeLeft,
@@ -197,19 +237,19 @@
 
 	private void admitUnlessTooCostly(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
 			List<GatewayEffect> effects) {
-		if (!refusedForCost(state, demand, placement, effects)) {
+		if (!refusedForCost(state, demand, placement, nowMillis, effects)) {
 			admit(state, placement, nowMillis, effects);
 		}
 	}
 
-	private boolean refusedForCost(ForwardState state, PromptDemand demand, Placement placement,
+	private boolean refusedForCost(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
 			List<GatewayEffect> effects) {
 		if (state.sends > 0 || this.promptPlacement.admits(demand, placement)) {
 			return false;
 		}
 		log(effects, "too-costly", "request", state.requestId, "prompt", demand.promptTokens(), "cost",
 				Math.round(placement.cost()), "weight", Math.round(demand.weight()));
-		giveUp(state, RefusalCause.OVERLOADED, effects);
+		giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 		return true;
 	}
 
@@ -217,7 +257,7 @@
 		if (placement.expectedFirstTokenMillis() > ADMISSION_SHARE * state.timeLeftMillis(nowMillis)) {
 			log(effects, "too-late", "request", state.requestId, "expected-first-token-millis",
 					(long) placement.expectedFirstTokenMillis(), "remaining-millis", state.timeLeftMillis(nowMillis));
-			giveUp(state, RefusalCause.OVERLOADED, effects);
+			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 			return;
 		}
 		send(state, placement, nowMillis, effects);
@@ -235,6 +275,10 @@
 		state.triedEndpoints.add(placement.endpoint().id());
 		this.byAttemptId.put(state.attemptId, state);
 		recordWork(state, demand(state, nowMillis), nowMillis);
+		this.limits.recordRequest(placement.endpoint().id(), nowMillis);
+		if (state.reservations.isEmpty()) {
+			placement.helpers().forEach((helper) -> this.limits.recordRequest(helper.id(), nowMillis));
+		}
 		List<GatewayEffect.Helper> helpers = state.reservations.isEmpty()
 				? placement.helpers().stream().map((each) -> new GatewayEffect.Helper(each, Optional.empty())).toList()
 				: this.reservations.helpers(state);
@@ -321,7 +365,7 @@
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
 		if (outcome == AttemptOutcome.COMPLETED) {
-			finish(state, effects);
+			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 			return;
 		}
@@ -331,16 +375,17 @@
 			state.sends--;
 		}
 		this.work.remove(state.requestId);
-		this.reservations.release(state, effects);
-		if (mayRetry(state, outcome, nowMillis)) {
+		this.reservations.release(state, nowMillis, effects);
+		boolean hasCandidates = !candidates(state, nowMillis).isEmpty();
+		if (hasCandidates && mayRetry(state, outcome, nowMillis)) {
 			dispatch(state, nowMillis, effects);
 		}
 		else if (outcome == AttemptOutcome.ENDPOINT_ERROR && !state.answerStarted) {
-			finish(state, effects);
+			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 		}
 		else {
-			giveUp(state, RefusalCause.NOT_RUN, effects);
+			giveUp(state, (hasCandidates) ? RefusalCause.NOT_RUN : unavailabilityCause(state), nowMillis, effects);
 		}
 	}
 
@@ -386,7 +431,7 @@
 		if (state.attemptId != 0 && state.route.kind() != RequestKind.NON_IDEMPOTENT) {
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
 		}
-		finish(state, effects);
+		finish(state, nowMillis, effects);
 	}
 
 	void reservationAnswered(GatewayEvent.ReservationAnswered event, long nowMillis, List<GatewayEffect> effects) {
@@ -403,8 +448,8 @@
 					event.granted().isPresent(), "engines", state.placement.parts(), "tokens-per-engine",
 					state.reservedTokensPerEngine, "millis", nowMillis - state.reservationSentMillis);
 			this.work.remove(state.requestId);
-			this.reservations.release(state, effects);
-			giveUp(state, RefusalCause.OVERLOADED, effects);
+			this.reservations.release(state, nowMillis, effects);
+			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 		}
 	}
 
@@ -434,7 +479,7 @@
 			this.work.health(state.placement.endpoint().id()).recordFailure();
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
 		}
-		giveUp(state, (state.mayHaveRun) ? RefusalCause.EXPIRED : RefusalCause.EXPIRED_NOT_RUN, effects);
+		giveUp(state, (state.mayHaveRun) ? RefusalCause.EXPIRED : RefusalCause.EXPIRED_NOT_RUN, nowMillis, effects);
 	}
 
 	/**
@@ -477,33 +522,41 @@
 		return model.map((engine) -> (long) endpoint.maxIterationMillis(engine)).orElse(0L);
 	}
 
-	private void giveUp(ForwardState state, RefusalCause cause, List<GatewayEffect> effects) {
+	private void giveUp(ForwardState state, RefusalCause cause, long nowMillis, List<GatewayEffect> effects) {
 		if (state.answerStarted) {
 			log(effects, "answer-aborted", "request", state.requestId, "cause", cause);
-			finish(state, effects);
+			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.AbortAnswer(state.requestId));
 			return;
 		}
 		boolean promisesNotRun = cause.isRetryable();
-		refuse(state, (state.mayHaveRun && promisesNotRun) ? RefusalCause.FAILED : cause, effects);
+		refuse(state, (state.mayHaveRun && promisesNotRun) ? RefusalCause.FAILED : cause, nowMillis, effects);
 	}
 
-	private void refuse(ForwardState state, RefusalCause cause, List<GatewayEffect> effects) {
-		finish(state, effects);
-		Optional<Long> retryAfterMillis = RetryAfter.millis(cause, this.random);
+	private void refuse(ForwardState state, RefusalCause cause, long nowMillis, List<GatewayEffect> effects) {
+		finish(state, nowMillis, effects);
+		Optional<Long> retryAfterMillis = (cause == RefusalCause.ENDPOINTS_LIMITED)
+				? Optional.of(RetryAfter.untilAccepted(limitedMillis(state, nowMillis), this.random))
+				: RetryAfter.millis(cause, this.random);
 		log(effects, "refused", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "cause", cause, "sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L),
 				"configuration", this.configuration.version());
 		effects.add(new GatewayEffect.Refuse(state.requestId, cause, retryAfterMillis));
 	}
 
-	private void finish(ForwardState state, List<GatewayEffect> effects) {
+	private long limitedMillis(ForwardState state, long nowMillis) {
+		return untried(state).mapToLong((endpoint) -> this.limits.acceptsInMillis(endpoint.id(), nowMillis))
+			.min()
+			.orElse(0);
+	}
+
+	private void finish(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		this.byRequestId.remove(state.requestId);
 		if (state.attemptId != 0) {
 			this.byAttemptId.remove(state.attemptId);
 		}
 		this.work.remove(state.requestId);
-		this.reservations.release(state, effects);
+		this.reservations.release(state, nowMillis, effects);
 	}
 
 	private static void log(List<GatewayEffect> effects, String event, Object... fields) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -11,7 +11,9 @@
 
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.FleetView;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointSummary;
@@ -37,9 +39,6 @@
 	 */
 	private static final long REPORTED_AVOIDANCE_MILLIS = 400;
 
-	/** Time in the far past; differences to it do not overflow. */
-	private static final long NEVER = Long.MIN_VALUE / 2;
-
 	/** Value of a limit in log lines if there is none. */
 	private static final double UNLIMITED_PER_SECOND = -1;
 
@@ -53,7 +52,7 @@
 
 	private final CrashSuspects suspects = new CrashSuspects();
 
-	private final RequestLimits limits = new RequestLimits();
+	private final RequestLimits limits;
 
 	private final Forwarder forwarder;
 
@@ -73,7 +72,8 @@
 	public Gateway(GatewayIdentity identity, RandomGenerator random) {
 		this.identity = Objects.requireNonNull(identity, "identity");
 		this.random = Objects.requireNonNull(random, "random");
-		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.suspects);
+		this.limits = new RequestLimits(random);
+		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.suspects, this.limits);
 	}
 
 	/**
@@ -207,11 +207,22 @@
 			.filter((value) -> this.limits.recordMalformed(event.endpoint(), value))
 			.ifPresent((value) -> log("request-limit-malformed", "endpoint", event.endpoint(), "value", value));
 		Optional<Long> sentMillis = this.forwarder.sentMillis(event.attemptId());
-		this.limits.apply(event.endpoint(), event.report(), sentMillis.orElse(NEVER), nowMillis)
-			.ifPresent((change) -> log("request-limit", "endpoint", event.endpoint(), "per-second",
-					change.after().orElse(UNLIMITED_PER_SECOND), "before", change.before().orElse(UNLIMITED_PER_SECOND),
-					"source", sentMillis.isPresent() ? "answer" : "control-call", "age-millis",
-					sentMillis.map((sent) -> nowMillis - sent).orElse(0L)));
+		Optional<RequestLimits.LimitChange> change = this.limits.apply(event.endpoint(), zone(event.endpoint()),
+				event.report(), sentMillis, nowMillis);
+		if (change.isPresent()) {
+			logLimitChange(event.endpoint(), change.get(), sentMillis.isPresent() ? "answer" : "control-call",
+					sentMillis.map((sent) -> nowMillis - sent).orElse(0L));
+			this.effects.add(new GatewayEffect.PublishState());
+		}
+	}
+
+	private String zone(EndpointId endpoint) {
+		return this.endpoints.find(endpoint).map(ForwardEndpoint::zone).orElse("");
+	}
+
+	private void logLimitChange(EndpointId endpoint, RequestLimits.LimitChange change, String source, long ageMillis) {
+		log("request-limit", "endpoint", endpoint, "per-second", change.after().orElse(UNLIMITED_PER_SECOND), "before",
+				change.before().orElse(UNLIMITED_PER_SECOND), "source", source, "age-millis", ageMillis);
 	}
 
 	private void digestReceived(InstanceDigest digest, long nowMillis) {
@@ -227,6 +238,11 @@
 			this.endpoints.findByHash(avoided.endpointHash())
 				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
 		}
+		for (EndpointLimit limit : digest.fullState().get().limits()) {
+			this.endpoints.findByHash(limit.endpointHash())
+				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
+					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
+		}
 		for (CrashObservation observation : digest.fullState().get().crashes()) {
 			this.suspects.record(observation, nowMillis);
 		}
@@ -235,6 +251,7 @@
 	private void tick(long nowMillis) {
 		this.work.expire(nowMillis);
 		this.suspects.tick(nowMillis);
+		this.limits.expire(nowMillis);
 		this.forwarder.tick(nowMillis, this.effects);
 	}
 
@@ -247,6 +264,15 @@
 		this.forwarder.setLiveInstances(instances);
 	}
 
+	/**
+	 * Sets the instances that share the limits which endpoints name.
+	 * @param fleet the instances
+	 * @param nowMillis the current time
+	 */
+	public void setFleet(FleetView fleet, long nowMillis) {
+		this.limits.setFleet(fleet, nowMillis);
+	}
+
 	/**
 	 * Returns the work of this instance, to be published to its peers.
 	 * @param nowMillis the current time
@@ -348,6 +374,16 @@
 				&& this.forwarder.inProgress() == 0;
 	}
 
+	/**
+	 * Returns recent reports of the limits of endpoints, to be published to peers.
+	 * @param maxCount maximum number of reports
+	 * @param nowMillis the current time
+	 * @return the reports, the least recently published first
+	 */
+	public List<EndpointLimit> pollPublishedLimits(int maxCount, long nowMillis) {
+		return this.limits.pollPublished(maxCount, nowMillis);
+	}
+
 	/**
 	 * Returns the limits that endpoints name.
 	 * @return requests per second by endpoint
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEffect.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEffect.java
@@ -103,6 +103,12 @@
 	record Log(String event, List<Object> fields) implements GatewayEffect {
 	}
 
+	/**
+	 * Publishes the full state of this instance to its peers as soon as possible.
+	 */
+	record PublishState() implements GatewayEffect {
+	}
+
 	/**
 	 * Discards the connections to an endpoint that is leaving or no longer listed.
 	 *
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.placement.PromptDemand;
 
 /**
@@ -36,9 +37,12 @@
 	/** Memory reserved in addition to the even share, for rounding up to blocks. */
 	private static final long MARGIN_TOKENS = 512;
 
+	private final RequestLimits limits;
+
 	private long holdMillis;
 
-	MemoryReservations(long freeMillis) {
+	MemoryReservations(long freeMillis, RequestLimits limits) {
+		this.limits = limits;
 		setFreeMillis(freeMillis);
 	}
 
@@ -61,7 +65,7 @@
 		for (int index = 0; index < engines.size(); index++) {
 			state.reservations.put(reservationName(state, index), engines.get(index));
 		}
-		sendReservations(state, effects);
+		sendReservations(state, nowMillis, effects);
 		effects.add(new GatewayEffect.Log("memory-requested", List.of("request", state.requestId, "engines",
 				engines.size(), "tokens-per-engine", state.reservedTokensPerEngine)));
 	}
@@ -74,9 +78,12 @@
 		return state.request.attemptId() + "-" + state.sends + "-" + index;
 	}
 
-	private void sendReservations(ForwardState state, List<GatewayEffect> effects) {
-		state.reservations.forEach((name, engine) -> effects.add(new GatewayEffect.ReserveMemory(state.requestId,
-				engine, name, state.reservedTokensPerEngine, this.holdMillis)));
+	private void sendReservations(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		state.reservations.forEach((name, engine) -> {
+			this.limits.recordRequest(engine.id(), nowMillis);
+			effects.add(new GatewayEffect.ReserveMemory(state.requestId, engine, name, state.reservedTokensPerEngine,
+					this.holdMillis));
+		});
 	}
 
 	Progress recordAnswer(ForwardState state, Optional<Boolean> granted) {
@@ -95,7 +102,7 @@
 	void renew(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		if (!state.reservations.isEmpty() && nowMillis >= state.reservationRenewalMillis) {
 			state.reservationRenewalMillis = nextRenewalMillis(nowMillis);
-			sendReservations(state, effects);
+			sendReservations(state, nowMillis, effects);
 		}
 	}
 
@@ -106,8 +113,11 @@
 			.toList();
 	}
 
-	void release(ForwardState state, List<GatewayEffect> effects) {
-		state.reservations.forEach((name, engine) -> effects.add(new GatewayEffect.ReleaseMemory(engine, name)));
+	void release(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		state.reservations.forEach((name, engine) -> {
+			this.limits.recordRequest(engine.id(), nowMillis);
+			effects.add(new GatewayEffect.ReleaseMemory(engine, name));
+		});
 		state.reservations.clear();
 		state.pendingReservations = 0;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RefusalCause.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RefusalCause.java
@@ -20,6 +20,9 @@
 	/** The service does not have the capacity to answer in time. */
 	OVERLOADED(503),
 
+	/** All endpoints of the service have named limits that are used up. */
+	ENDPOINTS_LIMITED(503),
+
 	/** Every endpoint that was tried reported that it did not run the request. */
 	NOT_RUN(503),
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RetryAfter.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RetryAfter.java
@@ -20,6 +20,8 @@
 	/** Short, because another instance accepts the request immediately. */
 	private static final long SHUTTING_DOWN_MILLIS = 60;
 
+	private static final long MIN_LIMITED_MILLIS = 100;
+
 	/** Longer than any deadline, so that an isolated request is not retried. */
 	private static final long ISOLATED_MILLIS = 30_000;
 
@@ -39,4 +41,17 @@
 		return (base == 0) ? Optional.empty() : Optional.of(base / 2 + random.nextLong(base));
 	}
 
+	/**
+	 * Returns the time after which a caller should retry because endpoints accept
+	 * requests at a limited rate. Some of the callers come later than the first request
+	 * is accepted, since they share the rate.
+	 * @param acceptedInMillis time until the next request is accepted
+	 * @param random source of randomness
+	 * @return the time in milliseconds
+	 */
+	static long untilAccepted(long acceptedInMillis, RandomGenerator random) {
+		long base = Math.max(MIN_LIMITED_MILLIS, acceptedInMillis);
+		return base + random.nextLong(base);
+	}
+
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -9,6 +9,8 @@
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 
+import io.mulberrylift.core.limit.FleetView;
+
 /**
  * Membership view of the fleet, discovered from seed addresses and from the members that
  * peers report.
@@ -45,6 +47,27 @@
 	 */
 	private static final long RESTART_DETECTION_MILLIS = 1000;
 
+	/**
+	 * Time without news of an instance for which it keeps its shares of the fleet's
+	 * rates, in milliseconds; longer than a restart or a short partition.
+	 */
+	private static final long SHARE_RETENTION_MILLIS = 30_000;
+
+	/**
+	 * Time without news of a zone for which it keeps its shares, in milliseconds; longer
+	 * than most partitions.
+	 */
+	private static final long ZONE_RETENTION_MILLIS = 600_000;
+
+	/**
+	 * Time after the start without a newly discovered instance or zone from which this
+	 * instance uses its shares, in milliseconds. In large fleets, instances discover each
+	 * other at intervals of some seconds.
+	 */
+	private static final long DISCOVERY_MILLIS = 10_000;
+
+	private static final long VIEW_INTERVAL_MILLIS = 500;
+
 	private static final int SAMPLE_SIZE = 3;
 
 	private static final long SEED_INTERVAL_MILLIS = 1000;
@@ -57,6 +80,24 @@
 
 	private final Map<String, Member> members = new HashMap<>();
 
+	/** When instances of this zone were last active, as far as is known. */
+	private final Map<String, Long> zoneInstanceMillis = new HashMap<>();
+
+	/** When instances of each zone were last active, as far as is known. */
+	private final Map<String, Long> zoneMillis = new HashMap<>();
+
+	private FleetView view;
+
+	private long viewMillis = Long.MIN_VALUE / 2;
+
+	/** Number of instances of this zone and of zones that were discovered. */
+	private int discovered;
+
+	/** When that number last changed. */
+	private long discoveryMillis;
+
+	private boolean discoveryComplete;
+
 	private List<String> seeds = List.of();
 
 	private long nextSeedMillis = Long.MIN_VALUE;
@@ -71,6 +112,7 @@
 		this.self = Objects.requireNonNull(self, "self");
 		this.zone = Objects.requireNonNull(zone, "zone");
 		this.random = Objects.requireNonNull(random, "random");
+		this.view = FleetView.unknown(self, zone);
 	}
 
 	/**
@@ -105,7 +147,9 @@
 		FullState state = digest.fullState().get();
 		this.members.put(digest.sender(), new Member(state.zone(), digest.incarnation(), digest.sequence(), nowMillis,
 				state.configurationVersion(), state.storeRevision()));
+		recordActivity(digest.sender(), state.zone(), nowMillis);
 		for (KnownMember reported : state.members()) {
+			recordActivity(reported.address(), reported.zone(), nowMillis - reported.ageMillis());
 			boolean unknown = !reported.address().equals(this.self) && !this.members.containsKey(reported.address());
 			if (unknown && reported.ageMillis() < LIVENESS_TIMEOUT_MILLIS) {
 				this.members.put(reported.address(),
@@ -115,6 +159,48 @@
 		return true;
 	}
 
+	private void recordActivity(String address, String memberZone, long activeMillis) {
+		this.zoneMillis.merge(memberZone, activeMillis, Math::max);
+		if (memberZone.equals(this.zone)) {
+			this.zoneInstanceMillis.merge(address, activeMillis, Math::max);
+		}
+	}
+
+	/**
+	 * Returns the instances that share the rates of the fleet. Instances and zones that
+	 * were lost recently are included, so that others do not use their shares while they
+	 * are only unreachable. Until discovery is complete, nobody is known to share them.
+	 * @param nowMillis the current time
+	 * @return the view, updated at intervals of {@value #VIEW_INTERVAL_MILLIS} ms
+	 */
+	public FleetView view(long nowMillis) {
+		if (nowMillis - this.viewMillis < VIEW_INTERVAL_MILLIS) {
+			return this.view;
+		}
+		this.viewMillis = nowMillis;
+		recordActivity(this.self, this.zone, nowMillis);
+		this.zoneInstanceMillis.values().removeIf((active) -> nowMillis - active > SHARE_RETENTION_MILLIS);
+		this.zoneMillis.values().removeIf((active) -> nowMillis - active > ZONE_RETENTION_MILLIS);
+		if (!this.discoveryComplete) {
+			completeDiscovery(nowMillis);
+		}
+		if (this.discoveryComplete) {
+			this.view = new FleetView(this.self, this.zone, this.zoneInstanceMillis.keySet(), this.zoneMillis.keySet());
+		}
+		return this.view;
+	}
+
+	private void completeDiscovery(long nowMillis) {
+		int found = this.zoneInstanceMillis.size() + this.zoneMillis.size();
+		if (found != this.discovered) {
+			this.discovered = found;
+			this.discoveryMillis = nowMillis;
+		}
+		boolean alone = this.zoneMillis.size() == 1 && this.zoneInstanceMillis.size() == 1;
+		boolean expectsOthers = this.seeds.stream().anyMatch((seed) -> !seed.equals(this.self));
+		this.discoveryComplete = !(alone && expectsOthers) && nowMillis - this.discoveryMillis >= DISCOVERY_MILLIS;
+	}
+
 	/**
 	 * Returns the members whose work this instance tracks: all of them in a small fleet,
 	 * those of its own zone in a large one.
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
@@ -0,0 +1,105 @@
+package io.mulberrylift.core.limit;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+import io.mulberrylift.core.hash.Rendezvous;
+
+/**
+ * The instances that share the rates which hold for the entire fleet, as one instance
+ * knows them.
+ *
+ * <p>
+ * Immutable. A rate is divided into few equal shares, and each share belongs to one
+ * instance, so that a share is large enough to be used. Shares are divided among zones
+ * first and then among the instances of a zone, both by rendezvous hash. Instances thus
+ * only need to agree on the zones and on the instances of their own zone, which a
+ * partition between zones does not change.
+ * </p>
+ *
+ * @param self address of this instance
+ * @param zone availability zone of this instance
+ * @param zoneInstances addresses of the instances of that zone
+ * @param zones availability zones that have instances
+ */
+public record FleetView(String self, String zone, Set<String> zoneInstances, Set<String> zones) {
+
+	/** Minimum rate of a share unless the entire rate is lower. */
+	private static final double MIN_SHARE_PER_SECOND = 0.25;
+
+	/** Shares in addition to one for each request per second. */
+	private static final int EXTRA_SHARES = 2;
+
+	/**
+	 * Creates the view.
+	 */
+	public FleetView {
+		Objects.requireNonNull(self, "self");
+		Objects.requireNonNull(zone, "zone");
+		zoneInstances = Set.copyOf(zoneInstances);
+		zones = Set.copyOf(zones);
+	}
+
+	/**
+	 * Returns the view of an instance that does not know the fleet yet and holds no
+	 * shares.
+	 * @param self address of the instance
+	 * @param zone its availability zone
+	 * @return the view
+	 */
+	public static FleetView unknown(String self, String zone) {
+		return new FleetView(self, zone, Set.of(), Set.of());
+	}
+
+	/**
+	 * Returns the number of shares that a rate is divided into. If the holder of each
+	 * share uses it up after a pause, at most one request per share comes in addition to
+	 * the rate.
+	 * @param perSecond the rate
+	 * @return at least 1
+	 */
+	public static int shareCount(double perSecond) {
+		return (int) Math.max(1, Math.min(perSecond / MIN_SHARE_PER_SECOND, perSecond + EXTRA_SHARES));
+	}
+
+	/**
+	 * Returns the number of shares of a rate that this instance holds.
+	 * @param subject name of what the rate applies to
+	 * @param subjectZone availability zone that gets shares first
+	 * @param perSecond rate of the entire fleet
+	 * @return 0 if another instance holds each share or the fleet is not known yet
+	 */
+	public int heldShares(String subject, String subjectZone, double perSecond) {
+		int shares = shareCount(perSecond);
+		int zonesWithShares = Math.min(shares, this.zones.size());
+		int zoneRank = zoneRank(subject, subjectZone);
+		if (zoneRank >= zonesWithShares || !this.zoneInstances.contains(this.self)) {
+			return 0;
+		}
+		int zoneShares = portion(shares, zonesWithShares, zoneRank);
+		int holders = Math.min(zoneShares, this.zoneInstances.size());
+		int rank = instanceRank(subject);
+		return (rank < holders) ? portion(zoneShares, holders, rank) : 0;
+	}
+
+	private static int portion(int shares, int holders, int rank) {
+		return shares / holders + ((rank < shares % holders) ? 1 : 0);
+	}
+
+	private int zoneRank(String subject, String subjectZone) {
+		List<String> ranked = this.zones.stream()
+			.sorted(Comparator.comparing((String each) -> !each.equals(subjectZone))
+				.thenComparing((each) -> Rendezvous.score(each, subject), Comparator.reverseOrder()))
+			.toList();
+		int rank = ranked.indexOf(this.zone);
+		return (rank < 0) ? ranked.size() : rank;
+	}
+
+	private int instanceRank(String subject) {
+		long ownScore = Rendezvous.score(this.self, subject);
+		return (int) this.zoneInstances.stream().filter((each) -> Rendezvous.score(each, subject) > ownScore).count();
+	}
+
+}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -229,6 +229,7 @@
 			long now = nowMillis();
 			this.gateway.setLiveInstances(this.membership.liveInstances(now));
 			this.gateway.setPartialView(this.membership.isPartial());
+			this.gateway.setFleet(this.membership.view(now), now);
 			run(new GatewayEvent.Tick());
 			this.gossip.tick(now);
 			this.platform.updatePeersAhead(
@@ -272,6 +273,9 @@
 		else if (effect instanceof GatewayEffect.DiscardConnections discard) {
 			this.endpointPool.closeIdle(discard.endpoint());
 		}
+		else if (effect instanceof GatewayEffect.PublishState) {
+			this.gossip.requestFullState();
+		}
 		else if (effect instanceof GatewayEffect.ReserveMemory reserve) {
 			this.memoryReservationClient.reserve(reserve);
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -56,6 +56,15 @@
 	/** Size of a message of summaries without the summaries. */
 	private static final int SUMMARY_HEADER_BYTES = 16;
 
+	/** Maximum number of endpoint limits in a full state. */
+	private static final int MAX_LIMITS = 12;
+
+	/**
+	 * Maximum number of endpoint limits in a full state in large fleets, where messages
+	 * are small and mostly needed for summaries.
+	 */
+	private static final int MAX_LIMITS_PARTIAL = 3;
+
 	/** Time that ended requests wait to be published together with a placed one. */
 	private static final long BATCH_DELAY_MILLIS = 120;
 
@@ -162,7 +171,8 @@
 
 	private void sendFullState(long nowMillis) {
 		FullState state = new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
-				this.storeRevision.getAsLong(), this.gateway.avoidedEndpoints(nowMillis),
+				this.storeRevision.getAsLong(), this.gateway.avoidedEndpoints(nowMillis), this.gateway
+					.pollPublishedLimits((this.membership.isPartial()) ? MAX_LIMITS_PARTIAL : MAX_LIMITS, nowMillis),
 				this.gateway.recentCrashes(nowMillis), this.membership.sample(nowMillis));
 		this.fullStateDue = false;
 		this.lastFullStateMillis = nowMillis;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -10,6 +10,7 @@
 
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
@@ -31,7 +32,7 @@
 	 */
 	public static final int MAX_BYTES = 1400;
 
-	private static final int FULL_FORMAT = 4;
+	private static final int FULL_FORMAT = 6;
 
 	private static final int CHANGES_FORMAT = 5;
 
@@ -46,6 +47,8 @@
 	/** Unit of memory in the work of single requests. */
 	private static final int MEMORY_UNIT_TOKENS = 512;
 
+	private static final long ENDED_LIMIT = -1;
+
 	/** Unit of times. */
 	private static final int TIME_UNIT_MILLIS = 4;
 
@@ -160,6 +163,14 @@
 		for (AvoidedEndpoint avoided : state.avoided()) {
 			packer.packInt(avoided.endpointHash()).packLong(avoided.leftMillis());
 		}
+		packer.packArrayHeader(state.limits().size());
+		for (EndpointLimit limit : state.limits()) {
+			packer.packInt(limit.endpointHash());
+			packer.packLong(limit.requestsPerSecond()
+				.map((perSecond) -> Math.round(perSecond * EndpointLimit.UNITS_PER_REQUEST))
+				.orElse(ENDED_LIMIT));
+			packer.packLong(ceilToUnits(limit.ageMillis(), TIME_UNIT_MILLIS));
+		}
 		packer.packArrayHeader(state.crashes().size());
 		for (CrashObservation crash : state.crashes()) {
 			packer.packLong(crash.fingerprint()).packInt(crash.endpointHash());
@@ -252,6 +263,10 @@
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			avoided.add(new AvoidedEndpoint(unpacker.unpackInt(), unpacker.unpackLong()));
 		}
+		List<EndpointLimit> limits = new ArrayList<>();
+		for (int remaining = size(unpacker); remaining > 0; remaining--) {
+			limits.add(unpackLimit(unpacker));
+		}
 		List<CrashObservation> crashes = new ArrayList<>();
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			crashes.add(new CrashObservation(unpacker.unpackLong(), unpacker.unpackInt()));
@@ -260,7 +275,15 @@
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			members.add(new KnownMember(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong()));
 		}
-		return new FullState(zone, configurationVersion, storeRevision, avoided, crashes, members);
+		return new FullState(zone, configurationVersion, storeRevision, avoided, limits, crashes, members);
+	}
+
+	private static EndpointLimit unpackLimit(MessageUnpacker unpacker) throws IOException {
+		int endpointHash = unpacker.unpackInt();
+		long units = unpacker.unpackLong();
+		Optional<Double> perSecond = (units < 0) ? Optional.empty()
+				: Optional.of((double) units / EndpointLimit.UNITS_PER_REQUEST);
+		return new EndpointLimit(endpointHash, perSecond, unpacker.unpackLong() * TIME_UNIT_MILLIS);
 	}
 
 }
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -9,6 +9,7 @@
 
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
@@ -34,6 +35,7 @@
 	@Test
 	void fullStateSurvivesRoundTrip() throws IOException {
 		FullState state = new FullState("zone-a", 17, 4711, List.of(new AvoidedEndpoint(5, 400)),
+				List.of(new EndpointLimit(6, Optional.of(1.25), 840), new EndpointLimit(-7, Optional.empty(), 4)),
 				List.of(new CrashObservation(Long.MIN_VALUE, -1)),
 				List.of(new KnownMember("10.0.0.2:7340", "zone-b", 30)));
 		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, prefillWork()), List.of(4L), List.of(),
