Divide the retry bounds by the zones and the instances of the own zone

The same cause as with the named limits: each instance divided the fleet's extra retries by the number of instances that it knew. In a partition each side used the entire bound.

Each instance now divides by the zones and by the instances of its own zone, with those that were lost recently, as for the limits. Until its discovery is complete, it uses the part that follows its own requests only.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -82,7 +82,8 @@
 
 	private ForwardingConfiguration configuration;
 
-	private int liveInstances = 1;
+	/** Part of the fleet's extra retries that this instance may use. */
+	private double retryPart = 1;
 
 	private long nextAttemptId = 1;
 
@@ -109,8 +110,8 @@
 		this.retryBudgets.values().forEach((budget) -> budget.setBounds(current.retryBounds()));
 	}
 
-	void setLiveInstances(int instances) {
-		this.liveInstances = instances;
+	void setRetryPart(double part) {
+		this.retryPart = part;
 	}
 
 	void setPartialView(boolean partial) {
@@ -418,7 +419,7 @@
 			return state.connectFailures <= MAX_CONNECT_FAILURES;
 		}
 		return state.sends < state.route.maxAttempts()
-				&& retryBudget(state.service).tryAcquire(this.liveInstances, nowMillis);
+				&& retryBudget(state.service).tryAcquire(this.retryPart, nowMillis);
 	}
 
 	void callerDisconnected(long requestId, long nowMillis, List<GatewayEffect> effects) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -72,7 +72,7 @@
 	public Gateway(GatewayIdentity identity, RandomGenerator random) {
 		this.identity = Objects.requireNonNull(identity, "identity");
 		this.random = Objects.requireNonNull(random, "random");
-		this.limits = new RequestLimits(random);
+		this.limits = new RequestLimits(FleetView.alone(identity.name(), identity.zone()), random);
 		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.suspects, this.limits);
 	}
 
@@ -256,21 +256,22 @@
 	}
 
 	/**
-	 * Sets the number of live instances, which share the retry bounds.
+	 * Sets the number of live instances, for operators.
 	 * @param instances the number, including this instance
 	 */
 	public void setLiveInstances(int instances) {
 		this.liveInstances = instances;
-		this.forwarder.setLiveInstances(instances);
 	}
 
 	/**
-	 * Sets the instances that share the limits which endpoints name.
+	 * Sets the instances that share the retry bounds and the limits which endpoints name.
+	 * Until then, this instance shares them with nobody.
 	 * @param fleet the instances
 	 * @param nowMillis the current time
 	 */
 	public void setFleet(FleetView fleet, long nowMillis) {
 		this.limits.setFleet(fleet, nowMillis);
+		this.forwarder.setRetryPart(fleet.equalPart());
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ServiceRetryBudget.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ServiceRetryBudget.java
@@ -16,8 +16,8 @@
 final class ServiceRetryBudget {
 
 	/**
-	 * Share of the fleet's bound that is used; the rest covers instances that are not
-	 * known.
+	 * Share of the fleet's bound that is used; the rest covers replaced instances that
+	 * are not known yet.
 	 */
 	private static final double USED_SHARE = 0.7;
 
@@ -40,10 +40,15 @@
 		expire(nowMillis);
 	}
 
-	boolean tryAcquire(int instances, long nowMillis) {
+	/**
+	 * Takes a retry if there is one.
+	 * @param part part of the fleet's extra retries that this instance may use
+	 * @param nowMillis the current time
+	 * @return false if the retry would exceed this instance's share
+	 */
+	boolean tryAcquire(double part, long nowMillis) {
 		expire(nowMillis);
-		double allowed = USED_SHARE * (this.bounds.ratio() * this.requestMillis.size()
-				+ this.bounds.extra() / (double) Math.max(1, instances));
+		double allowed = USED_SHARE * (this.bounds.ratio() * this.requestMillis.size() + part * this.bounds.extra());
 		if (this.retryMillis.size() + 1 > allowed) {
 			return false;
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
@@ -42,6 +42,16 @@
 		zones = Set.copyOf(zones);
 	}
 
+	/**
+	 * Returns the view of an instance that shares the rates with nobody.
+	 * @param self address of the instance
+	 * @param zone its availability zone
+	 * @return the view
+	 */
+	public static FleetView alone(String self, String zone) {
+		return new FleetView(self, zone, Set.of(self), Set.of(zone));
+	}
+
 	/**
 	 * Returns the view of an instance that does not know the fleet yet and holds no
 	 * shares.
@@ -84,6 +94,15 @@
 		return (rank < holders) ? portion(zoneShares, holders, rank) : 0;
 	}
 
+	/**
+	 * Returns the part of a bound that each instance may use if it is divided equally, by
+	 * zone and then by instance.
+	 * @return a number from 0 to 1; 0 if the fleet is not known yet
+	 */
+	public double equalPart() {
+		return (this.zoneInstances.isEmpty()) ? 0 : 1.0 / this.zones.size() / this.zoneInstances.size();
+	}
+
 	private static int portion(int shares, int holders, int rank) {
 		return shares / holders + ((rank < shares % holders) ? 1 : 0);
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
@@ -62,13 +62,15 @@
 	/** Last malformed value by endpoint. */
 	private final Map<EndpointId, String> malformedValues = new HashMap<>();
 
-	private FleetView fleet = FleetView.unknown("", "");
+	private FleetView fleet;
 
 	/**
 	 * Creates an empty table.
+	 * @param fleet the instances that share the limits
 	 * @param random source of randomness for the times of trials
 	 */
-	public RequestLimits(RandomGenerator random) {
+	public RequestLimits(FleetView fleet, RandomGenerator random) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
 		this.random = Objects.requireNonNull(random, "random");
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
@@ -9,11 +9,9 @@
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
-import io.mulberrylift.core.limit.FleetView;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.WorkTable;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -25,12 +23,6 @@
 
 	private final GatewayFixture fixture = new GatewayFixture().started();
 
-	@BeforeEach
-	void joinFleet() {
-		this.fixture.gateway.setFleet(new FleetView("self", "zone-a", Set.of("self"), Set.of("zone-a")),
-				this.fixture.nowMillis);
-	}
-
 	private void limit(String endpoint, double requestsPerSecond) {
 		this.fixture.reduce(new GatewayEvent.RequestLimitReported(new EndpointId(endpoint), 0,
 				RequestLimitReport.of(requestsPerSecond)));
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/ServiceRetryBudgetTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/ServiceRetryBudgetTests.java
@@ -24,7 +24,7 @@
 			ServiceRetryBudget budget = fleet.get((int) (now / 25) % instances);
 			budget.recordRequest(now);
 			requests++;
-			retries += (budget.tryAcquire(instances, now)) ? 1 : 0;
+			retries += (budget.tryAcquire(1.0 / instances, now)) ? 1 : 0;
 		}
 		assertThat(retries).isPositive().isLessThanOrEqualTo((int) (BOUNDS.ratio() * requests + BOUNDS.extra()));
 	}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
@@ -13,7 +13,7 @@
 
 	private static final EndpointId ENDPOINT = new EndpointId("e1");
 
-	private final RequestLimits limits = new RequestLimits(new SplittableRandom(3));
+	private final RequestLimits limits = new RequestLimits(FleetView.alone("self", "zone-a"), new SplittableRandom(3));
 
 	private Optional<RequestLimits.LimitChange> report(RequestLimitReport report, long sentMillis, long nowMillis) {
 		return this.limits.apply(ENDPOINT, "zone-a", report, Optional.of(sentMillis), nowMillis);
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -4,11 +4,13 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
 import java.util.stream.IntStream;
@@ -50,6 +52,8 @@
 
 	private static final long WORK_MILLIS = 40;
 
+	static final RetryBounds RETRY_BOUNDS = new RetryBounds(0.2, 10_000, 100);
+
 	private final SplittableRandom random;
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
@@ -72,8 +76,17 @@
 
 	private long requestNumber;
 
+	/** Whether endpoints answer every request with a failure. */
+	boolean failing;
+
 	int answered;
 
+	/** Arrival times of all requests of callers. */
+	final List<Long> requestMillis = new ArrayList<>();
+
+	/** Sending times of all requests that were sent again. */
+	final List<Long> retryMillis = new ArrayList<>();
+
 	final List<GatewayEffect.Refuse> refused = new ArrayList<>();
 
 	SimulatedFleet(int instances, int zones, int runners, double requestsPerSecond, long seed) {
@@ -163,14 +176,15 @@
 
 		private final GossipScheduler gossip;
 
+		private final Set<Long> sentRequests = new HashSet<>();
+
 		private boolean stopped;
 
 		Instance(int index) {
 			NetAddress self = address(index);
 			this.address = self.toString();
 			this.zone = zone(index);
-			GatewayIdentity identity = new GatewayIdentity(this.address, this.zone, new RetryBounds(0.2, 10_000, 100),
-					0, 4000);
+			GatewayIdentity identity = new GatewayIdentity(this.address, this.zone, RETRY_BOUNDS, 0, 4000);
 			this.gateway = new Gateway(identity, SimulatedFleet.this.random.split());
 			this.membership = new Membership(this.address, this.zone, SimulatedFleet.this.random.split());
 			List<String> seeds = IntStream.range(0, 3).mapToObj((seed) -> address(seed).toString()).toList();
@@ -238,6 +252,7 @@
 
 		private void arrive() {
 			long id = SimulatedFleet.this.requestNumber++;
+			SimulatedFleet.this.requestMillis.add(SimulatedFleet.this.nowMillis);
 			reduce(new GatewayEvent.RequestArrived(id,
 					new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, id)));
 		}
@@ -245,6 +260,9 @@
 		private void reduce(GatewayEvent event) {
 			for (GatewayEffect effect : this.gateway.reduce(event, SimulatedFleet.this.nowMillis)) {
 				if (effect instanceof GatewayEffect.Send send) {
+					if (!this.sentRequests.add(send.requestId())) {
+						SimulatedFleet.this.retryMillis.add(SimulatedFleet.this.nowMillis);
+					}
 					at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> serve(send));
 				}
 				else if (effect instanceof GatewayEffect.PublishState) {
@@ -270,7 +288,9 @@
 					report.requestsPerSecond()
 						.ifPresent((limit) -> runner.tell(this.address, SimulatedFleet.this.nowMillis));
 					reduce(new GatewayEvent.RequestLimitReported(runner.endpoint.id(), send.attemptId(), report));
-					reduce(new GatewayEvent.AttemptEnded(send.attemptId(), AttemptOutcome.COMPLETED, 200));
+					reduce(new GatewayEvent.AttemptEnded(send.attemptId(),
+							(SimulatedFleet.this.failing) ? AttemptOutcome.ENDPOINT_ERROR : AttemptOutcome.COMPLETED,
+							(SimulatedFleet.this.failing) ? 500 : 200));
 				}
 			});
 		}
