Introduce new instances to the members of their zone

A full state to a member of another zone now reports six members of the recipient's zone instead of three of any zone, and new members of other zones are answered before others are chosen at random.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -4,9 +4,11 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import io.mulberrylift.core.limit.FleetView;
@@ -20,8 +22,8 @@
  * {@value #REMOVAL_TIMEOUT_MILLIS} ms after its last message; seeds that are not members
  * are contacted indefinitely. In a fleet of up to {@value #MAX_FULL_VIEW_MEMBERS}
  * members, each gossip round goes to all members. In a larger one, it goes to all members
- * of this instance's zone and to {@value #OTHER_ZONE_TARGETS} random others, so that
- * traffic per instance grows with the size of a zone and not with that of the fleet.
+ * of this instance's zone and to {@value #OTHER_ZONE_TARGETS} others, new ones first, so
+ * that traffic per instance grows with the size of a zone and not with that of the fleet.
  * </p>
  */
 public final class Membership {
@@ -70,6 +72,8 @@
 
 	private static final int SAMPLE_SIZE = 3;
 
+	private static final int OTHER_ZONE_SAMPLE_SIZE = 6;
+
 	private static final long SEED_INTERVAL_MILLIS = 1000;
 
 	private final String self;
@@ -80,6 +84,9 @@
 
 	private final Map<String, Member> members = new HashMap<>();
 
+	/** New members of other zones that this instance has not sent a message to yet. */
+	private final Set<String> newcomers = new LinkedHashSet<>();
+
 	/** When instances of this zone were last active, as far as is known. */
 	private final Map<String, Long> zoneInstanceMillis = new HashMap<>();
 
@@ -145,6 +152,9 @@
 			return current != null;
 		}
 		FullState state = digest.fullState().get();
+		if (current == null && !state.zone().equals(this.zone)) {
+			this.newcomers.add(digest.sender());
+		}
 		this.members.put(digest.sender(), new Member(state.zone(), digest.incarnation(), digest.sequence(), nowMillis,
 				state.configurationVersion(), state.storeRevision()));
 		recordActivity(digest.sender(), state.zone(), nowMillis);
@@ -226,8 +236,13 @@
 		List<String> others = new ArrayList<>(this.members.keySet());
 		others.removeAll(targets);
 		Collections.sort(others);
+		this.newcomers.retainAll(others);
 		for (int count = 0; count < OTHER_ZONE_TARGETS && !others.isEmpty(); count++) {
-			targets.add(others.remove(this.random.nextInt(others.size())));
+			String target = (this.newcomers.isEmpty()) ? others.get(this.random.nextInt(others.size()))
+					: this.newcomers.iterator().next();
+			this.newcomers.remove(target);
+			others.remove(target);
+			targets.add(target);
 		}
 		if (nowMillis >= this.nextSeedMillis) {
 			this.nextSeedMillis = nowMillis + SEED_INTERVAL_MILLIS;
@@ -239,15 +254,41 @@
 	}
 
 	/**
-	 * Returns up to {@value #SAMPLE_SIZE} random members to report to a peer.
+	 * Returns up to {@value #SAMPLE_SIZE} random members to report to the members of this
+	 * instance's zone, or to instances whose zone is not known.
 	 * @param nowMillis the current time
 	 * @return the members
 	 */
 	public List<KnownMember> sample(long nowMillis) {
-		List<String> addresses = new ArrayList<>(this.members.keySet());
+		return sample(new ArrayList<>(this.members.keySet()), SAMPLE_SIZE, nowMillis);
+	}
+
+	/**
+	 * Returns up to {@value #OTHER_ZONE_SAMPLE_SIZE} random members of the zone of
+	 * another member to report to it. It finds the members of its zone in this way, also
+	 * if none of the seeds is one of them.
+	 * @param member address of the member
+	 * @param nowMillis the current time
+	 * @return the members; those of any zone if the address is not that of a member
+	 */
+	public List<KnownMember> sampleFor(String member, long nowMillis) {
+		Member recipient = this.members.get(member);
+		if (recipient == null) {
+			return sample(nowMillis);
+		}
+		List<String> addresses = new ArrayList<>();
+		this.members.forEach((address, each) -> {
+			if (each.zone().equals(recipient.zone()) && !address.equals(member)) {
+				addresses.add(address);
+			}
+		});
+		return sample(addresses, OTHER_ZONE_SAMPLE_SIZE, nowMillis);
+	}
+
+	private List<KnownMember> sample(List<String> addresses, int size, long nowMillis) {
 		Collections.sort(addresses);
 		List<KnownMember> sample = new ArrayList<>();
-		for (int count = 0; count < SAMPLE_SIZE && !addresses.isEmpty(); count++) {
+		for (int count = 0; count < size && !addresses.isEmpty(); count++) {
 			String address = addresses.remove(this.random.nextInt(addresses.size()));
 			Member member = this.members.get(address);
 			sample.add(new KnownMember(address, member.zone(), nowMillis - member.lastReceivedMillis()));
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -120,4 +120,18 @@
 		assertThat(this.membership.view(700_000).zones()).containsExactly("zone-0");
 	}
 
+	@Test
+	void newMemberOfAnotherZoneIsSentMembersOfItsZone() {
+		for (int host = 1; host < 370; host++) {
+			this.membership.receive(digest(host, 1, 1, List.of()), 0);
+		}
+		List<String> first = this.membership.targets(0);
+		assertThat(first).contains("10.0.0.3:1", "10.0.0.4:1");
+		assertThat(this.membership.sampleFor("10.0.0.3:1", 0)).hasSize(6)
+			.allMatch((member) -> member.zone().equals("zone-1"))
+			.noneMatch((member) -> member.address().equals("10.0.0.3:1"));
+		assertThat(this.membership.targets(0)).contains("10.0.0.5:1", "10.0.0.6:1");
+		assertThat(this.membership.sampleFor("10.9.9.9:1", 0)).hasSize(3);
+	}
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -11,6 +11,7 @@
 import io.mulberrylift.core.forwarding.Gateway;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.Membership;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
@@ -170,25 +171,36 @@
 	}
 
 	private void sendFullState(long nowMillis) {
-		FullState state = new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
-				this.storeRevision.getAsLong(), this.gateway.avoidedEndpoints(nowMillis), this.gateway
-					.pollPublishedLimits((this.membership.isPartial()) ? MAX_LIMITS_PARTIAL : MAX_LIMITS, nowMillis),
-				this.gateway.recentCrashes(nowMillis), this.membership.sample(nowMillis));
 		this.fullStateDue = false;
 		this.lastFullStateMillis = nowMillis;
 		this.changedRequests.clear();
 		List<String> targets = this.membership.targets(nowMillis);
 		int maxBytes = maxMessageBytes(targets, FULL_STATE_RATE_SHARE * MAX_FULL_STATE_INTERVAL_MILLIS);
-		if (this.membership.isPartial()) {
-			int fixedBytes = DigestCodec.encode(digest(Map.of(), List.of(), List.of(), Optional.of(state)),
-					DigestCodec.MAX_BYTES).length;
-			List<EndpointSummary> selected = this.summaries.pollDue(this.gateway.ownSummaries(nowMillis),
-					maxBytes - fixedBytes, nowMillis);
-			send(targets, digest(Map.of(), List.of(), selected, Optional.of(state)), DigestCodec.MAX_BYTES);
-		}
-		else {
+		if (!this.membership.isPartial()) {
+			FullState state = state(MAX_LIMITS, this.membership.sample(nowMillis), nowMillis);
 			send(targets, digest(this.gateway.ownWork(nowMillis), List.of(), List.of(), Optional.of(state)), maxBytes);
+			return;
 		}
+		FullState state = state(MAX_LIMITS_PARTIAL, this.membership.sample(nowMillis), nowMillis);
+		int fixedBytes = DigestCodec.encode(digest(Map.of(), List.of(), List.of(), Optional.of(state)),
+				DigestCodec.MAX_BYTES).length;
+		List<EndpointSummary> selected = this.summaries.pollDue(this.gateway.ownSummaries(nowMillis),
+				maxBytes - fixedBytes, nowMillis);
+		List<String> tracked = this.membership.trackedPeers();
+		send(tracked, digest(Map.of(), List.of(), selected, Optional.of(state)), DigestCodec.MAX_BYTES);
+		for (String target : targets) {
+			if (!tracked.contains(target)) {
+				FullState other = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
+						state.avoided(), state.limits(), state.crashes(), this.membership.sampleFor(target, nowMillis));
+				send(List.of(target), digest(Map.of(), List.of(), selected, Optional.of(other)), DigestCodec.MAX_BYTES);
+			}
+		}
+	}
+
+	private FullState state(int maxLimits, List<KnownMember> sample, long nowMillis) {
+		return new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
+				this.storeRevision.getAsLong(), this.gateway.avoidedEndpoints(nowMillis),
+				this.gateway.pollPublishedLimits(maxLimits, nowMillis), this.gateway.recentCrashes(nowMillis), sample);
 	}
 
 	private void sendSummaries(long nowMillis) {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -157,6 +157,19 @@
 		this.nowMillis = endMillis;
 	}
 
+	/**
+	 * Returns how many instances of its zone each instance has discovered, itself
+	 * included.
+	 */
+	IntStream discoveredInZone() {
+		return this.instances.values()
+			.stream()
+			.mapToInt((instance) -> 1 + (int) instance.membership.trackedPeers()
+				.stream()
+				.filter((peer) -> this.instances.get(peer).zone.equals(instance.zone))
+				.count());
+	}
+
 	private void at(long millis, Runnable action) {
 		this.events.add(new Event(millis, this.eventNumber++, action));
 	}
