Let instances that discover the fleet use a small part of the retry bounds

The division of the retry bounds by zone left a started instance only the retries that follow its own requests, for 10 s or more: requests that met a dead endpoint were answered 502, and streams were not resumed.

The view of the fleet now says whether it is complete. Until it is, an instance divides the extra retries by what it knows, but by 16 at least; limits of endpoints are not used before. An instance without seeds is complete at once.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -119,7 +119,7 @@
 		this.self = Objects.requireNonNull(self, "self");
 		this.zone = Objects.requireNonNull(zone, "zone");
 		this.random = Objects.requireNonNull(random, "random");
-		this.view = FleetView.unknown(self, zone);
+		this.view = new FleetView(self, zone, Set.of(self), Set.of(zone), false);
 	}
 
 	/**
@@ -179,7 +179,7 @@
 	/**
 	 * Returns the instances that share the rates of the fleet. Instances and zones that
 	 * were lost recently are included, so that others do not use their shares while they
-	 * are only unreachable. Until discovery is complete, nobody is known to share them.
+	 * are only unreachable.
 	 * @param nowMillis the current time
 	 * @return the view, updated at intervals of {@value #VIEW_INTERVAL_MILLIS} ms
 	 */
@@ -194,9 +194,8 @@
 		if (!this.discoveryComplete) {
 			completeDiscovery(nowMillis);
 		}
-		if (this.discoveryComplete) {
-			this.view = new FleetView(this.self, this.zone, this.zoneInstanceMillis.keySet(), this.zoneMillis.keySet());
-		}
+		this.view = new FleetView(this.self, this.zone, this.zoneInstanceMillis.keySet(), this.zoneMillis.keySet(),
+				this.discoveryComplete);
 		return this.view;
 	}
 
@@ -207,8 +206,8 @@
 			this.discoveryMillis = nowMillis;
 		}
 		boolean alone = this.zoneMillis.size() == 1 && this.zoneInstanceMillis.size() == 1;
-		boolean expectsOthers = this.seeds.stream().anyMatch((seed) -> !seed.equals(this.self));
-		this.discoveryComplete = !(alone && expectsOthers) && nowMillis - this.discoveryMillis >= DISCOVERY_MILLIS;
+		boolean hasSeeds = this.seeds.stream().anyMatch((seed) -> !seed.equals(this.self));
+		this.discoveryComplete = (alone) ? !hasSeeds : nowMillis - this.discoveryMillis >= DISCOVERY_MILLIS;
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
@@ -23,8 +23,15 @@
  * @param zone availability zone of this instance
  * @param zoneInstances addresses of the instances of that zone
  * @param zones availability zones that have instances
+ * @param complete false while this instance is still discovering the others
  */
-public record FleetView(String self, String zone, Set<String> zoneInstances, Set<String> zones) {
+public record FleetView(String self, String zone, Set<String> zoneInstances, Set<String> zones, boolean complete) {
+
+	/**
+	 * Minimum number of instances that a bound is divided by while the fleet is not known
+	 * completely.
+	 */
+	private static final int MIN_INCOMPLETE_INSTANCES = 16;
 
 	/** Minimum rate of a share unless the entire rate is lower. */
 	private static final double MIN_SHARE_PER_SECOND = 0.25;
@@ -34,12 +41,17 @@
 
 	/**
 	 * Creates the view.
+	 * @throws IllegalArgumentException if this instance or its zone is missing
 	 */
 	public FleetView {
 		Objects.requireNonNull(self, "self");
 		Objects.requireNonNull(zone, "zone");
 		zoneInstances = Set.copyOf(zoneInstances);
 		zones = Set.copyOf(zones);
+		if (!zoneInstances.contains(self) || !zones.contains(zone)) {
+			throw new IllegalArgumentException(
+					"View of " + self + " in " + zone + " must contain the instance and its zone");
+		}
 	}
 
 	/**
@@ -49,18 +61,7 @@
 	 * @return the view
 	 */
 	public static FleetView alone(String self, String zone) {
-		return new FleetView(self, zone, Set.of(self), Set.of(zone));
-	}
-
-	/**
-	 * Returns the view of an instance that does not know the fleet yet and holds no
-	 * shares.
-	 * @param self address of the instance
-	 * @param zone its availability zone
-	 * @return the view
-	 */
-	public static FleetView unknown(String self, String zone) {
-		return new FleetView(self, zone, Set.of(), Set.of());
+		return new FleetView(self, zone, Set.of(self), Set.of(zone), true);
 	}
 
 	/**
@@ -79,13 +80,13 @@
 	 * @param subject name of what the rate applies to
 	 * @param subjectZone availability zone that gets shares first
 	 * @param perSecond rate of the entire fleet
-	 * @return 0 if another instance holds each share or the fleet is not known yet
+	 * @return 0 if other instances hold all shares or the view is not complete
 	 */
 	public int heldShares(String subject, String subjectZone, double perSecond) {
 		int shares = shareCount(perSecond);
 		int zonesWithShares = Math.min(shares, this.zones.size());
 		int zoneRank = zoneRank(subject, subjectZone);
-		if (zoneRank >= zonesWithShares || !this.zoneInstances.contains(this.self)) {
+		if (zoneRank >= zonesWithShares || !this.complete) {
 			return 0;
 		}
 		int zoneShares = portion(shares, zonesWithShares, zoneRank);
@@ -97,10 +98,11 @@
 	/**
 	 * Returns the part of a bound that each instance may use if it is divided equally, by
 	 * zone and then by instance.
-	 * @return a number from 0 to 1; 0 if the fleet is not known yet
+	 * @return a number greater than 0 and at most 1
 	 */
 	public double equalPart() {
-		return (this.zoneInstances.isEmpty()) ? 0 : 1.0 / this.zones.size() / this.zoneInstances.size();
+		int instances = this.zones.size() * this.zoneInstances.size();
+		return 1.0 / ((this.complete) ? instances : Math.max(instances, MIN_INCOMPLETE_INSTANCES));
 	}
 
 	private static int portion(int shares, int holders, int rank) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
@@ -42,8 +42,8 @@
 	/** Random addition to that time for each instance of the fleet. */
 	private static final long TRIAL_SPREAD_MILLIS = 1000;
 
-	/** Assumed size of a fleet that is not known yet. */
-	private static final int UNKNOWN_FLEET_INSTANCES = 100;
+	/** Minimum number of instances assumed while the fleet is not known completely. */
+	private static final int MIN_INCOMPLETE_INSTANCES = 100;
 
 	/** Maximum age of a report that is published to or accepted from peers. */
 	private static final long MAX_REPORT_AGE_MILLIS = 10_000;
@@ -150,7 +150,7 @@
 
 	private long trialDelayMillis() {
 		int known = this.fleet.zones().size() * this.fleet.zoneInstances().size();
-		int instances = (known > 0) ? known : UNKNOWN_FLEET_INSTANCES;
+		int instances = (this.fleet.complete()) ? known : Math.max(known, MIN_INCOMPLETE_INSTANCES);
 		return TRIAL_DELAY_MILLIS + this.random.nextLong(instances * TRIAL_SPREAD_MILLIS);
 	}
 
