--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
@@ -7,6 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -64,7 +65,26 @@
 	 */
 	public static ManagedProcess start(String name, String mainClass, List<String> arguments, Pattern readyLine,
 			Consumer<String> output) throws IOException {
+		return start(name, mainClass, arguments, Map.of(), readyLine, output);
+	}
+
+	/**
+	 * Starts a Java process with the class path of this process and waits until it is
+	 * ready.
+	 * @param name name of the process in messages
+	 * @param mainClass name of the main class
+	 * @param arguments its arguments
+	 * @param environment variables to add to those of this process
+	 * @param readyLine matches the line of output that signals readiness
+	 * @param output receives each line of output
+	 * @return the process
+	 * @throws IOException if the process cannot be started, or ends or times out before
+	 * it is ready
+	 */
+	public static ManagedProcess start(String name, String mainClass, List<String> arguments,
+			Map<String, String> environment, Pattern readyLine, Consumer<String> output) throws IOException {
 		ProcessBuilder builder = new ProcessBuilder(JavaCommand.of(mainClass, arguments));
+		builder.environment().putAll(environment);
 		builder.redirectErrorStream(true);
 		ManagedProcess managed = new ManagedProcess(name, builder.start(), readyLine);
 		Thread reader = new Thread(() -> managed.read(output), "output-" + name);
