Send each iteration of a stand-in engine as a line of its own

EngineServerTests#duplicatedAndReorderedChunksCarryTheirOffsets failed now and then on a busy machine: the offsets of the reordered answer were [0]. The engine advances by the time that has passed, and all tokens of one advance went out as one line, which cannot be reordered.

Each iteration is now sent as a line. linesFollowTheIterationsOfAnEngineWhoseTimePassesAtOnce failed before ([0] where more than one line is expected).

--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Attempt.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/engine/Attempt.java
@@ -1,6 +1,8 @@
 package io.mulberrylift.testkit.engine;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 
@@ -12,7 +14,8 @@
  *
  * <p>
  * Invariant: tokens with offsets below {@code sentTokens} have been passed to the stream.
- * Not thread-safe; guarded by the runner's lock.
+ * Each iteration's tokens are a line of their own, however much time passes between two
+ * reads of the clock. Not thread-safe; guarded by the runner's lock.
  * </p>
  */
 final class Attempt {
@@ -33,6 +36,9 @@
 
 	private Optional<String> delayedLine = Optional.empty();
 
+	/** Ends of the iterations whose tokens have not been sent. */
+	private final Deque<Integer> iterationEnds = new ArrayDeque<>();
+
 	private int sentTokens;
 
 	private int generated;
@@ -95,6 +101,7 @@
 
 	void setGenerated(int upTo) {
 		this.generated = upTo;
+		this.iterationEnds.addLast(upTo);
 	}
 
 	void markEnded(int cached) {
@@ -119,8 +126,8 @@
 			limit = Math.min(limit, last);
 		}
 		List<String> lines = new ArrayList<>();
-		if (limit > this.sentTokens) {
-			addTokens(lines, limit);
+		while (this.sentTokens < limit && !this.iterationEnds.isEmpty()) {
+			addTokens(lines, Math.min(limit, this.iterationEnds.removeFirst()));
 		}
 		Output.Ending ending = ending(failed);
 		if (ending == Output.Ending.END) {
--- a/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineServerTests.java
+++ b/mulberrylift-testkit/src/test/java/io/mulberrylift/testkit/engine/EngineServerTests.java
@@ -145,6 +145,21 @@
 		assertThat(reordered).doesNotHaveDuplicates().isNotEqualTo(reordered.stream().sorted().toList());
 	}
 
+	/**
+	 * Failure: iterations that passed between two reads of the clock were sent as one
+	 * line, which cannot be reordered.
+	 */
+	@Test
+	void linesFollowTheIterationsOfAnEngineWhoseTimePassesAtOnce() throws IOException {
+		this.engine.stop();
+		this.engine = new EngineServer(EngineOptions.of("engine-1", MODEL).withTimeScale(1_000_000),
+				new HistoryWriter(this.history), this.crashed::countDown);
+		this.engine.start();
+		control("reorder", "{}");
+		List<Integer> reordered = offsets(run("a/1/1", "prompt", 0));
+		assertThat(reordered).doesNotHaveDuplicates().isNotEqualTo(reordered.stream().sorted().toList());
+	}
+
 	@Test
 	void holdsAreListedAndLimited() throws IOException {
 		String path = "/engine/v1/holds/instance-1/5/";
