Publish the end of a limit for ten seconds only

Each further answer without a limit renewed the report of its end, so that it was told to peers for as long as the endpoint answered requests, in place of summaries of work. Found by reading; RequestLimitsTests#endOfALimitIsPublishedForALimitedTime failed before.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
@@ -99,11 +99,11 @@
 	public Optional<LimitChange> apply(EndpointId endpoint, String zone, RequestLimitReport report,
 			Optional<Long> sentMillis, long nowMillis) {
 		Optional<Double> limit = report.requestsPerSecond().map(EndpointLimit::rounded);
-		NamedLimit known = this.limits.get(endpoint);
-		if (report.malformedValue().isPresent() || (known == null && limit.isEmpty())) {
+		Optional<Double> before = limit(endpoint);
+		if (report.malformedValue().isPresent() || (limit.isEmpty() && before.isEmpty())) {
 			return Optional.empty();
 		}
-		Optional<Double> before = limit(endpoint);
+		NamedLimit known = this.limits.get(endpoint);
 		boolean lowers = limit.isPresent() && (before.isEmpty() || limit.get() < before.get());
 		boolean sentAfterReport = known == null || sentMillis.filter((sent) -> sent > known.reportedMillis).isPresent();
 		if (!lowers && !sentAfterReport) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.model.EndpointId;
 import org.junit.jupiter.api.Test;
 
@@ -59,4 +60,31 @@
 		assertThat(this.limits.all()).isEmpty();
 	}
 
+	/**
+	 * Failure: each further answer without a limit renewed the report of its end, which
+	 * was published to peers for ever.
+	 */
+	@Test
+	void endOfALimitIsPublishedForALimitedTime() {
+		report(RequestLimitReport.of(2), 0, 100);
+		report(RequestLimitReport.unlimited(), 200, 210);
+		for (long now = 300; now < 20_000; now += 100) {
+			report(RequestLimitReport.unlimited(), now - 50, now);
+			this.limits.expire(now);
+			assertThat(this.limits.pollPublished(5, now)).hasSize((now <= 10_200) ? 1 : 0);
+		}
+	}
+
+	@Test
+	void leastRecentlyPublishedLimitsArePublishedFirst() {
+		for (String name : List.of("e1", "e2", "e3")) {
+			this.limits.apply(new EndpointId(name), "zone-a", RequestLimitReport.of(1), Optional.of(0L), 0);
+		}
+		List<EndpointLimit> first = this.limits.pollPublished(2, 10);
+		List<EndpointLimit> second = this.limits.pollPublished(2, 10);
+		assertThat(first).hasSize(2);
+		assertThat(second).hasSize(2);
+		assertThat(first).doesNotContain(second.get(0));
+	}
+
 }
