--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.limit.RequestLimits;
@@ -60,7 +59,7 @@
 
 	private final RandomGenerator random;
 
-	private final EndpointTable endpoints;
+	private final EndpointCandidates candidates;
 
 	private final WorkTable work;
 
@@ -91,7 +90,7 @@
 			CrashSuspects suspects, RequestLimits limits) {
 		this.identity = identity;
 		this.random = random;
-		this.endpoints = endpoints;
+		this.candidates = new EndpointCandidates(endpoints, work, limits);
 		this.work = work;
 		this.suspects = suspects;
 		this.promptPlacement = new PromptPlacement(random);
@@ -148,14 +147,14 @@
 	}
 
 	private void dispatch(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		List<EndpointWork> candidates = candidates(state, nowMillis);
-		if (candidates.isEmpty()) {
-			giveUp(state, unavailabilityCause(state), nowMillis, effects);
+		List<EndpointWork> available = this.candidates.find(state, nowMillis);
+		if (available.isEmpty()) {
+			giveUp(state, this.candidates.unavailabilityCause(state), nowMillis, effects);
 			return;
 		}
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		if (model.isEmpty() || !state.isPrompt()) {
-			send(state, this.leastLoadedPlacement.place(candidates, this.identity.zone()).orElseThrow(), nowMillis,
+			send(state, this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow(), nowMillis,
 					effects);
 			return;
 		}
@@ -165,7 +164,7 @@
 			admitUnlessTooCostly(state, demand, placement.get(), nowMillis, effects);
 			return;
 		}
-		Optional<Placement> sharded = placementAcrossMemories(demand, candidates, model.get(), nowMillis);
+		Optional<Placement> sharded = placementAcrossMemories(demand, available, model.get(), nowMillis);
 		if (sharded.isEmpty()) {
 			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 			return;
@@ -182,52 +181,26 @@
 	 * Chooses engines that together have enough memory. Engines that name a limit are
 	 * used only if there are not enough others, since reservations take several requests.
 	 * @param demand demand of the prompt
-	 * @param candidates the engines that may be used
+	 * @param engines the engines that may be used
 	 * @param model their cost model
 	 * @param nowMillis the current time
 	 * @return the placement, empty if there are not enough engines with free memory
 	 */
-	private Optional<Placement> placementAcrossMemories(PromptDemand demand, List<EndpointWork> candidates,
+	private Optional<Placement> placementAcrossMemories(PromptDemand demand, List<EndpointWork> engines,
 			EngineCostModel model, long nowMillis) {
-		List<EndpointWork> unlimited = candidates.stream()
-			.filter((each) -> this.limits.limit(each.endpoint().id()).isEmpty())
-			.toList();
-		return this.promptPlacement.placeAcrossMemories(demand, unlimited, model, this.identity.zone(), nowMillis)
-			.or(() -> (unlimited.size() == candidates.size()) ? Optional.empty() : this.promptPlacement
-				.placeAcrossMemories(demand, candidates, model, this.identity.zone(), nowMillis));
+		List<EndpointWork> unlimited = this.candidates.withoutLimit(engines);
+		Optional<Placement> placement = this.promptPlacement.placeAcrossMemories(demand, unlimited, model,
+				this.identity.zone(), nowMillis);
+		if (placement.isPresent() || unlimited.size() == engines.size()) {
+			return placement;
+		}
+		return this.promptPlacement.placeAcrossMemories(demand, engines, model, this.identity.zone(), nowMillis);
 	}
 
 	private Optional<Placement> placement(ForwardState state, long nowMillis) {
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		return model.flatMap((engine) -> this.promptPlacement.place(demand(state, nowMillis),
-				candidates(state, nowMillis), engine, this.identity.zone(), nowMillis));
-	}
-
-	private List<EndpointWork> candidates(ForwardState state, long nowMillis) {
-		List<ForwardEndpoint> available = untried(state)
-			.filter((endpoint) -> this.limits.mayUse(endpoint.id(), nowMillis))
-			.toList();
-		List<EndpointWork> all = this.work.view(available);
-		List<EndpointWork> healthy = all.stream().filter((each) -> !each.health().isAvoided(nowMillis)).toList();
-		return healthy.isEmpty() ? all : healthy;
-	}
-
-	private Stream<ForwardEndpoint> untried(ForwardState state) {
-		return this.endpoints.available(state.service)
-			.stream()
-			.filter((endpoint) -> !state.triedEndpoints.contains(endpoint.id()));
-	}
-
-	/**
-	 * Returns why there are no candidates for a request.
-	 * @param state the request
-	 * @return the cause
-	 */
-	private RefusalCause unavailabilityCause(ForwardState state) {
-		if (untried(state).findAny().isPresent()) {
-			return RefusalCause.ENDPOINTS_LIMITED;
-		}
-		return (state.sends > 0) ? RefusalCause.NOT_RUN : RefusalCause.NO_ENDPOINT;
+				this.candidates.find(state, nowMillis), engine, this.identity.zone(), nowMillis));
 	}
 
 	private PromptDemand demand(ForwardState state, long nowMillis) {
@@ -377,7 +350,7 @@
 		}
 		this.work.remove(state.requestId);
 		this.reservations.release(state, nowMillis, effects);
-		boolean hasCandidates = !candidates(state, nowMillis).isEmpty();
+		boolean hasCandidates = !this.candidates.find(state, nowMillis).isEmpty();
 		if (hasCandidates && mayRetry(state, outcome, nowMillis)) {
 			dispatch(state, nowMillis, effects);
 		}
@@ -386,7 +359,8 @@
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 		}
 		else {
-			giveUp(state, (hasCandidates) ? RefusalCause.NOT_RUN : unavailabilityCause(state), nowMillis, effects);
+			giveUp(state, (hasCandidates) ? RefusalCause.NOT_RUN : this.candidates.unavailabilityCause(state),
+					nowMillis, effects);
 		}
 	}
 
@@ -537,7 +511,7 @@
 	private void refuse(ForwardState state, RefusalCause cause, long nowMillis, List<GatewayEffect> effects) {
 		finish(state, nowMillis, effects);
 		Optional<Long> retryAfterMillis = (cause == RefusalCause.ENDPOINTS_LIMITED)
-				? Optional.of(RetryAfter.untilAccepted(limitedMillis(state, nowMillis), this.random))
+				? Optional.of(RetryAfter.untilAccepted(this.candidates.acceptedInMillis(state, nowMillis), this.random))
 				: RetryAfter.millis(cause, this.random);
 		log(effects, "refused", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "cause", cause, "sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L),
@@ -545,12 +519,6 @@
 		effects.add(new GatewayEffect.Refuse(state.requestId, cause, retryAfterMillis));
 	}
 
-	private long limitedMillis(ForwardState state, long nowMillis) {
-		return untried(state).mapToLong((endpoint) -> this.limits.acceptsInMillis(endpoint.id(), nowMillis))
-			.min()
-			.orElse(0);
-	}
-
 	private void finish(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		this.byRequestId.remove(state.requestId);
 		if (state.attemptId != 0) {
