Log losses of endpoints with the fingerprint of their requests

Why a request is isolated, or is not, could not be told from logs: no line said that a loss was recorded, reported by a peer or already known, nor which fingerprint a request has. endpoint-lost and endpoint-loss-reported say so; sent and refused name the fingerprint. No decision changes.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -33,19 +33,36 @@
 
 	private final Map<Long, Suspect> suspects = new HashMap<>();
 
-	void record(CrashObservation observation, long nowMillis) {
+	/**
+	 * Records an observation.
+	 * @param observation the observation
+	 * @param nowMillis the current time
+	 * @return whether it was new
+	 */
+	boolean record(CrashObservation observation, long nowMillis) {
 		if (this.suspects.size() >= MAX_FINGERPRINTS) {
 			expire(nowMillis - OBSERVATION_TTL_MILLIS / 2);
 		}
 		Suspect suspect = this.suspects.computeIfAbsent(observation.fingerprint(), (key) -> new Suspect());
-		if (suspect.endpoints.add(observation.endpointHash())) {
+		boolean added = suspect.endpoints.add(observation.endpointHash());
+		if (added) {
 			suspect.lastMillis = nowMillis;
 		}
+		return added;
 	}
 
 	boolean isIsolated(long fingerprint) {
+		return lossCount(fingerprint) >= ISOLATION_THRESHOLD;
+	}
+
+	/**
+	 * Returns the number of endpoints that were lost while running a request.
+	 * @param fingerprint fingerprint of the request
+	 * @return the number
+	 */
+	int lossCount(long fingerprint) {
 		Suspect suspect = this.suspects.get(fingerprint);
-		return suspect != null && suspect.endpoints.size() >= ISOLATION_THRESHOLD;
+		return (suspect != null) ? suspect.endpoints.size() : 0;
 	}
 
 	void expire(long beforeMillis) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -257,8 +257,9 @@
 				? placement.helpers().stream().map((each) -> new GatewayEffect.Helper(each, Optional.empty())).toList()
 				: this.reservations.helpers(state);
 		log(effects, "sent", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
-				state.route.name(), "attempt", state.attemptId, "endpoint", placement.endpoint().id(), "parts",
-				placement.parts(), "listed-helpers", helpers.size(), "helpers",
+				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "attempt",
+				state.attemptId, "endpoint", placement.endpoint().id(), "parts", placement.parts(), "listed-helpers",
+				helpers.size(), "helpers",
 				placement.helpers().stream().map((each) -> each.id().value()).collect(Collectors.joining(" ")),
 				"prompt", state.request.promptTokens(), "expected-first-token-millis",
 				(long) placement.expectedFirstTokenMillis(), "cost", Math.round(placement.cost() * 100) / 100.0,
@@ -338,6 +339,9 @@
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
+		if (outcome.mayHaveCrashedEndpoint()) {
+			recordCrash(state, endpoint, nowMillis, effects);
+		}
 		if (outcome == AttemptOutcome.COMPLETED) {
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
@@ -376,10 +380,14 @@
 		else if (outcome.isEndpointFault()) {
 			health.recordFailure();
 		}
-		if (outcome.mayHaveCrashedEndpoint()) {
-			this.suspects.record(new CrashObservation(state.request.fingerprint(), WorkTable.hash(endpoint)),
-					nowMillis);
-		}
+	}
+
+	private void recordCrash(ForwardState state, EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
+		long fingerprint = state.request.fingerprint();
+		this.suspects.record(new CrashObservation(fingerprint, WorkTable.hash(endpoint)), nowMillis);
+		log(effects, "endpoint-lost", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
+				"endpoint", endpoint, "losses", this.suspects.lossCount(fingerprint), "isolated",
+				this.suspects.isIsolated(fingerprint));
 	}
 
 	private boolean mayRetry(ForwardState state, AttemptOutcome outcome, long nowMillis) {
@@ -514,8 +522,9 @@
 				? Optional.of(RetryAfter.untilAccepted(this.candidates.acceptedInMillis(state, nowMillis), this.random))
 				: RetryAfter.millis(cause, this.random);
 		log(effects, "refused", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
-				state.route.name(), "cause", cause, "sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L),
-				"configuration", this.configuration.version());
+				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "cause", cause,
+				"sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L), "configuration",
+				this.configuration.version());
 		effects.add(new GatewayEffect.Refuse(state.requestId, cause, retryAfterMillis));
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -244,7 +244,16 @@
 					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
 		}
 		for (CrashObservation observation : digest.fullState().get().crashes()) {
-			this.suspects.record(observation, nowMillis);
+			crashReported(observation, digest.sender(), nowMillis);
+		}
+	}
+
+	private void crashReported(CrashObservation observation, String sender, long nowMillis) {
+		boolean isolatedBefore = this.suspects.isIsolated(observation.fingerprint());
+		if (this.suspects.record(observation, nowMillis)) {
+			log("endpoint-loss-reported", "peer", sender, "fingerprint", Long.toHexString(observation.fingerprint()),
+					"losses", this.suspects.lossCount(observation.fingerprint()), "isolated",
+					this.suspects.isIsolated(observation.fingerprint()), "isolated-before", isolatedBefore);
 		}
 	}
 
