--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.FullState;
@@ -308,6 +309,64 @@
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
 	}
 
+	private void listPlainEndpoints(int count) {
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(IntStream.rangeClosed(1, count)
+			.mapToObj((index) -> GatewayFixture.endpoint("p" + index, "plain", false))
+			.toList()));
+	}
+
+	/**
+	 * Failure: an endpoint that ended and came back under its identity counted once.
+	 */
+	@Test
+	void everyEndOfAnEndpointThatKeepsItsIdentityCounts() {
+		this.fixture.started();
+		listPlainEndpoints(1);
+		for (int crash = 0; crash < 3; crash++) {
+			this.fixture.arrive("/read/x", 0);
+			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.BROKEN);
+			this.fixture.advance(5000);
+		}
+		this.fixture.arrive("/read/x", 0);
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(3);
+		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
+	}
+
+	/**
+	 * Failure: an end of an endpoint was not counted if the caller of the request had
+	 * left.
+	 */
+	@Test
+	void endOfAnEndpointCountsAfterTheCallerDisconnected() {
+		this.fixture.started();
+		listPlainEndpoints(4);
+		for (int crash = 0; crash < 3; crash++) {
+			long request = this.fixture.arrive("/post/x", 0);
+			this.fixture.reduce(new GatewayEvent.CallerDisconnected(request));
+			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.BROKEN);
+		}
+		this.fixture.arrive("/post/x", 0);
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(3);
+		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
+	}
+
+	/**
+	 * Failure: a request was isolated for the ends of endpoints on which it had run
+	 * beside others, although it was answered elsewhere.
+	 */
+	@Test
+	void requestThatWasAnsweredIsNotIsolatedForEarlierEndsOfEndpoints() {
+		this.fixture.started();
+		listPlainEndpoints(4);
+		for (int crash = 0; crash < 4; crash++) {
+			this.fixture.arrive("/read/x", 0);
+			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.BROKEN);
+			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.COMPLETED);
+		}
+		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).isEmpty();
+		assertThat(this.fixture.all(GatewayEffect.Deliver.class)).hasSize(4);
+	}
+
 	@Test
 	void endpointThatRefusesConnectionsIsAvoidedAndTheRequestIsResent() {
 		this.fixture.started();
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,6 +26,7 @@
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.core.forwarding.GatewayEvent;
 import io.mulberrylift.core.forwarding.GatewayIdentity;
+import io.mulberrylift.core.forwarding.RefusalCause;
 import io.mulberrylift.core.forwarding.RequestKind;
 import io.mulberrylift.core.forwarding.RetryBounds;
 import io.mulberrylift.core.forwarding.Route;
@@ -50,7 +52,17 @@
 
 	private static final long NETWORK_MILLIS = 2;
 
-	private static final long WORK_MILLIS = 40;
+	/** Time from the end of a runner until its successor starts. */
+	private static final long RESTART_MILLIS = 1500;
+
+	/** Time from the start of a runner until instances know it. */
+	private static final long LIST_MILLIS = 500;
+
+	/** Time for which an instance must have run for timed promises to hold. */
+	private static final long CONTACT_MILLIS = 3000;
+
+	/** Number of ended runners from which a request must not be sent. */
+	private static final int MAX_CRASHES = 3;
 
 	static final RetryBounds RETRY_BOUNDS = new RetryBounds(0.2, 10_000, 100);
 
@@ -76,6 +88,32 @@
 
 	private long requestNumber;
 
+	/** Time that runners take for a request. */
+	long workMillis = 40;
+
+	/** Share of requests that have the fingerprint of the popular one. */
+	double popularShare;
+
+	/** Whether a runner that ended starts again under its identity. */
+	boolean runnersKeepIdentities;
+
+	/** Fingerprint of a request that ends each runner which runs it. */
+	private final long crashingFingerprint;
+
+	/** Fingerprint of a request that many callers send at the same time. */
+	private final long popularFingerprint;
+
+	private final Map<Long, Long> fingerprints = new HashMap<>();
+
+	private final List<Long> crashMillis = new ArrayList<>();
+
+	private final List<CrashingSend> crashingSends = new ArrayList<>();
+
+	/** Refusals of harmless requests as isolated ones. */
+	final List<Long> isolatedHarmlessMillis = new ArrayList<>();
+
+	private int startedRunners;
+
 	/** Whether endpoints answer every request with a failure. */
 	boolean failing;
 
@@ -93,15 +131,58 @@
 		this.zones = zones;
 		this.requestsPerSecond = requestsPerSecond;
 		this.random = new SplittableRandom(seed);
+		this.crashingFingerprint = this.random.nextLong();
+		this.popularFingerprint = this.random.nextLong();
 		for (int index = 0; index < runners; index++) {
-			this.runners.add(new SimulatedRunner(new ForwardEndpoint(new EndpointId("runner-" + index), "s",
-					"10.99.0.1", 1000 + index, zone(index), 1000, false, 0)));
+			this.runners.add(new SimulatedRunner(endpoint("runner-" + index, 1000 + index, zone(index))));
 		}
+		this.startedRunners = runners;
 		for (int index = 0; index < instances; index++) {
 			startInstance(index);
 		}
 	}
 
+	private static ForwardEndpoint endpoint(String id, int port, String zone) {
+		return new ForwardEndpoint(new EndpointId(id), "s", "10.99.0.1", port, zone, 1000, false, 0);
+	}
+
+	/**
+	 * Sends the request that ends runners to an instance.
+	 */
+	void sendCrashingRequest(int instance) {
+		this.instances.get(address(instance).toString()).arrive(this.crashingFingerprint);
+	}
+
+	int crashes() {
+		return this.crashMillis.size();
+	}
+
+	/**
+	 * Returns how often the request that ends runners reached one later than it may, sent
+	 * by instances that had run long enough.
+	 */
+	long lateCrashingSends() {
+		if (this.crashMillis.size() < MAX_CRASHES) {
+			return 0;
+		}
+		long lastMillis = this.crashMillis.get(MAX_CRASHES - 1) + CONTACT_MILLIS;
+		return this.crashingSends.stream()
+			.filter((send) -> send.millis() > lastMillis && send.instanceAgeMillis() >= CONTACT_MILLIS)
+			.count();
+	}
+
+	private void crash(SimulatedRunner runner) {
+		this.crashMillis.add(this.nowMillis);
+		runner.end().forEach((broken) -> at(this.nowMillis + NETWORK_MILLIS, broken));
+		at(this.nowMillis + RESTART_MILLIS, () -> {
+			ForwardEndpoint previous = runner.endpoint;
+			ForwardEndpoint next = (this.runnersKeepIdentities) ? previous
+					: endpoint("runner-" + this.startedRunners++, previous.port(), previous.zone());
+			this.runners.set(this.runners.indexOf(runner), new SimulatedRunner(next));
+			at(this.nowMillis + LIST_MILLIS, () -> this.instances.values().forEach(Instance::readEndpoints));
+		});
+	}
+
 	private String zone(int index) {
 		return "zone-" + index % this.zones;
 	}
@@ -174,6 +255,9 @@
 		this.events.add(new Event(millis, this.eventNumber++, action));
 	}
 
+	private record CrashingSend(long millis, long instanceAgeMillis) {
+	}
+
 	private record Event(long atMillis, long number, Runnable action) {
 	}
 
@@ -191,6 +275,8 @@
 
 		private final Set<Long> sentRequests = new HashSet<>();
 
+		private final long startMillis = SimulatedFleet.this.nowMillis;
+
 		private boolean stopped;
 
 		Instance(int index) {
@@ -210,6 +296,10 @@
 			reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(1, new RouteTable(List.of(route)),
 					Map.of("s", new ForwardedService("s", 100, Optional.empty())), Map.of(), false,
 					ClientLimits.DEFAULT)));
+			readEndpoints();
+		}
+
+		private void readEndpoints() {
 			reduce(new GatewayEvent.EndpointsRead(
 					SimulatedFleet.this.runners.stream().map((runner) -> runner.endpoint).toList()));
 		}
@@ -257,17 +347,19 @@
 			double gapMillis = -Math.log(1 - SimulatedFleet.this.random.nextDouble()) * 1000 / perInstance;
 			at(SimulatedFleet.this.nowMillis + 1 + (long) gapMillis, () -> {
 				if (!this.stopped) {
-					arrive();
+					arrive((SimulatedFleet.this.random.nextDouble() < SimulatedFleet.this.popularShare)
+							? SimulatedFleet.this.popularFingerprint : SimulatedFleet.this.random.nextLong());
 					scheduleRequest();
 				}
 			});
 		}
 
-		private void arrive() {
+		private void arrive(long fingerprint) {
 			long id = SimulatedFleet.this.requestNumber++;
+			SimulatedFleet.this.fingerprints.put(id, fingerprint);
 			SimulatedFleet.this.requestMillis.add(SimulatedFleet.this.nowMillis);
 			reduce(new GatewayEvent.RequestArrived(id,
-					new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, id)));
+					new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, fingerprint)));
 		}
 
 		private void reduce(GatewayEvent event) {
@@ -286,28 +378,62 @@
 				}
 				else if (effect instanceof GatewayEffect.Refuse refuse) {
 					SimulatedFleet.this.refused.add(refuse);
+					if (refuse.cause() == RefusalCause.ISOLATED && SimulatedFleet.this.fingerprints
+						.get(refuse.requestId()) != SimulatedFleet.this.crashingFingerprint) {
+						SimulatedFleet.this.isolatedHarmlessMillis.add(SimulatedFleet.this.nowMillis);
+					}
 				}
 			}
 		}
 
 		private void serve(GatewayEffect.Send send) {
-			SimulatedRunner runner = SimulatedFleet.this.runners.stream()
-				.filter((each) -> each.endpoint.id().equals(send.endpoint().id()))
-				.findFirst()
-				.orElseThrow();
+			Optional<SimulatedRunner> found = SimulatedFleet.this.runners.stream()
+				.filter((each) -> each.endpoint.id().equals(send.endpoint().id()) && !each.isEnded())
+				.findFirst();
+			if (found.isEmpty()) {
+				at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS,
+						() -> end(send.attemptId(), AttemptOutcome.NOT_CONNECTED, 0));
+				return;
+			}
+			SimulatedRunner runner = found.get();
 			RequestLimitReport report = runner.arrive(this.address, SimulatedFleet.this.nowMillis);
-			at(SimulatedFleet.this.nowMillis + WORK_MILLIS + NETWORK_MILLIS, () -> {
-				if (!this.stopped) {
-					report.requestsPerSecond()
-						.ifPresent((limit) -> runner.tell(this.address, SimulatedFleet.this.nowMillis));
-					reduce(new GatewayEvent.RequestLimitReported(runner.endpoint.id(), send.attemptId(), report));
-					reduce(new GatewayEvent.AttemptEnded(send.attemptId(),
-							(SimulatedFleet.this.failing) ? AttemptOutcome.ENDPOINT_ERROR : AttemptOutcome.COMPLETED,
-							(SimulatedFleet.this.failing) ? 500 : 200));
+			runner.begin(send.attemptId() + this.address, () -> end(send.attemptId(), AttemptOutcome.BROKEN, 0));
+			boolean crashing = SimulatedFleet.this.fingerprints
+				.get(send.requestId()) == SimulatedFleet.this.crashingFingerprint;
+			if (crashing) {
+				SimulatedFleet.this.crashingSends.add(new CrashingSend(SimulatedFleet.this.nowMillis,
+						SimulatedFleet.this.nowMillis - this.startMillis));
+			}
+			at(SimulatedFleet.this.nowMillis + SimulatedFleet.this.workMillis, () -> {
+				if (runner.isEnded()) {
+					return;
+				}
+				if (crashing) {
+					crash(runner);
+					return;
 				}
+				runner.complete(send.attemptId() + this.address);
+				at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> answered(runner, send, report));
 			});
 		}
 
+		private void answered(SimulatedRunner runner, GatewayEffect.Send send, RequestLimitReport report) {
+			if (this.stopped) {
+				return;
+			}
+			report.requestsPerSecond().ifPresent((limit) -> runner.tell(this.address, SimulatedFleet.this.nowMillis));
+			reduce(new GatewayEvent.RequestLimitReported(runner.endpoint.id(), send.attemptId(), report));
+			end(send.attemptId(),
+					(SimulatedFleet.this.failing) ? AttemptOutcome.ENDPOINT_ERROR : AttemptOutcome.COMPLETED,
+					(SimulatedFleet.this.failing) ? 500 : 200);
+		}
+
+		private void end(long attemptId, AttemptOutcome outcome, int status) {
+			if (!this.stopped) {
+				reduce(new GatewayEvent.AttemptEnded(attemptId, outcome, status));
+			}
+		}
+
 	}
 
 }
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedRunner.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedRunner.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,6 +32,11 @@
 	/** When each instance received its first answer with a limit. */
 	private final Map<String, Long> toldMillis = new HashMap<>();
 
+	/** What happens to each attempt in progress if the endpoint ends. */
+	private final Map<String, Runnable> inProgress = new LinkedHashMap<>();
+
+	private boolean ended;
+
 	private Optional<Double> limit = Optional.empty();
 
 	private long firstNamedMillis = Long.MAX_VALUE;
@@ -43,6 +49,27 @@
 		this.endpoint = endpoint;
 	}
 
+	void begin(String attempt, Runnable broken) {
+		this.inProgress.put(attempt, broken);
+	}
+
+	void complete(String attempt) {
+		this.inProgress.remove(attempt);
+	}
+
+	boolean isEnded() {
+		return this.ended;
+	}
+
+	/**
+	 * Ends the endpoint, which accepts no connections from now on.
+	 * @return what happens to the attempts in progress
+	 */
+	List<Runnable> end() {
+		this.ended = true;
+		return List.copyOf(this.inProgress.values());
+	}
+
 	/**
 	 * Starts to name a limit, changes it or ends it.
 	 */
