Recognize a repeated request by its workspace, not by its key

A request that had ended three runners was sent on under another key of the same tenant: the fingerprint contained the API key, and PROTOCOL says that such a request comes again with the same path, caller and body. The caller is the tenant that holds the key.

GatewayLoopbackTests#isolatedRequestIsRefusedWhicheverKeyOfItsTenantItHas failed before (the request reached further runners under the second key).

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -343,9 +343,11 @@
 		this.metrics.count("requests");
 		this.answersByRequest.put(exchange.id(), new ForwardedAnswer(exchange));
 		this.arrivalMillisByRequest.put(exchange.id(), nowMillis());
+		Optional<String> workspace = this.gateway.configuration()
+			.flatMap((configuration) -> head.apiKey().map(configuration.workspacesByKey()::get));
 		run(new GatewayEvent.RequestArrived(exchange.id(),
 				new ForwardRequest(head.attemptId(), head.host(), head.path(), head.apiKey(), head.deadlineMillis(),
-						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request))));
+						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request, workspace))));
 	}
 
 	@Override
