Publish losses of endpoints promptly, and those that matter for good

Cause: news of losses was lost. It went out with full states only, each 1.2 to 2.4 s, for 2.5 s after the newest, at most 12 pairs in the order of a hash map, into which the pairs of all peers went as well. Each request in progress on a runner that ends is a pair, so that whether the one that matters was published depended on its hash; and an instance that started or was cut off later never heard.

Change: losses have a place in every digest. Own ones are sent within 20 ms, in a small message even if the byte rate is used up (the debt is bounded and made up for by others), and twice more 0.3 s apart; most losses first. Those of requests with two or more go out in turn with every full state for as long as they are kept, which is how an instance that starts hears of them. In large fleets, a loss that makes two is relayed at once. A digest of changes from an unknown sender is ignored as before, but for its losses. An isolated request is kept for 10 min, a suspected one for 2 min.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -1,11 +1,10 @@
 package io.mulberrylift.core.forwarding;
 
-import java.util.HashMap;
-import java.util.Iterator;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 
 import io.mulberrylift.core.gossip.CrashObservation;
 
@@ -13,90 +12,207 @@
  * Requests suspected of crashing endpoints, as observed by all instances.
  *
  * <p>
- * A crash observation is a pair of a request's fingerprint and an endpoint, so that
- * reports of several instances about the same loss count once. Observations expire after
- * {@value #OBSERVATION_TTL_MILLIS} ms. Not thread-safe.
+ * The loss of an endpoint counts against each request that was running on it. A request
+ * is isolated from {@value #ISOLATION_THRESHOLD} losses on. Observations are published
+ * promptly several times, since messages may be lost; those of requests with
+ * {@value #RELAY_THRESHOLD} losses or more are published in turn as long as they are
+ * kept, so that instances which start or were disconnected learn them. Not thread-safe.
  * </p>
  */
 final class CrashSuspects {
 
-	/** Number of crashed endpoints from which a request is isolated. */
+	/** Number of losses from which a request is isolated. */
 	static final int ISOLATION_THRESHOLD = 3;
 
-	private static final long OBSERVATION_TTL_MILLIS = 120_000;
+	private static final long SUSPICION_MILLIS = 120_000;
+
+	private static final long ISOLATION_MILLIS = 600_000;
 
 	private static final int MAX_FINGERPRINTS = 4096;
 
-	private static final long PUBLISH_MILLIS = 2500;
+	/** Number of prompt publications of an own observation. */
+	private static final int OWN_PUBLICATIONS = 3;
+
+	/** Interval between the prompt publications of an observation. */
+	private static final long PUBLICATION_INTERVAL_MILLIS = 300;
 
-	private static final int MAX_PUBLISHED = 12;
+	/** Number of losses from which observations of peers are published as well. */
+	private static final int RELAY_THRESHOLD = 2;
 
-	private final Map<Long, Suspect> suspects = new HashMap<>();
+	/** By fingerprint, the least recently changed first. */
+	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
+
+	/**
+	 * Records that an endpoint was lost during an attempt of this instance.
+	 * @param fingerprint fingerprint of the request
+	 * @param endpointHash hash of the endpoint's identity
+	 * @param nowMillis the current time
+	 */
+	void recordLoss(long fingerprint, int endpointHash, long nowMillis) {
+		addLoss(fingerprint, endpointHash, OWN_PUBLICATIONS, nowMillis);
+	}
 
 	/**
-	 * Records an observation.
+	 * Records an observation of a peer.
 	 * @param observation the observation
+	 * @param relay whether to publish the losses of the request promptly if there are
+	 * several, for peers that do not receive the messages of all instances
 	 * @param nowMillis the current time
-	 * @return whether it was new
+	 * @return whether it changed the losses of its request
 	 */
-	boolean record(CrashObservation observation, long nowMillis) {
-		if (this.suspects.size() >= MAX_FINGERPRINTS) {
-			expire(nowMillis - OBSERVATION_TTL_MILLIS / 2);
-		}
-		Suspect suspect = this.suspects.computeIfAbsent(observation.fingerprint(), (key) -> new Suspect());
-		boolean added = suspect.endpoints.add(observation.endpointHash());
-		if (added) {
-			suspect.lastMillis = nowMillis;
+	boolean recordReported(CrashObservation observation, boolean relay, long nowMillis) {
+		long fingerprint = observation.fingerprint();
+		boolean added = addLoss(fingerprint, observation.endpointHash(), 0, nowMillis);
+		if (added && relay && lossCount(fingerprint) >= RELAY_THRESHOLD) {
+			this.suspects.get(fingerprint).losses.forEach((loss) -> loss.publication.request(1, nowMillis));
 		}
 		return added;
 	}
 
+	private boolean addLoss(long fingerprint, int endpointHash, int publications, long nowMillis) {
+		Suspect suspect = this.suspects.getOrDefault(fingerprint, new Suspect());
+		boolean known = suspect.losses.stream().anyMatch((loss) -> loss.endpointHash == endpointHash);
+		if (known || suspect.losses.size() >= ISOLATION_THRESHOLD) {
+			return false;
+		}
+		Loss loss = new Loss(endpointHash);
+		loss.publication.request(publications, nowMillis);
+		suspect.losses.add(loss);
+		suspect.changedMillis = nowMillis;
+		this.suspects.remove(fingerprint);
+		this.suspects.put(fingerprint, suspect);
+		if (this.suspects.size() > MAX_FINGERPRINTS) {
+			this.suspects.remove(this.suspects.keySet().iterator().next());
+		}
+		return true;
+	}
+
 	boolean isIsolated(long fingerprint) {
 		return lossCount(fingerprint) >= ISOLATION_THRESHOLD;
 	}
 
 	/**
-	 * Returns the number of endpoints that were lost while running a request.
+	 * Returns the number of losses that count against a request.
 	 * @param fingerprint fingerprint of the request
-	 * @return the number
+	 * @return the number, at most {@value #ISOLATION_THRESHOLD}
 	 */
 	int lossCount(long fingerprint) {
 		Suspect suspect = this.suspects.get(fingerprint);
-		return (suspect != null) ? suspect.endpoints.size() : 0;
+		return (suspect != null) ? suspect.losses.size() : 0;
 	}
 
-	void expire(long beforeMillis) {
-		for (Iterator<Suspect> iterator = this.suspects.values().iterator(); iterator.hasNext();) {
-			if (iterator.next().lastMillis < beforeMillis) {
-				iterator.remove();
-			}
-		}
+	/**
+	 * Returns the number of requests with a number of losses.
+	 * @param minLosses minimum number of losses
+	 * @return the number of requests
+	 */
+	long count(int minLosses) {
+		return this.suspects.values().stream().filter((suspect) -> suspect.losses.size() >= minLosses).count();
 	}
 
 	void tick(long nowMillis) {
-		expire(nowMillis - OBSERVATION_TTL_MILLIS);
+		this.suspects.values().removeIf((suspect) -> nowMillis - suspect.changedMillis > suspect.retentionMillis());
+	}
+
+	/**
+	 * Returns whether there are observations to publish promptly.
+	 * @param nowMillis the current time
+	 * @return true if a prompt publication is due
+	 */
+	boolean hasPromptObservations(long nowMillis) {
+		return this.suspects.values().stream().anyMatch((suspect) -> suspect.isPromptPublicationDue(nowMillis));
 	}
 
 	/**
-	 * Returns the recent observations, which are published to peers.
+	 * Returns the observations to publish next: those to be published promptly, of the
+	 * requests with most losses first, and then the least recently published ones of
+	 * requests with at least {@value #RELAY_THRESHOLD} losses.
+	 * @param maxCount maximum number of observations
 	 * @param nowMillis the current time
-	 * @return at most {@value #MAX_PUBLISHED} observations
+	 * @return the observations
 	 */
-	List<CrashObservation> recent(long nowMillis) {
-		return this.suspects.entrySet()
-			.stream()
-			.filter((entry) -> nowMillis - entry.getValue().lastMillis < PUBLISH_MILLIS)
-			.flatMap((entry) -> entry.getValue().endpoints.stream()
-				.map((endpoint) -> new CrashObservation(entry.getKey(), endpoint)))
-			.limit(MAX_PUBLISHED)
-			.toList();
+	List<CrashObservation> pollPublished(int maxCount, long nowMillis) {
+		List<Publishable> candidates = new ArrayList<>();
+		this.suspects.forEach((fingerprint, suspect) -> suspect.addPublishable(fingerprint, candidates, nowMillis));
+		candidates.sort(Comparator.comparingInt((Publishable each) -> -each.promptLosses(nowMillis))
+			.thenComparingLong((each) -> each.publication().lastMillis));
+		return candidates.stream().limit(maxCount).map((each) -> each.publish(nowMillis)).toList();
+	}
+
+	/** When an observation was and will be published. */
+	private static final class Publication {
+
+		private int promptLeft;
+
+		private long promptMillis;
+
+		private long lastMillis = Long.MIN_VALUE / 2;
+
+		void request(int count, long nowMillis) {
+			this.promptLeft = Math.max(this.promptLeft, count);
+			this.promptMillis = nowMillis;
+		}
+
+		boolean isPromptDue(long nowMillis) {
+			return this.promptLeft > 0 && nowMillis >= this.promptMillis;
+		}
+
+		void published(long nowMillis) {
+			this.promptLeft = Math.max(0, this.promptLeft - 1);
+			this.promptMillis = nowMillis + PUBLICATION_INTERVAL_MILLIS;
+			this.lastMillis = nowMillis;
+		}
+
+	}
+
+	private record Publishable(CrashObservation observation, int losses, Publication publication) {
+
+		int promptLosses(long nowMillis) {
+			return (this.publication.isPromptDue(nowMillis)) ? this.losses : 0;
+		}
+
+		CrashObservation publish(long nowMillis) {
+			this.publication.published(nowMillis);
+			return this.observation;
+		}
+
+	}
+
+	private static final class Loss {
+
+		private final int endpointHash;
+
+		private final Publication publication = new Publication();
+
+		Loss(int endpointHash) {
+			this.endpointHash = endpointHash;
+		}
+
 	}
 
 	private static final class Suspect {
 
-		private final Set<Integer> endpoints = new TreeSet<>();
+		/** At most {@value #ISOLATION_THRESHOLD}. */
+		private final List<Loss> losses = new ArrayList<>();
+
+		private long changedMillis;
 
-		private long lastMillis;
+		long retentionMillis() {
+			return (this.losses.size() >= ISOLATION_THRESHOLD) ? ISOLATION_MILLIS : SUSPICION_MILLIS;
+		}
+
+		boolean isPromptPublicationDue(long nowMillis) {
+			return this.losses.stream().anyMatch((loss) -> loss.publication.isPromptDue(nowMillis));
+		}
+
+		void addPublishable(long fingerprint, List<Publishable> target, long nowMillis) {
+			for (Loss loss : this.losses) {
+				if (loss.publication.isPromptDue(nowMillis) || this.losses.size() >= RELAY_THRESHOLD) {
+					target.add(new Publishable(new CrashObservation(fingerprint, loss.endpointHash), this.losses.size(),
+							loss.publication));
+				}
+			}
+		}
 
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -7,7 +7,6 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
-import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointHealth;
@@ -384,7 +383,7 @@
 
 	private void recordCrash(ForwardState state, EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
 		long fingerprint = state.request.fingerprint();
-		this.suspects.record(new CrashObservation(fingerprint, WorkTable.hash(endpoint)), nowMillis);
+		this.suspects.recordLoss(fingerprint, WorkTable.hash(endpoint), nowMillis);
 		log(effects, "endpoint-lost", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
 				"endpoint", endpoint, "losses", this.suspects.lossCount(fingerprint), "isolated",
 				this.suspects.isIsolated(fingerprint));
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -64,6 +64,8 @@
 
 	private int liveInstances = 1;
 
+	private boolean partialView;
+
 	/**
 	 * Creates the state of a newly started process.
 	 * @param identity identity and limits of the instance, not null
@@ -117,6 +119,9 @@
 		else if (event instanceof GatewayEvent.DigestReceived received) {
 			digestReceived(received.digest(), nowMillis);
 		}
+		else if (event instanceof GatewayEvent.CrashesReported reported) {
+			reported.crashes().forEach((each) -> crashReported(each, reported.sender(), nowMillis));
+		}
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
@@ -243,14 +248,11 @@
 				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
 					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
 		}
-		for (CrashObservation observation : digest.fullState().get().crashes()) {
-			crashReported(observation, digest.sender(), nowMillis);
-		}
 	}
 
 	private void crashReported(CrashObservation observation, String sender, long nowMillis) {
 		boolean isolatedBefore = this.suspects.isIsolated(observation.fingerprint());
-		if (this.suspects.record(observation, nowMillis)) {
+		if (this.suspects.recordReported(observation, this.partialView, nowMillis)) {
 			log("endpoint-loss-reported", "peer", sender, "fingerprint", Long.toHexString(observation.fingerprint()),
 					"losses", this.suspects.lossCount(observation.fingerprint()), "isolated",
 					this.suspects.isIsolated(observation.fingerprint()), "isolated-before", isolatedBefore);
@@ -318,6 +320,7 @@
 	 * @param partial true if the work of other zones is unknown
 	 */
 	public void setPartialView(boolean partial) {
+		this.partialView = partial;
 		this.forwarder.setPartialView(partial);
 	}
 
@@ -332,12 +335,32 @@
 	}
 
 	/**
-	 * Returns the recent observations of requests that may have crashed endpoints.
+	 * Returns whether there are observations of requests that may have crashed endpoints
+	 * which peers should learn promptly.
 	 * @param nowMillis the current time
-	 * @return a bounded number of observations
+	 * @return true if there are
+	 */
+	public boolean hasPromptCrashes(long nowMillis) {
+		return this.suspects.hasPromptObservations(nowMillis);
+	}
+
+	/**
+	 * Returns the next observations of requests that may have crashed endpoints, to be
+	 * published to peers.
+	 * @param maxCount maximum number of observations
+	 * @param nowMillis the current time
+	 * @return the observations, those to be learned promptly first
+	 */
+	public List<CrashObservation> pollPublishedCrashes(int maxCount, long nowMillis) {
+		return this.suspects.pollPublished(maxCount, nowMillis);
+	}
+
+	/**
+	 * Returns the number of requests that are refused because they crashed endpoints.
+	 * @return the number
 	 */
-	public List<CrashObservation> recentCrashes(long nowMillis) {
-		return this.suspects.recent(nowMillis);
+	public long isolatedRequests() {
+		return this.suspects.count(CrashSuspects.ISOLATION_THRESHOLD);
 	}
 
 	/**
@@ -418,8 +441,9 @@
 	public Map<String, Object> describe(long nowMillis) {
 		return Map.of("ready", isReady(), "configuration", configurationVersion(), "requests", inProgress(),
 				"endpoints", this.endpoints.available(), "instances", this.liveInstances, "avoided",
-				avoidedEndpoints(nowMillis).toString(), "limits", this.limits.all().toString(), "crashes",
-				recentCrashes(nowMillis).size(), "loads", this.work.recentLoads(nowMillis).toString());
+				avoidedEndpoints(nowMillis).toString(), "limits", this.limits.all().toString(), "suspects",
+				this.suspects.count(1), "isolated", isolatedRequests(), "loads",
+				this.work.recentLoads(nowMillis).toString());
 	}
 
 	private void log(String event, Object... fields) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
@@ -93,6 +94,15 @@
 	record DigestReceived(InstanceDigest digest) implements GatewayEvent {
 	}
 
+	/**
+	 * A peer reported requests that may have crashed endpoints.
+	 *
+	 * @param sender address of the peer
+	 * @param crashes the observations, repeated and reordered ones included
+	 */
+	record CrashesReported(String sender, List<CrashObservation> crashes) implements GatewayEvent {
+	}
+
 	/**
 	 * An engine answered a request to reserve memory, or did not answer in time.
 	 *
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
@@ -12,11 +12,10 @@
  * @param storeRevision revision of the platform's store that it has read up to
  * @param avoided endpoints that it avoids because of faults that it observed itself
  * @param limits limits of requests that endpoints named or ended recently
- * @param crashes requests during which endpoints were lost recently
  * @param members a sample of the instances that it knows
  */
 public record FullState(String zone, long configurationVersion, long storeRevision, List<AvoidedEndpoint> avoided,
-		List<EndpointLimit> limits, List<CrashObservation> crashes, List<KnownMember> members) {
+		List<EndpointLimit> limits, List<KnownMember> members) {
 
 	/**
 	 * Creates the state.
@@ -25,7 +24,6 @@
 		Objects.requireNonNull(zone, "zone");
 		avoided = List.copyOf(avoided);
 		limits = List.copyOf(limits);
-		crashes = List.copyOf(crashes);
 		members = List.copyOf(members);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/InstanceDigest.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/InstanceDigest.java
@@ -20,11 +20,13 @@
  * @param ended requests that have ended since the previous message
  * @param summaries work aggregated by endpoint, sent instead of single requests in large
  * fleets
+ * @param crashes requests during which endpoints were lost
  * @param fullState remaining fields of a full-state message, empty in a message of
  * changes
  */
 public record InstanceDigest(String sender, long incarnation, long sequence, Map<Long, RequestWork> work,
-		List<Long> ended, List<EndpointSummary> summaries, Optional<FullState> fullState) {
+		List<Long> ended, List<EndpointSummary> summaries, List<CrashObservation> crashes,
+		Optional<FullState> fullState) {
 
 	/**
 	 * Creates the digest.
@@ -35,6 +37,7 @@
 		work = Map.copyOf(work);
 		ended = List.copyOf(ended);
 		summaries = List.copyOf(summaries);
+		crashes = List.copyOf(crashes);
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -268,9 +268,9 @@
 			if (millis % 1000 == 0) {
 				RequestWork prefill = new RequestWork(false, 6000, 200_000, 0, 800, 3000, 6000, 40, hash,
 						List.of(1, 2));
-				FullState state = new FullState("zone-b", 1, 1, List.of(), List.of(), List.of(), List.of());
+				FullState state = new FullState("zone-b", 1, 1, List.of(), List.of(), List.of());
 				this.fixture.reduce(new GatewayEvent.DigestReceived(new InstanceDigest("10.0.0.9:1", 1, millis + 1,
-						Map.of(5L, prefill), List.of(), List.of(), Optional.of(state))));
+						Map.of(5L, prefill), List.of(), List.of(), List.of(), Optional.of(state))));
 			}
 			this.fixture.advance(20);
 		}
@@ -298,10 +298,8 @@
 	void requestThatCrashedThreeEndpointsIsIsolated() {
 		this.fixture.started();
 		for (int hash = 1; hash <= 3; hash++) {
-			FullState state = new FullState("zone-b", 1, 1, List.of(), List.of(),
-					List.of(new CrashObservation(42, hash)), List.of());
-			this.fixture.reduce(new GatewayEvent.DigestReceived(
-					new InstanceDigest("10.0.0.9:1", 1, hash, Map.of(), List.of(), List.of(), Optional.of(state))));
+			this.fixture
+				.reduce(new GatewayEvent.CrashesReported("10.0.0.9:1", List.of(new CrashObservation(42, hash))));
 		}
 		this.fixture.arrive("/read/x", 0);
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -214,6 +214,9 @@
 	}
 
 	private void digestReceived(InstanceDigest digest) {
+		if (!digest.crashes().isEmpty()) {
+			run(new GatewayEvent.CrashesReported(digest.sender(), digest.crashes()));
+		}
 		if (this.membership.receive(digest, nowMillis())) {
 			run(new GatewayEvent.DigestReceived(digest));
 		}
@@ -421,7 +424,8 @@
 			case "/metrics" -> Page.text(200,
 					this.metrics.text() + "mulberrylift_connections_opened " + this.endpointPool.openedConnections()
 							+ "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
-							+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size() + "\n");
+							+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
+							+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedRequests() + "\n");
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot());
 			default -> Page.NOT_FOUND;
 		};
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 
 import io.mulberrylift.core.forwarding.Gateway;
+import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
@@ -66,6 +67,26 @@
 	 */
 	private static final int MAX_LIMITS_PARTIAL = 3;
 
+	/** Maximum number of crash observations in a full state. */
+	private static final int MAX_CRASHES = 12;
+
+	/** Maximum number of crash observations in a full state in large fleets. */
+	private static final int MAX_CRASHES_PARTIAL = 3;
+
+	/** Minimum interval between messages of crash observations. */
+	private static final long CRASHES_INTERVAL_MILLIS = 100;
+
+	/** Time whose byte rate a message of crash observations may use. */
+	private static final double CRASHES_RATE_MILLIS = 500;
+
+	private static final int MIN_CRASHES = 3;
+
+	/** Maximum size of an encoded crash observation. */
+	private static final int CRASH_BYTES = 18;
+
+	/** Size of a message of crash observations without the observations. */
+	private static final int CRASHES_HEADER_BYTES = 24;
+
 	/** Time that ended requests wait to be published together with a placed one. */
 	private static final long BATCH_DELAY_MILLIS = 120;
 
@@ -97,6 +118,8 @@
 
 	private long lastSummaryMillis;
 
+	private long lastCrashesMillis;
+
 	private boolean fullStateDue = true;
 
 	private double allowedBytes;
@@ -141,6 +164,9 @@
 	void tick(long nowMillis) {
 		collectChanges(nowMillis);
 		replenish(nowMillis);
+		if (this.gateway.hasPromptCrashes(nowMillis)) {
+			sendCrashes(nowMillis);
+		}
 		long sinceFullStateMillis = nowMillis - this.lastFullStateMillis;
 		boolean overdue = sinceFullStateMillis >= MAX_FULL_STATE_INTERVAL_MILLIS
 				|| (sinceFullStateMillis >= FULL_STATE_INTERVAL_MILLIS && this.allowedBytes > 0);
@@ -156,6 +182,24 @@
 		}
 	}
 
+	/**
+	 * Sends crash observations, even if the byte rate is used up: each instance that does
+	 * not know them may lose more endpoints. The bytes are made up for by other messages.
+	 * @param nowMillis the current time
+	 */
+	private void sendCrashes(long nowMillis) {
+		double maxDebtBytes = this.settings.maxPeerBytesPerSecond() * BURST_SECONDS;
+		if (nowMillis - this.lastCrashesMillis < CRASHES_INTERVAL_MILLIS || this.allowedBytes < -maxDebtBytes) {
+			return;
+		}
+		this.lastCrashesMillis = nowMillis;
+		List<String> targets = this.membership.targets(nowMillis);
+		int maxCrashes = (bytesPerTarget(targets, CRASHES_RATE_MILLIS) - CRASHES_HEADER_BYTES) / CRASH_BYTES;
+		List<CrashObservation> crashes = this.gateway.pollPublishedCrashes(Math.max(MIN_CRASHES, maxCrashes),
+				nowMillis);
+		send(targets, digest(Map.of(), List.of(), List.of(), crashes, Optional.empty()), DigestCodec.MAX_BYTES);
+	}
+
 	private void collectChanges(long nowMillis) {
 		if (this.changedRequests.isEmpty()) {
 			this.changedSinceMillis = nowMillis;
@@ -178,21 +222,25 @@
 		int maxBytes = maxMessageBytes(targets, FULL_STATE_RATE_SHARE * MAX_FULL_STATE_INTERVAL_MILLIS);
 		if (!this.membership.isPartial()) {
 			FullState state = state(MAX_LIMITS, this.membership.sample(nowMillis), nowMillis);
-			send(targets, digest(this.gateway.ownWork(nowMillis), List.of(), List.of(), Optional.of(state)), maxBytes);
+			List<CrashObservation> crashes = this.gateway.pollPublishedCrashes(MAX_CRASHES, nowMillis);
+			send(targets, digest(this.gateway.ownWork(nowMillis), List.of(), List.of(), crashes, Optional.of(state)),
+					maxBytes);
 			return;
 		}
 		FullState state = state(MAX_LIMITS_PARTIAL, this.membership.sample(nowMillis), nowMillis);
-		int fixedBytes = DigestCodec.encode(digest(Map.of(), List.of(), List.of(), Optional.of(state)),
+		List<CrashObservation> crashes = this.gateway.pollPublishedCrashes(MAX_CRASHES_PARTIAL, nowMillis);
+		int fixedBytes = DigestCodec.encode(digest(Map.of(), List.of(), List.of(), crashes, Optional.of(state)),
 				DigestCodec.MAX_BYTES).length;
 		List<EndpointSummary> selected = this.summaries.pollDue(this.gateway.ownSummaries(nowMillis),
 				maxBytes - fixedBytes, nowMillis);
 		List<String> tracked = this.membership.trackedPeers();
-		send(tracked, digest(Map.of(), List.of(), selected, Optional.of(state)), DigestCodec.MAX_BYTES);
+		send(tracked, digest(Map.of(), List.of(), selected, crashes, Optional.of(state)), DigestCodec.MAX_BYTES);
 		for (String target : targets) {
 			if (!tracked.contains(target)) {
 				FullState other = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
-						state.avoided(), state.limits(), state.crashes(), this.membership.sampleFor(target, nowMillis));
-				send(List.of(target), digest(Map.of(), List.of(), selected, Optional.of(other)), DigestCodec.MAX_BYTES);
+						state.avoided(), state.limits(), this.membership.sampleFor(target, nowMillis));
+				send(List.of(target), digest(Map.of(), List.of(), selected, crashes, Optional.of(other)),
+						DigestCodec.MAX_BYTES);
 			}
 		}
 	}
@@ -200,7 +248,7 @@
 	private FullState state(int maxLimits, List<KnownMember> sample, long nowMillis) {
 		return new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
 				this.storeRevision.getAsLong(), this.gateway.avoidedEndpoints(nowMillis),
-				this.gateway.pollPublishedLimits(maxLimits, nowMillis), this.gateway.recentCrashes(nowMillis), sample);
+				this.gateway.pollPublishedLimits(maxLimits, nowMillis), sample);
 	}
 
 	private void sendSummaries(long nowMillis) {
@@ -220,7 +268,7 @@
 		int bytes = bytesPerTarget(targets, (1 - FULL_STATE_RATE_SHARE) * intervalMillis) - SUMMARY_HEADER_BYTES;
 		List<EndpointSummary> selected = this.summaries.pollDue(current, bytes, nowMillis);
 		if (!selected.isEmpty()) {
-			send(targets, digest(Map.of(), List.of(), selected, Optional.empty()), DigestCodec.MAX_BYTES);
+			send(targets, digest(Map.of(), List.of(), selected, List.of(), Optional.empty()), DigestCodec.MAX_BYTES);
 		}
 	}
 
@@ -246,13 +294,14 @@
 		List<Long> ended = this.changedRequests.stream().filter((request) -> !work.containsKey(request)).toList();
 		this.changedRequests.clear();
 		List<String> targets = this.membership.trackedPeers();
-		send(targets, digest(work, ended, List.of(), Optional.empty()), maxMessageBytes(targets, MILLIS_PER_SECOND));
+		send(targets, digest(work, ended, List.of(), List.of(), Optional.empty()),
+				maxMessageBytes(targets, MILLIS_PER_SECOND));
 	}
 
 	private InstanceDigest digest(Map<Long, RequestWork> work, List<Long> ended, List<EndpointSummary> selected,
-			Optional<FullState> state) {
+			List<CrashObservation> crashes, Optional<FullState> state) {
 		return new InstanceDigest(this.settings.peersAddress().toString(), this.incarnation, this.sequence + 1, work,
-				ended, selected, state);
+				ended, selected, crashes, state);
 	}
 
 	private void send(List<String> targets, InstanceDigest digest, int maxBytes) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -32,9 +32,9 @@
 	 */
 	public static final int MAX_BYTES = 1400;
 
-	private static final int FULL_FORMAT = 6;
+	private static final int FULL_FORMAT = 8;
 
-	private static final int CHANGES_FORMAT = 5;
+	private static final int CHANGES_FORMAT = 7;
 
 	/** Unit of memory in summaries. */
 	private static final int SUMMARY_MEMORY_UNIT_TOKENS = 4096;
@@ -92,6 +92,10 @@
 			for (EndpointSummary summary : digest.summaries()) {
 				pack(packer, summary);
 			}
+			packer.packArrayHeader(digest.crashes().size());
+			for (CrashObservation crash : digest.crashes()) {
+				packer.packLong(crash.fingerprint()).packInt(crash.endpointHash());
+			}
 			if (digest.fullState().isPresent()) {
 				pack(packer, digest.fullState().get());
 			}
@@ -171,10 +175,6 @@
 				.orElse(ENDED_LIMIT));
 			packer.packLong(ceilToUnits(limit.ageMillis(), TIME_UNIT_MILLIS));
 		}
-		packer.packArrayHeader(state.crashes().size());
-		for (CrashObservation crash : state.crashes()) {
-			packer.packLong(crash.fingerprint()).packInt(crash.endpointHash());
-		}
 		packer.packArrayHeader(state.members().size());
 		for (KnownMember member : state.members()) {
 			packer.packString(member.address()).packString(member.zone()).packLong(member.ageMillis());
@@ -208,8 +208,12 @@
 			for (int remaining = size(unpacker); remaining > 0; remaining--) {
 				summaries.add(unpackSummary(unpacker));
 			}
+			List<CrashObservation> crashes = new ArrayList<>();
+			for (int remaining = size(unpacker); remaining > 0; remaining--) {
+				crashes.add(new CrashObservation(unpacker.unpackLong(), unpacker.unpackInt()));
+			}
 			Optional<FullState> state = (format == FULL_FORMAT) ? Optional.of(unpackState(unpacker)) : Optional.empty();
-			return new InstanceDigest(sender, incarnation, sequence, work, ended, summaries, state);
+			return new InstanceDigest(sender, incarnation, sequence, work, ended, summaries, crashes, state);
 		}
 		catch (RuntimeException ex) {
 			throw new IOException("Digest is malformed: " + ex.getMessage(), ex);
@@ -267,15 +271,11 @@
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			limits.add(unpackLimit(unpacker));
 		}
-		List<CrashObservation> crashes = new ArrayList<>();
-		for (int remaining = size(unpacker); remaining > 0; remaining--) {
-			crashes.add(new CrashObservation(unpacker.unpackLong(), unpacker.unpackInt()));
-		}
 		List<KnownMember> members = new ArrayList<>();
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			members.add(new KnownMember(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong()));
 		}
-		return new FullState(zone, configurationVersion, storeRevision, avoided, limits, crashes, members);
+		return new FullState(zone, configurationVersion, storeRevision, avoided, limits, members);
 	}
 
 	private static EndpointLimit unpackLimit(MessageUnpacker unpacker) throws IOException {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
@@ -142,9 +142,9 @@
 
 	private static void receiveFromPeers(Membership membership, int instances, int zones, long now) {
 		for (int index = 1; index < instances; index++) {
-			FullState state = new FullState("zone-" + index % zones, 1, 1, List.of(), List.of(), List.of(), List.of());
+			FullState state = new FullState("zone-" + index % zones, 1, 1, List.of(), List.of(), List.of());
 			membership.receive(new InstanceDigest("10.1." + index / 200 + "." + index % 200 + ":7340", 1, now + 1,
-					Map.of(), List.of(), List.of(), Optional.of(state)), now);
+					Map.of(), List.of(), List.of(), List.of(), Optional.of(state)), now);
 		}
 	}
 
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -319,6 +319,9 @@
 			}
 			try {
 				InstanceDigest digest = DigestCodec.decode(this.address, message);
+				if (!digest.crashes().isEmpty()) {
+					receiver.reduce(new GatewayEvent.CrashesReported(this.address, digest.crashes()));
+				}
 				if (receiver.membership.receive(digest, SimulatedFleet.this.nowMillis)) {
 					receiver.reduce(new GatewayEvent.DigestReceived(digest));
 				}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -29,17 +29,17 @@
 	}
 
 	private static InstanceDigest changesDigest(Map<Long, RequestWork> work) {
-		return new InstanceDigest(SENDER, 1_800_000_000L, 77, work, List.of(8L, 9L), List.of(), Optional.empty());
+		return new InstanceDigest(SENDER, 1_800_000_000L, 77, work, List.of(8L, 9L), List.of(), List.of(),
+				Optional.empty());
 	}
 
 	@Test
 	void fullStateSurvivesRoundTrip() throws IOException {
 		FullState state = new FullState("zone-a", 17, 4711, List.of(new AvoidedEndpoint(5, 400)),
 				List.of(new EndpointLimit(6, Optional.of(1.25), 840), new EndpointLimit(-7, Optional.empty(), 4)),
-				List.of(new CrashObservation(Long.MIN_VALUE, -1)),
 				List.of(new KnownMember("10.0.0.2:7340", "zone-b", 30)));
 		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, prefillWork()), List.of(4L), List.of(),
-				Optional.of(state));
+				List.of(new CrashObservation(Long.MIN_VALUE, -1)), Optional.of(state));
 		assertThat(DigestCodec.decode(SENDER, DigestCodec.encode(digest, DigestCodec.MAX_BYTES))).isEqualTo(digest);
 	}
 
@@ -47,7 +47,8 @@
 	void summariesSurviveRoundTripInTheirUnits() throws IOException {
 		List<EndpointSummary> summaries = List.of(new EndpointSummary(65_535, 3, 0, 0, 0, 0),
 				new EndpointSummary(7, 4, 2, 800, 40_960, 200), new EndpointSummary(9, 0, 0, 0, 0, 0));
-		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(), List.of(), summaries, Optional.empty());
+		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(), List.of(), summaries, List.of(),
+				Optional.empty());
 		assertThat(DigestCodec.decode(SENDER, DigestCodec.encode(digest, DigestCodec.MAX_BYTES))).isEqualTo(digest);
 		assertThat(summaries).extracting(DigestCodec::size).containsExactly(4, 6, 2);
 	}
@@ -68,7 +69,7 @@
 	void messageOfOnePlacementIsSmall() {
 		RequestWork one = new RequestWork(false, 22, 6656, 0, 200, 300, 80, 1, 123_456_789, List.of());
 		InstanceDigest digest = new InstanceDigest(SENDER, 1_800_000_000L, 7777, Map.of(5000L, one), List.of(),
-				List.of(), Optional.empty());
+				List.of(), List.of(), Optional.empty());
 		assertThat(DigestCodec.encode(digest, DigestCodec.MAX_BYTES).length).isLessThanOrEqualTo(48);
 	}
 
