Count every end of an endpoint that starts again under its identity

A request went on ending runners that came back under their identities: such a runner counted once, however often it ended, so that two of them never made three.

Cause: a loss was the pair of a request and an identity; what ends is a process.

Change: a loss has a time, published as its age. Losses of the same identity are the same one if they were reported less than a second apart (no process starts again faster) or, for an own attempt, if the known one came after it was sent. A start time in the runner's entry would tell processes apart as well, but an instance may see the loss before it reads the entry.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -12,11 +12,12 @@
  * Requests suspected of crashing endpoints, as observed by all instances.
  *
  * <p>
- * The loss of an endpoint counts against each request that was running on it. A request
- * is isolated from {@value #ISOLATION_THRESHOLD} losses on. Observations are published
- * promptly several times, since messages may be lost; those of requests with
- * {@value #RELAY_THRESHOLD} losses or more are published in turn as long as they are
- * kept, so that instances which start or were disconnected learn them. Not thread-safe.
+ * The loss of an endpoint counts against each request that was running on it. An endpoint
+ * that starts again under its identity can be lost again. A request is isolated from
+ * {@value #ISOLATION_THRESHOLD} losses on. Observations are published promptly several
+ * times, since messages may be lost; those of requests with {@value #RELAY_THRESHOLD}
+ * losses or more are published in turn as long as they are kept, so that instances which
+ * start or were disconnected learn them. Not thread-safe.
  * </p>
  */
 final class CrashSuspects {
@@ -30,6 +31,12 @@
 
 	private static final int MAX_FINGERPRINTS = 4096;
 
+	/**
+	 * Losses of the same endpoint that are reported with a smaller difference in time are
+	 * the same one; a process takes longer to start again.
+	 */
+	private static final long SAME_LOSS_MILLIS = 1000;
+
 	/** Number of prompt publications of an own observation. */
 	private static final int OWN_PUBLICATIONS = 3;
 
@@ -46,10 +53,16 @@
 	 * Records that an endpoint was lost during an attempt of this instance.
 	 * @param fingerprint fingerprint of the request
 	 * @param endpointHash hash of the endpoint's identity
+	 * @param sentMillis when the attempt was sent; a known loss after it is the same one
 	 * @param nowMillis the current time
 	 */
-	void recordLoss(long fingerprint, int endpointHash, long nowMillis) {
-		addLoss(fingerprint, endpointHash, OWN_PUBLICATIONS, nowMillis);
+	void recordLoss(long fingerprint, int endpointHash, long sentMillis, long nowMillis) {
+		Suspect suspect = this.suspects.get(fingerprint);
+		boolean known = suspect != null && suspect.losses.stream()
+			.anyMatch((loss) -> loss.endpointHash == endpointHash && loss.millis >= sentMillis);
+		if (!known) {
+			addLoss(fingerprint, new Loss(endpointHash, nowMillis), OWN_PUBLICATIONS, nowMillis);
+		}
 	}
 
 	/**
@@ -62,20 +75,20 @@
 	 */
 	boolean recordReported(CrashObservation observation, boolean relay, long nowMillis) {
 		long fingerprint = observation.fingerprint();
-		boolean added = addLoss(fingerprint, observation.endpointHash(), 0, nowMillis);
+		boolean added = addLoss(fingerprint, new Loss(observation.endpointHash(), nowMillis - observation.ageMillis()),
+				0, nowMillis);
 		if (added && relay && lossCount(fingerprint) >= RELAY_THRESHOLD) {
 			this.suspects.get(fingerprint).losses.forEach((loss) -> loss.publication.request(1, nowMillis));
 		}
 		return added;
 	}
 
-	private boolean addLoss(long fingerprint, int endpointHash, int publications, long nowMillis) {
+	private boolean addLoss(long fingerprint, Loss loss, int publications, long nowMillis) {
 		Suspect suspect = this.suspects.getOrDefault(fingerprint, new Suspect());
-		boolean known = suspect.losses.stream().anyMatch((loss) -> loss.endpointHash == endpointHash);
+		boolean known = suspect.losses.stream().anyMatch((each) -> each.isSameAs(loss));
 		if (known || suspect.losses.size() >= ISOLATION_THRESHOLD) {
 			return false;
 		}
-		Loss loss = new Loss(endpointHash);
 		loss.publication.request(publications, nowMillis);
 		suspect.losses.add(loss);
 		suspect.changedMillis = nowMillis;
@@ -165,7 +178,7 @@
 
 	}
 
-	private record Publishable(CrashObservation observation, int losses, Publication publication) {
+	private record Publishable(long fingerprint, int endpointHash, long millis, int losses, Publication publication) {
 
 		int promptLosses(long nowMillis) {
 			return (this.publication.isPromptDue(nowMillis)) ? this.losses : 0;
@@ -173,7 +186,7 @@
 
 		CrashObservation publish(long nowMillis) {
 			this.publication.published(nowMillis);
-			return this.observation;
+			return new CrashObservation(this.fingerprint, this.endpointHash, Math.max(0, nowMillis - this.millis));
 		}
 
 	}
@@ -182,10 +195,17 @@
 
 		private final int endpointHash;
 
+		private final long millis;
+
 		private final Publication publication = new Publication();
 
-		Loss(int endpointHash) {
+		Loss(int endpointHash, long millis) {
 			this.endpointHash = endpointHash;
+			this.millis = millis;
+		}
+
+		boolean isSameAs(Loss other) {
+			return this.endpointHash == other.endpointHash && Math.abs(this.millis - other.millis) < SAME_LOSS_MILLIS;
 		}
 
 	}
@@ -208,7 +228,7 @@
 		void addPublishable(long fingerprint, List<Publishable> target, long nowMillis) {
 			for (Loss loss : this.losses) {
 				if (loss.publication.isPromptDue(nowMillis) || this.losses.size() >= RELAY_THRESHOLD) {
-					target.add(new Publishable(new CrashObservation(fingerprint, loss.endpointHash), this.losses.size(),
+					target.add(new Publishable(fingerprint, loss.endpointHash, loss.millis, this.losses.size(),
 							loss.publication));
 				}
 			}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -383,7 +383,7 @@
 
 	private void recordCrash(ForwardState state, EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
 		long fingerprint = state.request.fingerprint();
-		this.suspects.recordLoss(fingerprint, WorkTable.hash(endpoint), nowMillis);
+		this.suspects.recordLoss(fingerprint, WorkTable.hash(endpoint), state.sentMillis, nowMillis);
 		log(effects, "endpoint-lost", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
 				"endpoint", endpoint, "losses", this.suspects.lossCount(fingerprint), "isolated",
 				this.suspects.isIsolated(fingerprint));
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -299,7 +299,7 @@
 		this.fixture.started();
 		for (int hash = 1; hash <= 3; hash++) {
 			this.fixture
-				.reduce(new GatewayEvent.CrashesReported("10.0.0.9:1", List.of(new CrashObservation(42, hash))));
+				.reduce(new GatewayEvent.CrashesReported("10.0.0.9:1", List.of(new CrashObservation(42, hash, 0))));
 		}
 		this.fixture.arrive("/read/x", 0);
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -95,6 +95,7 @@
 			packer.packArrayHeader(digest.crashes().size());
 			for (CrashObservation crash : digest.crashes()) {
 				packer.packLong(crash.fingerprint()).packInt(crash.endpointHash());
+				packer.packLong(crash.ageMillis() / TIME_UNIT_MILLIS);
 			}
 			if (digest.fullState().isPresent()) {
 				pack(packer, digest.fullState().get());
@@ -210,7 +211,8 @@
 			}
 			List<CrashObservation> crashes = new ArrayList<>();
 			for (int remaining = size(unpacker); remaining > 0; remaining--) {
-				crashes.add(new CrashObservation(unpacker.unpackLong(), unpacker.unpackInt()));
+				crashes.add(new CrashObservation(unpacker.unpackLong(), unpacker.unpackInt(),
+						unpacker.unpackLong() * TIME_UNIT_MILLIS));
 			}
 			Optional<FullState> state = (format == FULL_FORMAT) ? Optional.of(unpackState(unpacker)) : Optional.empty();
 			return new InstanceDigest(sender, incarnation, sequence, work, ended, summaries, crashes, state);
