Count the end of an endpoint although the caller has left

A request that must not run twice is not cancelled when its caller disconnects. If its endpoint ended afterwards, the loss was not counted: the end of the attempt found no request and was ignored, so that a caller that gives up early could end runners without limit.

Change: the attempt is remembered until it ends or its deadline passes. Attempts of other requests are cancelled with their connections; whether the endpoint ends between the cancellation and the time it notices it cannot be seen.

GatewayTests#endOfAnEndpointCountsAfterTheCallerDisconnected failed before (a fourth send) and passes.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -76,6 +76,9 @@
 
 	private final Map<Long, ForwardState> byAttemptId = new HashMap<>();
 
+	/** Attempts that continue although their callers have disconnected. */
+	private final Map<Long, ForwardState> abandonedAttempts = new HashMap<>();
+
 	private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
 
 	private ForwardingConfiguration configuration;
@@ -325,12 +328,16 @@
 	}
 
 	void attemptEnded(GatewayEvent.AttemptEnded event, long nowMillis, List<GatewayEffect> effects) {
+		AttemptOutcome outcome = event.outcome();
+		ForwardState abandoned = this.abandonedAttempts.remove(event.attemptId());
+		if (abandoned != null && outcome.mayHaveCrashedEndpoint()) {
+			recordCrash(abandoned, abandoned.placement.endpoint().id(), nowMillis, effects);
+		}
 		ForwardState state = this.byAttemptId.remove(event.attemptId());
 		if (state == null) {
 			return;
 		}
 		EndpointId endpoint = state.placement.endpoint().id();
-		AttemptOutcome outcome = event.outcome();
 		long firstChunkMillis = (state.attemptStarted) ? state.firstChunkMillis - state.sentMillis : -1;
 		log(effects, "attempt-ended", "request", state.requestId, "attempt", event.attemptId(), "endpoint", endpoint,
 				"outcome", outcome, "status", event.status(), "millis", nowMillis - state.sentMillis,
@@ -410,7 +417,10 @@
 		}
 		log(effects, "caller-disconnected", "request", requestId, "millis", nowMillis - state.arrivalMillis,
 				"answer-started", state.answerStarted);
-		if (state.attemptId != 0 && state.route.kind() != RequestKind.NON_IDEMPOTENT) {
+		if (state.attemptId != 0 && state.route.kind() == RequestKind.NON_IDEMPOTENT) {
+			this.abandonedAttempts.put(state.attemptId, state);
+		}
+		else if (state.attemptId != 0) {
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
 		}
 		finish(state, nowMillis, effects);
@@ -436,6 +446,7 @@
 	}
 
 	void tick(long nowMillis, List<GatewayEffect> effects) {
+		this.abandonedAttempts.values().removeIf((state) -> nowMillis >= state.deadlineMillis);
 		for (ForwardState state : List.copyOf(this.byRequestId.values())) {
 			if (nowMillis >= state.deadlineMillis) {
 				expire(state, nowMillis, effects);
