Clear a request of losses of endpoints when it is answered

A popular request that was in progress on three runners when another request ended them was refused as isolated for two minutes: every request beside the cause counted as a suspect, and an isolated one never got the chance to prove otherwise.

Cause: nothing cleared a suspicion.

Change: a complete, successful answer to a request shows that it does not crash what runs it; it clears the request of all earlier losses and is published like a loss. A request that crashes only sometimes is cleared each time it is answered, and isolated after three losses without an answer.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import io.mulberrylift.core.gossip.CrashObservation;
 
@@ -13,7 +14,8 @@
  *
  * <p>
  * The loss of an endpoint counts against each request that was running on it. An endpoint
- * that starts again under its identity can be lost again. A request is isolated from
+ * that starts again under its identity can be lost again. A complete answer to the
+ * request clears it of all earlier losses. A request is isolated from
  * {@value #ISOLATION_THRESHOLD} losses on. Observations are published promptly several
  * times, since messages may be lost; those of requests with {@value #RELAY_THRESHOLD}
  * losses or more are published in turn as long as they are kept, so that instances which
@@ -65,6 +67,16 @@
 		}
 	}
 
+	/**
+	 * Records that this instance received a complete answer to a request.
+	 * @param fingerprint fingerprint of the request
+	 * @param nowMillis the current time
+	 * @return the number of losses of which the request is cleared
+	 */
+	int recordAnswer(long fingerprint, long nowMillis) {
+		return clear(fingerprint, nowMillis, OWN_PUBLICATIONS, nowMillis);
+	}
+
 	/**
 	 * Records an observation of a peer.
 	 * @param observation the observation
@@ -75,17 +87,38 @@
 	 */
 	boolean recordReported(CrashObservation observation, boolean relay, long nowMillis) {
 		long fingerprint = observation.fingerprint();
-		boolean added = addLoss(fingerprint, new Loss(observation.endpointHash(), nowMillis - observation.ageMillis()),
-				0, nowMillis);
+		long millis = nowMillis - observation.ageMillis();
+		if (observation.lostEndpointHash().isEmpty()) {
+			boolean relayed = relay && lossCount(fingerprint) >= RELAY_THRESHOLD;
+			return clear(fingerprint, millis, (relayed) ? 1 : 0, nowMillis) > 0;
+		}
+		boolean added = addLoss(fingerprint, new Loss(observation.lostEndpointHash().get(), millis), 0, nowMillis);
 		if (added && relay && lossCount(fingerprint) >= RELAY_THRESHOLD) {
 			this.suspects.get(fingerprint).losses.forEach((loss) -> loss.publication.request(1, nowMillis));
 		}
 		return added;
 	}
 
+	private int clear(long fingerprint, long answeredMillis, int publications, long nowMillis) {
+		Suspect suspect = this.suspects.get(fingerprint);
+		if (suspect == null || answeredMillis <= suspect.answeredMillis) {
+			return 0;
+		}
+		int before = suspect.losses.size();
+		suspect.losses.removeIf((loss) -> loss.millis <= answeredMillis);
+		suspect.answeredMillis = answeredMillis;
+		suspect.changedMillis = nowMillis;
+		int cleared = before - suspect.losses.size();
+		if (cleared > 0) {
+			suspect.answerPublication.request(publications, nowMillis);
+		}
+		return cleared;
+	}
+
 	private boolean addLoss(long fingerprint, Loss loss, int publications, long nowMillis) {
 		Suspect suspect = this.suspects.getOrDefault(fingerprint, new Suspect());
-		boolean known = suspect.losses.stream().anyMatch((each) -> each.isSameAs(loss));
+		boolean known = loss.millis <= suspect.answeredMillis
+				|| suspect.losses.stream().anyMatch((each) -> each.isSameAs(loss));
 		if (known || suspect.losses.size() >= ISOLATION_THRESHOLD) {
 			return false;
 		}
@@ -178,7 +211,8 @@
 
 	}
 
-	private record Publishable(long fingerprint, int endpointHash, long millis, int losses, Publication publication) {
+	private record Publishable(long fingerprint, Optional<Integer> lostEndpointHash, long millis, int losses,
+			Publication publication) {
 
 		int promptLosses(long nowMillis) {
 			return (this.publication.isPromptDue(nowMillis)) ? this.losses : 0;
@@ -186,7 +220,7 @@
 
 		CrashObservation publish(long nowMillis) {
 			this.publication.published(nowMillis);
-			return new CrashObservation(this.fingerprint, this.endpointHash, Math.max(0, nowMillis - this.millis));
+			return new CrashObservation(this.fingerprint, this.lostEndpointHash, Math.max(0, nowMillis - this.millis));
 		}
 
 	}
@@ -215,6 +249,11 @@
 		/** At most {@value #ISOLATION_THRESHOLD}. */
 		private final List<Loss> losses = new ArrayList<>();
 
+		private final Publication answerPublication = new Publication();
+
+		/** When the request was last answered completely, as far as is known. */
+		private long answeredMillis = Long.MIN_VALUE;
+
 		private long changedMillis;
 
 		long retentionMillis() {
@@ -222,14 +261,19 @@
 		}
 
 		boolean isPromptPublicationDue(long nowMillis) {
-			return this.losses.stream().anyMatch((loss) -> loss.publication.isPromptDue(nowMillis));
+			return this.answerPublication.isPromptDue(nowMillis)
+					|| this.losses.stream().anyMatch((loss) -> loss.publication.isPromptDue(nowMillis));
 		}
 
 		void addPublishable(long fingerprint, List<Publishable> target, long nowMillis) {
+			if (this.answerPublication.isPromptDue(nowMillis)) {
+				target.add(new Publishable(fingerprint, Optional.empty(), this.answeredMillis, ISOLATION_THRESHOLD,
+						this.answerPublication));
+			}
 			for (Loss loss : this.losses) {
 				if (loss.publication.isPromptDue(nowMillis) || this.losses.size() >= RELAY_THRESHOLD) {
-					target.add(new Publishable(fingerprint, loss.endpointHash, loss.millis, this.losses.size(),
-							loss.publication));
+					target.add(new Publishable(fingerprint, Optional.of(loss.endpointHash), loss.millis,
+							this.losses.size(), loss.publication));
 				}
 			}
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -54,6 +54,8 @@
 	 */
 	private static final long RECHECK_MILLIS = 200;
 
+	private static final int FIRST_UNSUCCESSFUL_STATUS = 300;
+
 	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
@@ -330,8 +332,8 @@
 	void attemptEnded(GatewayEvent.AttemptEnded event, long nowMillis, List<GatewayEffect> effects) {
 		AttemptOutcome outcome = event.outcome();
 		ForwardState abandoned = this.abandonedAttempts.remove(event.attemptId());
-		if (abandoned != null && outcome.mayHaveCrashedEndpoint()) {
-			recordCrash(abandoned, abandoned.placement.endpoint().id(), nowMillis, effects);
+		if (abandoned != null) {
+			recordEvidence(abandoned, event, nowMillis, effects);
 		}
 		ForwardState state = this.byAttemptId.remove(event.attemptId());
 		if (state == null) {
@@ -345,9 +347,7 @@
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
-		if (outcome.mayHaveCrashedEndpoint()) {
-			recordCrash(state, endpoint, nowMillis, effects);
-		}
+		recordEvidence(state, event, nowMillis, effects);
 		if (outcome == AttemptOutcome.COMPLETED) {
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
@@ -388,7 +388,33 @@
 		}
 	}
 
-	private void recordCrash(ForwardState state, EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
+	/**
+	 * Records what the end of an attempt says about whether its request crashes
+	 * endpoints.
+	 * @param state the request
+	 * @param event end of the attempt
+	 * @param nowMillis the current time
+	 * @param effects receives the log line
+	 */
+	private void recordEvidence(ForwardState state, GatewayEvent.AttemptEnded event, long nowMillis,
+			List<GatewayEffect> effects) {
+		if (event.outcome().mayHaveCrashedEndpoint()) {
+			recordLoss(state, nowMillis, effects);
+			return;
+		}
+		if (event.outcome() != AttemptOutcome.COMPLETED || event.status() >= FIRST_UNSUCCESSFUL_STATUS) {
+			return;
+		}
+		long fingerprint = state.request.fingerprint();
+		int cleared = this.suspects.recordAnswer(fingerprint, nowMillis);
+		if (cleared > 0) {
+			log(effects, "suspicion-cleared", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
+					"losses-before", cleared);
+		}
+	}
+
+	private void recordLoss(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		EndpointId endpoint = state.placement.endpoint().id();
 		long fingerprint = state.request.fingerprint();
 		this.suspects.recordLoss(fingerprint, WorkTable.hash(endpoint), state.sentMillis, nowMillis);
 		log(effects, "endpoint-lost", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -253,8 +253,11 @@
 	private void crashReported(CrashObservation observation, String sender, long nowMillis) {
 		boolean isolatedBefore = this.suspects.isIsolated(observation.fingerprint());
 		if (this.suspects.recordReported(observation, this.partialView, nowMillis)) {
-			log("endpoint-loss-reported", "peer", sender, "fingerprint", Long.toHexString(observation.fingerprint()),
-					"losses", this.suspects.lossCount(observation.fingerprint()), "isolated",
+			String event = (observation.lostEndpointHash().isPresent()) ? "endpoint-loss-reported"
+					: "suspicion-clearing-reported";
+			log(event, "peer", sender, "age-millis", observation.ageMillis(), "fingerprint",
+					Long.toHexString(observation.fingerprint()), "losses",
+					this.suspects.lossCount(observation.fingerprint()), "isolated",
 					this.suspects.isIsolated(observation.fingerprint()), "isolated-before", isolatedBefore);
 		}
 	}
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/CrashSuspectsTests.java
@@ -0,0 +1,111 @@
+package io.mulberrylift.core.forwarding;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.mulberrylift.core.gossip.CrashObservation;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CrashSuspectsTests {
+
+	private static final long REQUEST = 42;
+
+	private final CrashSuspects suspects = new CrashSuspects();
+
+	private void lose(int endpointHash, long nowMillis) {
+		this.suspects.recordLoss(REQUEST, endpointHash, nowMillis - 100, nowMillis);
+	}
+
+	private static CrashObservation loss(int endpointHash, long ageMillis) {
+		return new CrashObservation(REQUEST, Optional.of(endpointHash), ageMillis);
+	}
+
+	@Test
+	void reportsOfTheSameLossCountOnce() {
+		lose(1, 1000);
+		lose(1, 1050);
+		assertThat(this.suspects.recordReported(loss(1, 200), false, 1500)).isFalse();
+		assertThat(this.suspects.lossCount(REQUEST)).isEqualTo(1);
+		assertThat(this.suspects.recordReported(loss(1, 0), false, 3000)).isTrue();
+		assertThat(this.suspects.lossCount(REQUEST)).isEqualTo(2);
+	}
+
+	@Test
+	void attemptSentBeforeAKnownLossDoesNotCountAgain() {
+		lose(1, 1000);
+		this.suspects.recordLoss(REQUEST, 1, 900, 9000);
+		assertThat(this.suspects.lossCount(REQUEST)).isEqualTo(1);
+	}
+
+	@Test
+	void answerClearsEarlierLossesOnly() {
+		lose(1, 1000);
+		lose(2, 1100);
+		assertThat(this.suspects.recordAnswer(REQUEST, 1200)).isEqualTo(2);
+		assertThat(this.suspects.recordReported(loss(3, 300), false, 1400)).isFalse();
+		assertThat(this.suspects.recordReported(loss(3, 100), false, 1400)).isTrue();
+		assertThat(this.suspects.lossCount(REQUEST)).isEqualTo(1);
+	}
+
+	@Test
+	void answerOfAPeerClearsTheRequest() {
+		for (int endpoint = 1; endpoint <= 3; endpoint++) {
+			lose(endpoint, 1000);
+		}
+		assertThat(this.suspects.isIsolated(REQUEST)).isTrue();
+		CrashObservation answer = new CrashObservation(REQUEST, Optional.empty(), 10);
+		assertThat(this.suspects.recordReported(answer, false, 2000)).isTrue();
+		assertThat(this.suspects.isIsolated(REQUEST)).isFalse();
+		assertThat(this.suspects.recordReported(answer, false, 2100)).isFalse();
+	}
+
+	@Test
+	void ownLossIsPublishedPromptlyThreeTimes() {
+		lose(1, 1000);
+		for (long nowMillis = 1000; nowMillis < 1900; nowMillis += 300) {
+			assertThat(this.suspects.hasPromptObservations(nowMillis)).isTrue();
+			assertThat(this.suspects.pollPublished(5, nowMillis)).containsExactly(loss(1, nowMillis - 1000));
+			assertThat(this.suspects.hasPromptObservations(nowMillis + 20)).isFalse();
+		}
+		assertThat(this.suspects.hasPromptObservations(9000)).isFalse();
+		assertThat(this.suspects.pollPublished(5, 9000)).isEmpty();
+	}
+
+	@Test
+	void lossesOfAnIsolatedRequestArePublishedInTurnAsLongAsTheyAreKept() {
+		for (int endpoint = 1; endpoint <= 3; endpoint++) {
+			this.suspects.recordReported(loss(endpoint, 0), false, 1000);
+		}
+		assertThat(this.suspects.hasPromptObservations(2000)).isFalse();
+		assertThat(this.suspects.pollPublished(2, 2000)).hasSize(2);
+		assertThat(this.suspects.pollPublished(1, 3000)).containsExactly(loss(3, 2000));
+		this.suspects.tick(300_000);
+		assertThat(this.suspects.pollPublished(5, 300_000)).hasSize(3);
+		this.suspects.tick(700_000);
+		assertThat(this.suspects.pollPublished(5, 700_000)).isEmpty();
+		assertThat(this.suspects.isIsolated(REQUEST)).isFalse();
+	}
+
+	@Test
+	void requestWithMostLossesIsPublishedFirst() {
+		for (long other = 100; other < 150; other++) {
+			this.suspects.recordLoss(other, 1, 0, 1000);
+		}
+		lose(1, 1000);
+		lose(2, 1000);
+		List<CrashObservation> published = this.suspects.pollPublished(2, 1000);
+		assertThat(published).extracting(CrashObservation::fingerprint).containsOnly(REQUEST);
+	}
+
+	@Test
+	void numberOfRequestsIsBounded() {
+		for (long request = 0; request < 10_000; request++) {
+			this.suspects.recordLoss(request, 1, 0, 1000);
+		}
+		assertThat(this.suspects.count(1)).isEqualTo(4096);
+		assertThat(this.suspects.lossCount(9999)).isEqualTo(1);
+	}
+
+}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -298,8 +298,8 @@
 	void requestThatCrashedThreeEndpointsIsIsolated() {
 		this.fixture.started();
 		for (int hash = 1; hash <= 3; hash++) {
-			this.fixture
-				.reduce(new GatewayEvent.CrashesReported("10.0.0.9:1", List.of(new CrashObservation(42, hash, 0))));
+			this.fixture.reduce(new GatewayEvent.CrashesReported("10.0.0.9:1",
+					List.of(new CrashObservation(42, Optional.of(hash), 0))));
 		}
 		this.fixture.arrive("/read/x", 0);
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -94,8 +94,7 @@
 			}
 			packer.packArrayHeader(digest.crashes().size());
 			for (CrashObservation crash : digest.crashes()) {
-				packer.packLong(crash.fingerprint()).packInt(crash.endpointHash());
-				packer.packLong(crash.ageMillis() / TIME_UNIT_MILLIS);
+				pack(packer, crash);
 			}
 			if (digest.fullState().isPresent()) {
 				pack(packer, digest.fullState().get());
@@ -162,6 +161,17 @@
 		return (value + unit - 1) / unit;
 	}
 
+	private static void pack(MessageBufferPacker packer, CrashObservation crash) throws IOException {
+		packer.packLong(crash.fingerprint());
+		if (crash.lostEndpointHash().isPresent()) {
+			packer.packInt(crash.lostEndpointHash().get());
+		}
+		else {
+			packer.packNil();
+		}
+		packer.packLong(crash.ageMillis() / TIME_UNIT_MILLIS);
+	}
+
 	private static void pack(MessageBufferPacker packer, FullState state) throws IOException {
 		packer.packString(state.zone()).packLong(state.configurationVersion()).packLong(state.storeRevision());
 		packer.packArrayHeader(state.avoided().size());
@@ -211,8 +221,7 @@
 			}
 			List<CrashObservation> crashes = new ArrayList<>();
 			for (int remaining = size(unpacker); remaining > 0; remaining--) {
-				crashes.add(new CrashObservation(unpacker.unpackLong(), unpacker.unpackInt(),
-						unpacker.unpackLong() * TIME_UNIT_MILLIS));
+				crashes.add(unpackCrash(unpacker));
 			}
 			Optional<FullState> state = (format == FULL_FORMAT) ? Optional.of(unpackState(unpacker)) : Optional.empty();
 			return new InstanceDigest(sender, incarnation, sequence, work, ended, summaries, crashes, state);
@@ -280,6 +289,13 @@
 		return new FullState(zone, configurationVersion, storeRevision, avoided, limits, members);
 	}
 
+	private static CrashObservation unpackCrash(MessageUnpacker unpacker) throws IOException {
+		long fingerprint = unpacker.unpackLong();
+		Optional<Integer> lostEndpointHash = (unpacker.tryUnpackNil()) ? Optional.empty()
+				: Optional.of(unpacker.unpackInt());
+		return new CrashObservation(fingerprint, lostEndpointHash, unpacker.unpackLong() * TIME_UNIT_MILLIS);
+	}
+
 	private static EndpointLimit unpackLimit(MessageUnpacker unpacker) throws IOException {
 		int endpointHash = unpacker.unpackInt();
 		long units = unpacker.unpackLong();
