Log the times for which endpoints want no requests

Hypotheses on the requests that a runner gets while it asks for rest cannot be told apart: no line says that an endpoint asked for it, for how long or when. No decision changes.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -128,6 +128,9 @@
 		else if (event instanceof GatewayEvent.RequestLimitReported reported) {
 			requestLimitReported(reported, nowMillis);
 		}
+		else if (event instanceof GatewayEvent.BackOffReported reported) {
+			backOffReported(reported);
+		}
 		else if (event instanceof GatewayEvent.EndpointFaultReported reported) {
 			Optional<EndpointId> id = this.endpoints.findByName(reported.endpointName());
 			log("endpoint-fault-reported", "name", reported.endpointName(), "known", id.isPresent());
@@ -221,6 +224,15 @@
 		}
 	}
 
+	private void backOffReported(GatewayEvent.BackOffReported event) {
+		event.report()
+			.malformedValue()
+			.ifPresent((value) -> log("back-off-malformed", "endpoint", event.endpoint(), "value", value));
+		event.report()
+			.durationMillis()
+			.ifPresent((millis) -> log("back-off-requested", "endpoint", event.endpoint(), "millis", millis));
+	}
+
 	private String zone(EndpointId endpoint) {
 		return this.endpoints.find(endpoint).map(ForwardEndpoint::zone).orElse("");
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -6,6 +6,7 @@
 
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
@@ -70,6 +71,16 @@
 			RequestLimitReport report) implements GatewayEvent {
 	}
 
+	/**
+	 * An endpoint that turned a request away named a time for which it wants no requests
+	 * from this instance.
+	 *
+	 * @param endpoint the endpoint
+	 * @param report what the answer says
+	 */
+	record BackOffReported(EndpointId endpoint, BackOffReport report) implements GatewayEvent {
+	}
+
 	/**
 	 * A configuration was read.
 	 *
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.gateway.endpoint;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
@@ -47,4 +48,11 @@
 	 */
 	void limitReported(EndpointId endpoint, long attemptId, RequestLimitReport report);
 
+	/**
+	 * Called when an answer names a time for which its endpoint wants no requests.
+	 * @param endpoint the endpoint
+	 * @param report the time
+	 */
+	void backOffReported(EndpointId endpoint, BackOffReport report);
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -6,6 +6,7 @@
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.GatewayEffect;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.gateway.caller.BufferedRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -102,6 +103,10 @@
 		if (classified.isFromExpectedEndpoint()) {
 			this.listener.limitReported(this.send.endpoint().id(), id(),
 					this.protocol.reportedLimit(response.headers()));
+			BackOffReport backOff = this.protocol.reportedBackOff(response.status().code(), response.headers());
+			if (!backOff.isNone()) {
+				this.listener.backOffReported(this.send.endpoint().id(), backOff);
+			}
 		}
 		if (classified == AnswerClass.NOT_RUN) {
 			this.protocol.reportedFault(response).ifPresent(this.listener::faultReported);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import io.mulberrylift.core.forwarding.GatewayEffect;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.gateway.caller.BufferedRequest;
@@ -64,6 +65,16 @@
 	 */
 	RequestLimitReport reportedLimit(HttpHeaders headers);
 
+	/**
+	 * Returns for how long an endpoint that turned a request away wants no requests from
+	 * this instance.
+	 * @param status status of the answer
+	 * @param headers headers of the answer
+	 * @return the report, malformed if the time is not a number of seconds, is too long
+	 * or is named more than once; none for other answers
+	 */
+	BackOffReport reportedBackOff(int status, HttpHeaders headers);
+
 	/**
 	 * Returns the endpoint that a refusal names as its cause.
 	 * @param answer the head of a refusal
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
@@ -9,6 +9,7 @@
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.forwarding.GatewayEffect;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.http.CallResult;
@@ -91,18 +92,22 @@
 		queue.waiting
 			.addLast(() -> queue.client.call(HttpMethod.POST, call.target(), call.body(), TIMEOUT_MILLIS, (result) -> {
 				queue.busy = false;
-				reportLimit(endpoint.id(), result);
+				reportNotices(endpoint.id(), result);
 				handler.handle(result);
 				startNext(endpoint.id(), queue);
 			}));
 		startNext(endpoint.id(), queue);
 	}
 
-	private void reportLimit(EndpointId endpoint, CallResult result) {
+	private void reportNotices(EndpointId endpoint, CallResult result) {
 		RequestLimitReport report = this.protocol.reportedLimit(result.headers());
 		if (!report.isUnlimited()) {
 			this.listener.limitReported(endpoint, report);
 		}
+		BackOffReport backOff = this.protocol.reportedBackOff(result.status(), result.headers());
+		if (!backOff.isNone()) {
+			this.listener.backOffReported(endpoint, backOff);
+		}
 	}
 
 	private void startNext(EndpointId endpoint, Queue queue) {
@@ -139,6 +144,14 @@
 		 */
 		void limitReported(EndpointId endpoint, RequestLimitReport report);
 
+		/**
+		 * Called when the answer to a call names a time for which the engine wants no
+		 * requests.
+		 * @param endpoint the engine
+		 * @param report the time
+		 */
+		void backOffReported(EndpointId endpoint, BackOffReport report);
+
 	}
 
 	@FunctionalInterface
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -22,6 +22,7 @@
 import io.mulberrylift.core.forwarding.GatewayIdentity;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
@@ -417,6 +418,11 @@
 		run(new GatewayEvent.RequestLimitReported(endpoint, attemptId, report));
 	}
 
+	@Override
+	public void backOffReported(EndpointId endpoint, BackOffReport report) {
+		run(new GatewayEvent.BackOffReported(endpoint, report));
+	}
+
 	private Page page(String path) {
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
