Send nothing to endpoints for the time for which they want no requests

Cause: nobody read an endpoint's Retry-After. A runner that rejects everything has no work, so the placement chose it first.

Change: EndpointBackOffs keeps for each endpoint until when this instance must not use it. It is this instance's alone and is not published; only its time or the endpoint's removal from the list ends it, and no answer shortens it. Such endpoints are no candidates for first and second sends, moved streams, parts of prompts and reservations. Reserved memory there is renewed once when the back-off begins (calls under way then are expected) and then only shortly before it expires, and it is left to expire instead of being released, which frees it in less than memory-free. If no endpoint may be used, the request is refused at once as ENDPOINTS_BACKING_OFF with the time until the first accepts requests and up to 1 s more, so that callers do not come together; requests that the endpoints turned away are told the same time.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.stream.Stream;
 
+import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.placement.EndpointWork;
 import io.mulberrylift.core.placement.WorkTable;
@@ -23,21 +24,26 @@
 
 	private final RequestLimits limits;
 
-	EndpointCandidates(EndpointTable endpoints, WorkTable work, RequestLimits limits) {
+	private final EndpointBackOffs backOffs;
+
+	EndpointCandidates(EndpointTable endpoints, WorkTable work, RequestLimits limits, EndpointBackOffs backOffs) {
 		this.endpoints = Objects.requireNonNull(endpoints, "endpoints");
 		this.work = Objects.requireNonNull(work, "work");
 		this.limits = Objects.requireNonNull(limits, "limits");
+		this.backOffs = Objects.requireNonNull(backOffs, "backOffs");
 	}
 
 	/**
-	 * Returns the endpoints that accept new work, have not been tried and have room in
-	 * their limit. Avoided ones are included only if there are no others.
+	 * Returns the endpoints that accept new work, have not been tried, do not back off
+	 * and have room in their limit. Avoided ones are included only if there are no
+	 * others.
 	 * @param state the request
 	 * @param nowMillis the current time
 	 * @return the endpoints with their work
 	 */
 	List<EndpointWork> find(ForwardState state, long nowMillis) {
 		List<ForwardEndpoint> available = untried(state)
+			.filter((endpoint) -> this.backOffs.mayUse(endpoint.id(), nowMillis))
 			.filter((endpoint) -> this.limits.mayUse(endpoint.id(), nowMillis))
 			.toList();
 		List<EndpointWork> all = this.work.view(available);
@@ -63,23 +69,31 @@
 	/**
 	 * Returns why there are no candidates for a request.
 	 * @param state the request
+	 * @param nowMillis the current time
 	 * @return the cause
 	 */
-	RefusalCause unavailabilityCause(ForwardState state) {
-		if (untried(state).findAny().isPresent()) {
+	RefusalCause unavailabilityCause(ForwardState state, long nowMillis) {
+		if (untried(state).anyMatch((endpoint) -> this.backOffs.mayUse(endpoint.id(), nowMillis))) {
 			return RefusalCause.ENDPOINTS_LIMITED;
 		}
+		if (untried(state).findAny().isPresent()) {
+			return RefusalCause.ENDPOINTS_BACKING_OFF;
+		}
 		return (state.sends > 0) ? RefusalCause.NOT_RUN : RefusalCause.NO_ENDPOINT;
 	}
 
 	/**
-	 * Returns the time until the limit of an untried endpoint has room.
-	 * @param state the request
+	 * Returns the time until an endpoint of a service accepts a request: its back-off has
+	 * ended and its limit has room.
+	 * @param service name of the service
 	 * @param nowMillis the current time
-	 * @return the time in milliseconds, 0 if there is no untried endpoint
+	 * @return the time in milliseconds, 0 if one accepts requests now or there is none
 	 */
-	long acceptedInMillis(ForwardState state, long nowMillis) {
-		return untried(state).mapToLong((endpoint) -> this.limits.acceptsInMillis(endpoint.id(), nowMillis))
+	long acceptedInMillis(String service, long nowMillis) {
+		return this.endpoints.available(service)
+			.stream()
+			.mapToLong((endpoint) -> Math.max(this.backOffs.remainingMillis(endpoint.id(), nowMillis),
+					this.limits.acceptsInMillis(endpoint.id(), nowMillis)))
 			.min()
 			.orElse(0);
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.core.forwarding;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -41,6 +42,9 @@
 	/** Engine memory reservations: engine by reservation name. */
 	final Map<String, ForwardEndpoint> reservations = new LinkedHashMap<>();
 
+	/** When each reservation was last requested, by reservation name. */
+	final Map<String, Long> reservedMillis = new HashMap<>();
+
 	Placement placement;
 
 	/** Identifier of the attempt in progress; 0 for none. */
@@ -76,8 +80,6 @@
 
 	long reservationSentMillis;
 
-	long reservationRenewalMillis;
-
 	ForwardState(long requestId, ForwardRequest request, Route route, String service, Optional<String> workspace,
 			long nowMillis) {
 		this.requestId = requestId;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
+import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointHealth;
@@ -91,16 +92,16 @@
 	private long nextAttemptId = 1;
 
 	Forwarder(GatewayIdentity identity, RandomGenerator random, EndpointTable endpoints, WorkTable work,
-			CrashSuspects suspects, RequestLimits limits) {
+			CrashSuspects suspects, RequestLimits limits, EndpointBackOffs backOffs) {
 		this.identity = identity;
 		this.random = random;
-		this.candidates = new EndpointCandidates(endpoints, work, limits);
+		this.candidates = new EndpointCandidates(endpoints, work, limits, backOffs);
 		this.work = work;
 		this.suspects = suspects;
 		this.promptPlacement = new PromptPlacement(random);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
-		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits);
+		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits, backOffs);
 	}
 
 	void setConfiguration(ForwardingConfiguration current) {
@@ -153,7 +154,7 @@
 	private void dispatch(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		List<EndpointWork> available = this.candidates.find(state, nowMillis);
 		if (available.isEmpty()) {
-			giveUp(state, this.candidates.unavailabilityCause(state), nowMillis, effects);
+			giveUp(state, this.candidates.unavailabilityCause(state, nowMillis), nowMillis, effects);
 			return;
 		}
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
@@ -369,7 +370,8 @@
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 		}
 		else {
-			giveUp(state, (hasCandidates) ? RefusalCause.NOT_RUN : this.candidates.unavailabilityCause(state),
+			giveUp(state,
+					(hasCandidates) ? RefusalCause.NOT_RUN : this.candidates.unavailabilityCause(state, nowMillis),
 					nowMillis, effects);
 		}
 	}
@@ -554,9 +556,7 @@
 
 	private void refuse(ForwardState state, RefusalCause cause, long nowMillis, List<GatewayEffect> effects) {
 		finish(state, nowMillis, effects);
-		Optional<Long> retryAfterMillis = (cause == RefusalCause.ENDPOINTS_LIMITED)
-				? Optional.of(RetryAfter.untilAccepted(this.candidates.acceptedInMillis(state, nowMillis), this.random))
-				: RetryAfter.millis(cause, this.random);
+		Optional<Long> retryAfterMillis = retryAfterMillis(state, cause, nowMillis);
 		log(effects, "refused", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "cause", cause,
 				"sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L), "configuration",
@@ -564,6 +564,28 @@
 		effects.add(new GatewayEffect.Refuse(state.requestId, cause, retryAfterMillis));
 	}
 
+	private Optional<Long> retryAfterMillis(ForwardState state, RefusalCause cause, long nowMillis) {
+		long acceptedInMillis = this.candidates.acceptedInMillis(state.service, nowMillis);
+		boolean untilAccepted = switch (cause) {
+			case ENDPOINTS_LIMITED, ENDPOINTS_BACKING_OFF -> true;
+			case NOT_RUN, OVERLOADED, EXPIRED_NOT_RUN -> acceptedInMillis > 0;
+			default -> false;
+		};
+		return (untilAccepted) ? Optional.of(RetryAfter.untilAccepted(cause, acceptedInMillis, this.random))
+				: RetryAfter.millis(cause, this.random);
+	}
+
+	/**
+	 * Handles the start or extension of a back-off.
+	 * @param endpoint the endpoint that wants no requests
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 */
+	void backOffExtended(EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
+		this.byRequestId.values()
+			.forEach((state) -> this.reservations.renewBeforeBackOff(state, endpoint, nowMillis, effects));
+	}
+
 	private void finish(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		this.byRequestId.remove(state.requestId);
 		if (state.attemptId != 0) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -13,6 +14,7 @@
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.FleetView;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
@@ -54,6 +56,8 @@
 
 	private final RequestLimits limits;
 
+	private final EndpointBackOffs backOffs = new EndpointBackOffs();
+
 	private final Forwarder forwarder;
 
 	private List<GatewayEffect> effects = new ArrayList<>();
@@ -75,7 +79,8 @@
 		this.identity = Objects.requireNonNull(identity, "identity");
 		this.random = Objects.requireNonNull(random, "random");
 		this.limits = new RequestLimits(FleetView.alone(identity.name(), identity.zone()), random);
-		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.suspects, this.limits);
+		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.suspects, this.limits,
+				this.backOffs);
 	}
 
 	/**
@@ -129,7 +134,7 @@
 			requestLimitReported(reported, nowMillis);
 		}
 		else if (event instanceof GatewayEvent.BackOffReported reported) {
-			backOffReported(reported);
+			backOffReported(reported, nowMillis);
 		}
 		else if (event instanceof GatewayEvent.EndpointFaultReported reported) {
 			Optional<EndpointId> id = this.endpoints.findByName(reported.endpointName());
@@ -200,6 +205,7 @@
 		List<EndpointId> leaving = this.endpoints.replace(listed);
 		this.work.retainHealth(this.endpoints.ids());
 		this.limits.retain(this.endpoints.ids());
+		this.backOffs.retain(this.endpoints.ids());
 		leaving.forEach((id) -> {
 			log("endpoint-leaving", "endpoint", id);
 			this.effects.add(new GatewayEffect.DiscardConnections(id));
@@ -224,13 +230,19 @@
 		}
 	}
 
-	private void backOffReported(GatewayEvent.BackOffReported event) {
+	private void backOffReported(GatewayEvent.BackOffReported event, long nowMillis) {
+		EndpointId endpoint = event.endpoint();
 		event.report()
 			.malformedValue()
-			.ifPresent((value) -> log("back-off-malformed", "endpoint", event.endpoint(), "value", value));
-		event.report()
-			.durationMillis()
-			.ifPresent((millis) -> log("back-off-requested", "endpoint", event.endpoint(), "millis", millis));
+			.filter((value) -> this.backOffs.recordMalformed(endpoint, value))
+			.ifPresent((value) -> log("back-off-malformed", "endpoint", endpoint, "value", value));
+		event.report().durationMillis().ifPresent((millis) -> {
+			long extendedByMillis = this.backOffs.extend(endpoint, millis, nowMillis);
+			log("back-off-requested", "endpoint", endpoint, "millis", millis, "extended-by", extendedByMillis);
+			if (extendedByMillis > 0) {
+				this.forwarder.backOffExtended(endpoint, nowMillis, this.effects);
+			}
+		});
 	}
 
 	private String zone(EndpointId endpoint) {
@@ -278,6 +290,7 @@
 		this.work.expire(nowMillis);
 		this.suspects.tick(nowMillis);
 		this.limits.expire(nowMillis);
+		this.backOffs.expire(nowMillis);
 		this.forwarder.tick(nowMillis, this.effects);
 	}
 
@@ -454,11 +467,19 @@
 	 * @return values by name
 	 */
 	public Map<String, Object> describe(long nowMillis) {
-		return Map.of("ready", isReady(), "configuration", configurationVersion(), "requests", inProgress(),
-				"endpoints", this.endpoints.available(), "instances", this.liveInstances, "avoided",
-				avoidedEndpoints(nowMillis).toString(), "limits", this.limits.all().toString(), "suspects",
-				this.suspects.count(1), "isolated", isolatedRequests(), "loads",
-				this.work.recentLoads(nowMillis).toString());
+		Map<String, Object> state = new LinkedHashMap<>();
+		state.put("ready", isReady());
+		state.put("configuration", configurationVersion());
+		state.put("requests", inProgress());
+		state.put("endpoints", this.endpoints.available());
+		state.put("instances", this.liveInstances);
+		state.put("avoided", avoidedEndpoints(nowMillis).toString());
+		state.put("limits", this.limits.all().toString());
+		state.put("back-offs", this.backOffs.all(nowMillis).toString());
+		state.put("suspects", this.suspects.count(1));
+		state.put("isolated", isolatedRequests());
+		state.put("loads", this.work.recentLoads(nowMillis).toString());
+		return state;
 	}
 
 	private void log(String event, Object... fields) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
+import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.PromptDemand;
 
 /**
@@ -31,6 +33,9 @@
 	 */
 	private static final double RENEW_SHARE = 0.4;
 
+	/** Time before its expiry by which a reservation is renewed at the latest. */
+	private static final long EXPIRY_MARGIN_MILLIS = 250;
+
 	/** Maximum time to wait for the answers of all engines. */
 	private static final long ANSWER_TIMEOUT_MILLIS = 700;
 
@@ -39,10 +44,13 @@
 
 	private final RequestLimits limits;
 
+	private final EndpointBackOffs backOffs;
+
 	private long holdMillis;
 
-	MemoryReservations(long freeMillis, RequestLimits limits) {
+	MemoryReservations(long freeMillis, RequestLimits limits, EndpointBackOffs backOffs) {
 		this.limits = limits;
+		this.backOffs = backOffs;
 		setFreeMillis(freeMillis);
 	}
 
@@ -50,10 +58,6 @@
 		this.holdMillis = (long) (HOLD_SHARE * freeMillis);
 	}
 
-	private long nextRenewalMillis(long nowMillis) {
-		return nowMillis + (long) (RENEW_SHARE * this.holdMillis);
-	}
-
 	void request(ForwardState state, PromptDemand demand, long nowMillis, List<GatewayEffect> effects) {
 		List<ForwardEndpoint> engines = new ArrayList<>();
 		engines.add(state.placement.endpoint());
@@ -61,11 +65,11 @@
 		state.reservedTokensPerEngine = tokensPerEngine(demand, engines.size());
 		state.pendingReservations = engines.size();
 		state.reservationSentMillis = nowMillis;
-		state.reservationRenewalMillis = nextRenewalMillis(nowMillis);
 		for (int index = 0; index < engines.size(); index++) {
-			state.reservations.put(reservationName(state, index), engines.get(index));
+			String name = reservationName(state, index);
+			state.reservations.put(name, engines.get(index));
+			reserve(state, name, nowMillis, effects);
 		}
-		sendReservations(state, nowMillis, effects);
 		effects.add(new GatewayEffect.Log("memory-requested", List.of("request", state.requestId, "engines",
 				engines.size(), "tokens-per-engine", state.reservedTokensPerEngine)));
 	}
@@ -78,12 +82,12 @@
 		return state.request.attemptId() + "-" + state.sends + "-" + index;
 	}
 
-	private void sendReservations(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		state.reservations.forEach((name, engine) -> {
-			this.limits.recordRequest(engine.id(), nowMillis);
-			effects.add(new GatewayEffect.ReserveMemory(state.requestId, engine, name, state.reservedTokensPerEngine,
-					this.holdMillis));
-		});
+	private void reserve(ForwardState state, String name, long nowMillis, List<GatewayEffect> effects) {
+		ForwardEndpoint engine = state.reservations.get(name);
+		state.reservedMillis.put(name, nowMillis);
+		this.limits.recordRequest(engine.id(), nowMillis);
+		effects.add(new GatewayEffect.ReserveMemory(state.requestId, engine, name, state.reservedTokensPerEngine,
+				this.holdMillis));
 	}
 
 	Progress recordAnswer(ForwardState state, Optional<Boolean> granted) {
@@ -99,10 +103,38 @@
 		return state.pendingReservations > 0 && nowMillis - state.reservationSentMillis > ANSWER_TIMEOUT_MILLIS;
 	}
 
+	/**
+	 * Renews the reservations that are due. During a back-off of an engine, a reservation
+	 * is renewed only shortly before it expires.
+	 * @param state the request
+	 * @param nowMillis the current time
+	 * @param effects receives the renewals
+	 */
 	void renew(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		if (!state.reservations.isEmpty() && nowMillis >= state.reservationRenewalMillis) {
-			state.reservationRenewalMillis = nextRenewalMillis(nowMillis);
-			sendReservations(state, nowMillis, effects);
+		for (String name : List.copyOf(state.reservations.keySet())) {
+			boolean accepted = this.backOffs.mayUse(state.reservations.get(name).id(), nowMillis);
+			long renewedAfterMillis = (accepted) ? (long) (RENEW_SHARE * this.holdMillis)
+					: this.holdMillis - EXPIRY_MARGIN_MILLIS;
+			if (nowMillis - state.reservedMillis.get(name) >= renewedAfterMillis) {
+				reserve(state, name, nowMillis, effects);
+			}
+		}
+	}
+
+	/**
+	 * Renews the reservations at an engine at the start of its back-off, when calls may
+	 * still be under way to it, so that they last as long as possible.
+	 * @param state the request
+	 * @param engine the engine
+	 * @param nowMillis the current time
+	 * @param effects receives the renewals
+	 */
+	void renewBeforeBackOff(ForwardState state, EndpointId engine, long nowMillis, List<GatewayEffect> effects) {
+		for (String name : List.copyOf(state.reservations.keySet())) {
+			if (state.reservations.get(name).id().equals(engine)
+					&& nowMillis - state.reservedMillis.get(name) >= EXPIRY_MARGIN_MILLIS) {
+				reserve(state, name, nowMillis, effects);
+			}
 		}
 	}
 
@@ -113,12 +145,27 @@
 			.toList();
 	}
 
+	/**
+	 * Releases the reservations of a request. At an engine that backs off they are left
+	 * to expire.
+	 * @param state the request
+	 * @param nowMillis the current time
+	 * @param effects receives the releases
+	 */
 	void release(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		state.reservations.forEach((name, engine) -> {
-			this.limits.recordRequest(engine.id(), nowMillis);
-			effects.add(new GatewayEffect.ReleaseMemory(engine, name));
+			if (this.backOffs.mayUse(engine.id(), nowMillis)) {
+				this.limits.recordRequest(engine.id(), nowMillis);
+				effects.add(new GatewayEffect.ReleaseMemory(engine, name));
+			}
+			else {
+				effects.add(new GatewayEffect.Log("memory-left-to-expire",
+						List.of("request", state.requestId, "endpoint", engine.id(), "name", name, "age-millis",
+								nowMillis - state.reservedMillis.get(name), "valid-millis", this.holdMillis)));
+			}
 		});
 		state.reservations.clear();
+		state.reservedMillis.clear();
 		state.pendingReservations = 0;
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RefusalCause.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RefusalCause.java
@@ -23,6 +23,9 @@
 	/** All endpoints of the service have named limits that are used up. */
 	ENDPOINTS_LIMITED(503),
 
+	/** All endpoints of the service want no requests for a time. */
+	ENDPOINTS_BACKING_OFF(503),
+
 	/** Every endpoint that was tried reported that it did not run the request. */
 	NOT_RUN(503),
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RetryAfter.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RetryAfter.java
@@ -22,6 +22,9 @@
 
 	private static final long MIN_LIMITED_MILLIS = 100;
 
+	/** Maximum time by which callers retry later than endpoints accept requests. */
+	private static final long MAX_SPREAD_MILLIS = 1000;
+
 	/** Longer than any deadline, so that an isolated request is not retried. */
 	private static final long ISOLATED_MILLIS = 30_000;
 
@@ -43,15 +46,17 @@
 
 	/**
 	 * Returns the time after which a caller should retry because endpoints accept
-	 * requests at a limited rate. Some of the callers come later than the first request
-	 * is accepted, since they share the rate.
+	 * requests at a limited rate or not yet. Some of the callers come later than the
+	 * first request is accepted, so that they do not come together.
+	 * @param cause cause of the refusal
 	 * @param acceptedInMillis time until the next request is accepted
 	 * @param random source of randomness
 	 * @return the time in milliseconds
 	 */
-	static long untilAccepted(long acceptedInMillis, RandomGenerator random) {
+	static long untilAccepted(RefusalCause cause, long acceptedInMillis, RandomGenerator random) {
 		long base = Math.max(MIN_LIMITED_MILLIS, acceptedInMillis);
-		return base + random.nextLong(base);
+		long spread = (cause == RefusalCause.ENDPOINTS_LIMITED) ? base : Math.min(base, MAX_SPREAD_MILLIS);
+		return base + random.nextLong(spread);
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointCandidatesTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointCandidatesTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.FleetView;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.limit.RequestLimits;
@@ -23,7 +24,10 @@
 
 	private final RequestLimits limits = new RequestLimits(FleetView.alone("self", "zone-a"), new SplittableRandom(1));
 
-	private final EndpointCandidates candidates = new EndpointCandidates(this.endpoints, this.work, this.limits);
+	private final EndpointBackOffs backOffs = new EndpointBackOffs();
+
+	private final EndpointCandidates candidates = new EndpointCandidates(this.endpoints, this.work, this.limits,
+			this.backOffs);
 
 	private final ForwardState state = new ForwardState(1,
 			new ForwardRequest("a", "api.example", "/read/x", Optional.empty(), 5000, 0, 0, 1),
@@ -67,7 +71,7 @@
 	void limitedEndpointsAreCandidatesWhenTheirLimitHasRoom() {
 		limit("p1");
 		assertThat(found(999)).containsExactly("p2");
-		assertThat(this.candidates.acceptedInMillis(this.state, 400)).isZero();
+		assertThat(this.candidates.acceptedInMillis("plain", 400)).isZero();
 		assertThat(names(this.candidates.withoutLimit(this.candidates.find(this.state, 1000)))).containsExactly("p2");
 		assertThat(found(1000)).containsExactly("p1", "p2");
 	}
@@ -76,12 +80,26 @@
 	void causeOfMissingCandidatesIsTheLimitsIfUntriedEndpointsAreLeft() {
 		limit("p1");
 		limit("p2");
-		assertThat(this.candidates.unavailabilityCause(this.state)).isEqualTo(RefusalCause.ENDPOINTS_LIMITED);
-		assertThat(this.candidates.acceptedInMillis(this.state, 400)).isEqualTo(600);
+		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.ENDPOINTS_LIMITED);
+		assertThat(this.candidates.acceptedInMillis("plain", 400)).isEqualTo(600);
 		this.state.triedEndpoints.addAll(List.of(new EndpointId("p1"), new EndpointId("p2")));
-		assertThat(this.candidates.unavailabilityCause(this.state)).isEqualTo(RefusalCause.NO_ENDPOINT);
+		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.NO_ENDPOINT);
 		this.state.sends = 2;
-		assertThat(this.candidates.unavailabilityCause(this.state)).isEqualTo(RefusalCause.NOT_RUN);
+		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.NOT_RUN);
+	}
+
+	@Test
+	void endpointsThatBackOffAreNoCandidates() {
+		this.backOffs.extend(new EndpointId("p1"), 3000, 0);
+		assertThat(found(2999)).containsExactly("p2");
+		assertThat(this.candidates.acceptedInMillis("plain", 400)).isZero();
+		this.backOffs.extend(new EndpointId("p2"), 2000, 0);
+		assertThat(found(1999)).isEmpty();
+		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.ENDPOINTS_BACKING_OFF);
+		assertThat(this.candidates.acceptedInMillis("plain", 400)).isEqualTo(1600);
+		assertThat(found(2000)).containsExactly("p2");
+		limit("p2");
+		assertThat(this.candidates.unavailabilityCause(this.state, 2000)).isEqualTo(RefusalCause.ENDPOINTS_LIMITED);
 	}
 
 }
