Give no new work to endpoints that say that they are leaving

Cause, the same as of the limits and the times without requests: what an endpoint says of itself in its answers was read by nobody.

It counts until the endpoint is removed from the list, and for 2 min at most, so that one which started again under its identity is used. Other instances learn it from their own answers or the list; it is not published.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
@@ -12,7 +12,8 @@
 import io.mulberrylift.core.placement.WorkTable;
 
 /**
- * Table of the listed endpoints by identity and service.
+ * Table of the listed endpoints by identity and service. Endpoints accept new work unless
+ * they are listed as leaving or reported it themselves.
  *
  * <p>
  * Not thread-safe; owned by the reducer.
@@ -20,12 +21,21 @@
  */
 final class EndpointTable {
 
+	/**
+	 * Time after which an endpoint that is still listed counts as started again under its
+	 * identity.
+	 */
+	private static final long LEAVING_RETENTION_MILLIS = 120_000;
+
 	private final Map<EndpointId, ForwardEndpoint> byId = new HashMap<>();
 
 	private final Map<String, List<ForwardEndpoint>> byService = new HashMap<>();
 
 	private final Map<Integer, EndpointId> byHash = new HashMap<>();
 
+	/** When endpoints last reported themselves that they are leaving. */
+	private final Map<EndpointId, Long> reportedLeavingMillis = new HashMap<>();
+
 	private boolean known;
 
 	/**
@@ -44,6 +54,7 @@
 			this.byService.computeIfAbsent(endpoint.service(), (service) -> new ArrayList<>()).add(endpoint);
 		}
 		this.byService.values().forEach((list) -> list.sort(Comparator.comparing(ForwardEndpoint::id)));
+		this.reportedLeavingMillis.keySet().retainAll(this.byId.keySet());
 		this.known = true;
 		return previous.values()
 			.stream()
@@ -53,6 +64,28 @@
 			.toList();
 	}
 
+	/**
+	 * Records that an endpoint reported itself that it is leaving.
+	 * @param id the endpoint
+	 * @param nowMillis the current time
+	 * @return true if it accepted new work before
+	 */
+	boolean recordLeaving(EndpointId id, long nowMillis) {
+		boolean accepted = !isLeaving(id) && !this.reportedLeavingMillis.containsKey(id);
+		if (this.byId.containsKey(id)) {
+			this.reportedLeavingMillis.put(id, nowMillis);
+		}
+		return accepted;
+	}
+
+	/**
+	 * Removes reports of endpoints that are still listed as available long after them.
+	 * @param nowMillis the current time
+	 */
+	void expire(long nowMillis) {
+		this.reportedLeavingMillis.values().removeIf((reported) -> nowMillis - reported > LEAVING_RETENTION_MILLIS);
+	}
+
 	private boolean isLeaving(EndpointId id) {
 		ForwardEndpoint endpoint = this.byId.get(id);
 		return endpoint == null || endpoint.leaving();
@@ -83,7 +116,11 @@
 	}
 
 	long available() {
-		return this.byId.values().stream().filter((endpoint) -> !endpoint.leaving()).count();
+		return this.byId.values().stream().filter(this::isAvailable).count();
+	}
+
+	private boolean isAvailable(ForwardEndpoint endpoint) {
+		return !endpoint.leaving() && !this.reportedLeavingMillis.containsKey(endpoint.id());
 	}
 
 	/**
@@ -92,10 +129,7 @@
 	 * @return the endpoints, ordered by identity
 	 */
 	List<ForwardEndpoint> available(String service) {
-		return this.byService.getOrDefault(service, List.of())
-			.stream()
-			.filter((endpoint) -> !endpoint.leaving())
-			.toList();
+		return this.byService.getOrDefault(service, List.of()).stream().filter(this::isAvailable).toList();
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -136,6 +136,11 @@
 		else if (event instanceof GatewayEvent.BackOffReported reported) {
 			backOffReported(reported, nowMillis);
 		}
+		else if (event instanceof GatewayEvent.LeavingReported reported) {
+			if (this.endpoints.recordLeaving(reported.endpoint(), nowMillis)) {
+				endpointLeaving(reported.endpoint(), "answer");
+			}
+		}
 		else if (event instanceof GatewayEvent.EndpointFaultReported reported) {
 			Optional<EndpointId> id = this.endpoints.findByName(reported.endpointName());
 			log("endpoint-fault-reported", "name", reported.endpointName(), "known", id.isPresent());
@@ -206,15 +211,17 @@
 		this.work.retainHealth(this.endpoints.ids());
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
-		leaving.forEach((id) -> {
-			log("endpoint-leaving", "endpoint", id);
-			this.effects.add(new GatewayEffect.DiscardConnections(id));
-		});
+		leaving.forEach((id) -> endpointLeaving(id, "list"));
 		if (first) {
 			log("endpoints", "listed", listed.size());
 		}
 	}
 
+	private void endpointLeaving(EndpointId endpoint, String source) {
+		log("endpoint-leaving", "endpoint", endpoint, "source", source);
+		this.effects.add(new GatewayEffect.DiscardConnections(endpoint));
+	}
+
 	private void requestLimitReported(GatewayEvent.RequestLimitReported event, long nowMillis) {
 		event.report()
 			.malformedValue()
@@ -291,6 +298,7 @@
 		this.suspects.tick(nowMillis);
 		this.limits.expire(nowMillis);
 		this.backOffs.expire(nowMillis);
+		this.endpoints.expire(nowMillis);
 		this.forwarder.tick(nowMillis, this.effects);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -81,6 +81,14 @@
 	record BackOffReported(EndpointId endpoint, BackOffReport report) implements GatewayEvent {
 	}
 
+	/**
+	 * An endpoint reported in an answer that it is leaving.
+	 *
+	 * @param endpoint the endpoint
+	 */
+	record LeavingReported(EndpointId endpoint) implements GatewayEvent {
+	}
+
 	/**
 	 * A configuration was read.
 	 *
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -307,6 +307,51 @@
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
 	}
 
+	private long sendsTo(String endpoint) {
+		return this.fixture.all(GatewayEffect.Send.class)
+			.stream()
+			.filter((send) -> send.endpoint().id().value().equals(endpoint))
+			.count();
+	}
+
+	/** Failure: only the list was believed when an endpoint said that it was leaving. */
+	@Test
+	void endpointThatReportsThatItIsLeavingGetsNoNewWorkWhileItIsListed() {
+		this.fixture.started();
+		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		assertThat(this.fixture.logged("endpoint-leaving")).containsEntry("source", "answer");
+		assertThat(this.fixture.all(GatewayEffect.DiscardConnections.class)).hasSize(1);
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
+		for (int count = 0; count < 100; count++) {
+			this.fixture.arrive("/read/x", 0);
+			this.fixture.advance(1000);
+		}
+		assertThat(sendsTo("p1")).isZero();
+		assertThat(sendsTo("p2")).isEqualTo(100);
+	}
+
+	@Test
+	void endpointThatIsStillListedLongAfterItReportedThatItIsLeavingIsUsedAgain() {
+		this.fixture.started();
+		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		this.fixture.advance(121_000);
+		this.fixture.arrive("/read/x", 0);
+		this.fixture.arrive("/read/x", 0);
+		assertThat(sendsTo("p1")).isEqualTo(1);
+	}
+
+	@Test
+	void endpointThatIsListedAnewIsUsedAlthoughItReportedThatItIsLeaving() {
+		this.fixture.started();
+		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(List.of(GatewayFixture.endpoint("p2", "plain", false))));
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
+		this.fixture.arrive("/read/x", 0);
+		this.fixture.arrive("/read/x", 0);
+		assertThat(sendsTo("p1")).isEqualTo(1);
+	}
+
 	private void listPlainEndpoints(int count) {
 		this.fixture.reduce(new GatewayEvent.EndpointsRead(IntStream.rangeClosed(1, count)
 			.mapToObj((index) -> GatewayFixture.endpoint("p" + index, "plain", false))
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -55,4 +55,10 @@
 	 */
 	void backOffReported(EndpointId endpoint, BackOffReport report);
 
+	/**
+	 * Called when an answer says that its endpoint is leaving.
+	 * @param endpoint the endpoint
+	 */
+	void leavingReported(EndpointId endpoint);
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -103,6 +103,9 @@
 		if (classified.isFromExpectedEndpoint()) {
 			this.listener.limitReported(this.send.endpoint().id(), id(),
 					this.protocol.reportedLimit(response.headers()));
+			if (this.protocol.reportsLeaving(response.headers())) {
+				this.listener.leavingReported(this.send.endpoint().id());
+			}
 			BackOffReport backOff = this.protocol.reportedBackOff(response.status().code(), response.headers());
 			if (!backOff.isNone()) {
 				this.listener.backOffReported(this.send.endpoint().id(), backOff);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -75,6 +75,13 @@
 	 */
 	BackOffReport reportedBackOff(int status, HttpHeaders headers);
 
+	/**
+	 * Returns whether an answer says that its endpoint is leaving.
+	 * @param headers headers of any answer
+	 * @return true if it is leaving
+	 */
+	boolean reportsLeaving(HttpHeaders headers);
+
 	/**
 	 * Returns the endpoint that a refusal names as its cause.
 	 * @param answer the head of a refusal
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
@@ -104,6 +104,9 @@
 		if (!report.isUnlimited()) {
 			this.listener.limitReported(endpoint, report);
 		}
+		if (this.protocol.reportsLeaving(result.headers())) {
+			this.listener.leavingReported(endpoint);
+		}
 		BackOffReport backOff = this.protocol.reportedBackOff(result.status(), result.headers());
 		if (!backOff.isNone()) {
 			this.listener.backOffReported(endpoint, backOff);
@@ -152,6 +155,12 @@
 		 */
 		void backOffReported(EndpointId endpoint, BackOffReport report);
 
+		/**
+		 * Called when the answer to a call says that the engine is leaving.
+		 * @param endpoint the engine
+		 */
+		void leavingReported(EndpointId endpoint);
+
 	}
 
 	@FunctionalInterface
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -423,6 +423,11 @@
 		run(new GatewayEvent.BackOffReported(endpoint, report));
 	}
 
+	@Override
+	public void leavingReported(EndpointId endpoint) {
+		run(new GatewayEvent.LeavingReported(endpoint));
+	}
+
 	private Page page(String path) {
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
