Avoid endpoints that send heads or bodies without end

Bytes that are no answer may come without end.

Change: a head or an answer beyond its maximum size is an outcome of its own, OVERSIZED, and a fault: the endpoint is avoided for 0.4 s, doubled each time up to 4 s, as one that resets connections. Answers that belong to other requests are bounded as well; they were skipped without end. All buffered answers together may take 24 MB beyond 256 KB each; before, 14 answers of 8 MB at once filled the heap of 112 MB. Answers that are only spoiled stay GARBLED: an endpoint that spoils three in a hundred is better used than avoided.

GatewayTests#requestsAreServedBesideEndpointsThatSendTooMuch failed with the outcome GARBLED and passes.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -38,6 +38,9 @@
 	/** The endpoint sent bytes that are not a valid answer to this request. */
 	GARBLED(true, false, false),
 
+	/** The endpoint sent more bytes than an answer or its head may have. */
+	OVERSIZED(true, false, true),
+
 	/** No bytes were received within the stall timeout. */
 	SILENT(true, false, true);
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -382,7 +382,8 @@
 			health.recordSuccess();
 		}
 		else if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.MISDIRECTED
-				|| outcome == AttemptOutcome.SILENT || outcome == AttemptOutcome.BROKEN) {
+				|| outcome == AttemptOutcome.SILENT || outcome == AttemptOutcome.BROKEN
+				|| outcome == AttemptOutcome.OVERSIZED) {
 			health.recordFault(nowMillis);
 		}
 		else if (outcome.isEndpointFault()) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -352,6 +352,26 @@
 		assertThat(sendsTo("p1")).isEqualTo(1);
 	}
 
+	/**
+	 * Failure: endpoints that send bytes without end were chosen again and again, so that
+	 * one in ten requests met two of them.
+	 */
+	@Test
+	void requestsAreServedBesideEndpointsThatSendTooMuch() {
+		this.fixture.started();
+		listPlainEndpoints(8);
+		for (int count = 0; count < 800; count++) {
+			this.fixture.arrive("/read/x", 0);
+			for (int attempt = 0; attempt < 2; attempt++) {
+				GatewayEffect.Send send = this.fixture.last(GatewayEffect.Send.class);
+				boolean endless = List.of("p1", "p2").contains(send.endpoint().id().value());
+				this.fixture.end(send.attemptId(), (endless) ? AttemptOutcome.OVERSIZED : AttemptOutcome.COMPLETED);
+			}
+			this.fixture.advance(10);
+		}
+		assertThat(this.fixture.all(GatewayEffect.Deliver.class)).hasSizeGreaterThan(792);
+	}
+
 	private void listPlainEndpoints(int count) {
 		this.fixture.reduce(new GatewayEvent.EndpointsRead(IntStream.rangeClosed(1, count)
 			.mapToObj((index) -> GatewayFixture.endpoint("p" + index, "plain", false))
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -22,9 +22,6 @@
  */
 public final class EndpointAttempt {
 
-	/** Maximum size of an answer that is buffered until it is complete. */
-	private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
-
 	/** Maximum size of an event of a stream. */
 	private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -36,6 +33,8 @@
 
 	private final AttemptListener listener;
 
+	private final AnswerBuffers buffers;
+
 	private final Optional<String> resumeAfter;
 
 	private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
@@ -53,11 +52,12 @@
 	private boolean ended;
 
 	EndpointAttempt(GatewayEffect.Send send, ForwardedAnswer answer, EndpointProtocol protocol,
-			AttemptListener listener) {
+			AttemptListener listener, AnswerBuffers buffers) {
 		this.send = Objects.requireNonNull(send, "send");
 		this.answer = Objects.requireNonNull(answer, "answer");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.listener = Objects.requireNonNull(listener, "listener");
+		this.buffers = Objects.requireNonNull(buffers, "buffers");
 		this.resumeAfter = answer.lastEventId();
 	}
 
@@ -131,13 +131,14 @@
 	/**
 	 * Handles part of the body.
 	 * @param bytes the bytes, read to their end
-	 * @return {@code false} if the answer or one of its events exceeds its maximum size
+	 * @return {@code false} if the answer, one of its events or all buffered answers
+	 * exceed their maximum size
 	 */
 	boolean bodyReceived(ByteBuf bytes) {
 		if (this.answerClass == AnswerClass.VALID && isStreamed()) {
 			return forwardEvents(bytes);
 		}
-		if (this.bufferedBody.size() + bytes.readableBytes() > MAX_BUFFERED_BYTES) {
+		if (!this.buffers.extend(this.bufferedBody.size(), bytes.readableBytes())) {
 			return false;
 		}
 		byte[] copy = new byte[bytes.readableBytes()];
@@ -209,7 +210,7 @@
 
 	void end(AttemptOutcome outcome) {
 		if (!this.ended) {
-			this.ended = true;
+			abandon();
 			this.listener.attemptEnded(id(), outcome, this.status);
 		}
 	}
@@ -218,7 +219,10 @@
 	 * Ends the attempt without a report to the listener.
 	 */
 	void abandon() {
-		this.ended = true;
+		if (!this.ended) {
+			this.ended = true;
+			this.buffers.release(this.bufferedBody.size());
+		}
 	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -44,6 +45,9 @@
 
 	private boolean skippingAnswer;
 
+	/** Bytes of answers to other requests that were received in the attempt. */
+	private long skippedBytes;
+
 	private boolean reusable;
 
 	private boolean requestWritten;
@@ -80,6 +84,7 @@
 		this.attempt = next;
 		this.headRead = false;
 		this.skippingAnswer = false;
+		this.skippedBytes = 0;
 		this.requestWritten = false;
 		byte[] body = next.request().body();
 		HttpMethod method = next.request().method();
@@ -128,7 +133,8 @@
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
-			fail(AttemptOutcome.GARBLED);
+			boolean oversized = message.decoderResult().cause() instanceof TooLongFrameException;
+			fail((oversized) ? AttemptOutcome.OVERSIZED : AttemptOutcome.GARBLED);
 			return;
 		}
 		if (message instanceof HttpResponse response && !handleHead(response)) {
@@ -156,13 +162,17 @@
 
 	private void handleBody(HttpContent content) {
 		if (this.skippingAnswer) {
+			this.skippedBytes += content.content().readableBytes();
 			if (content instanceof LastHttpContent) {
 				this.skippingAnswer = false;
 			}
+			else if (this.skippedBytes > AnswerBuffers.MAX_ANSWER_BYTES) {
+				fail(AttemptOutcome.OVERSIZED);
+			}
 			return;
 		}
 		if (!this.attempt.bodyReceived(content.content())) {
-			fail(AttemptOutcome.GARBLED);
+			fail(AttemptOutcome.OVERSIZED);
 			return;
 		}
 		if (this.attempt == null) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -44,6 +44,8 @@
 
 	private final LongSupplier clockMillis;
 
+	private final AnswerBuffers buffers = new AnswerBuffers();
+
 	private final Map<EndpointId, Deque<EndpointConnection>> idleConnections = new HashMap<>();
 
 	private final Map<Long, ActiveAttempt> activeAttempts = new HashMap<>();
@@ -71,7 +73,7 @@
 	 * @param answer receives the endpoint's answer
 	 */
 	public void send(GatewayEffect.Send send, ForwardedAnswer answer) {
-		EndpointAttempt attempt = new EndpointAttempt(send, answer, this.protocol, this.listener);
+		EndpointAttempt attempt = new EndpointAttempt(send, answer, this.protocol, this.listener, this.buffers);
 		ActiveAttempt started = new ActiveAttempt(attempt);
 		this.activeAttempts.put(attempt.id(), started);
 		EndpointConnection pooled = pollIdle(send.endpoint().id());
