Report what answers say of their endpoints in one type

Limits, times without requests and leaving took the same way from the answer to the reducer three times over: a method of the protocol, two listeners and an event each. EndpointNotices holds all three; a fourth is a field, not another way. No behaviour changes: an answer to a control call that names no limit still changes none.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -14,8 +14,10 @@
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.FleetView;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointSummary;
@@ -130,16 +132,8 @@
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
-		else if (event instanceof GatewayEvent.RequestLimitReported reported) {
-			requestLimitReported(reported, nowMillis);
-		}
-		else if (event instanceof GatewayEvent.BackOffReported reported) {
-			backOffReported(reported, nowMillis);
-		}
-		else if (event instanceof GatewayEvent.LeavingReported reported) {
-			if (this.endpoints.recordLeaving(reported.endpoint(), nowMillis)) {
-				endpointLeaving(reported.endpoint(), "answer");
-			}
+		else if (event instanceof GatewayEvent.NoticesReceived received) {
+			noticesReceived(received, nowMillis);
 		}
 		else if (event instanceof GatewayEvent.EndpointFaultReported reported) {
 			Optional<EndpointId> id = this.endpoints.findByName(reported.endpointName());
@@ -222,28 +216,33 @@
 		this.effects.add(new GatewayEffect.DiscardConnections(endpoint));
 	}
 
-	private void requestLimitReported(GatewayEvent.RequestLimitReported event, long nowMillis) {
-		event.report()
-			.malformedValue()
-			.filter((value) -> this.limits.recordMalformed(event.endpoint(), value))
-			.ifPresent((value) -> log("request-limit-malformed", "endpoint", event.endpoint(), "value", value));
-		Optional<Long> sentMillis = this.forwarder.sentMillis(event.attemptId());
-		Optional<RequestLimits.LimitChange> change = this.limits.apply(event.endpoint(), zone(event.endpoint()),
-				event.report(), sentMillis, nowMillis);
+	private void noticesReceived(GatewayEvent.NoticesReceived event, long nowMillis) {
+		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
+		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
+		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
+			endpointLeaving(event.endpoint(), "answer");
+		}
+	}
+
+	private void limitReported(EndpointId endpoint, long attemptId, RequestLimitReport report, long nowMillis) {
+		report.malformedValue()
+			.filter((value) -> this.limits.recordMalformed(endpoint, value))
+			.ifPresent((value) -> log("request-limit-malformed", "endpoint", endpoint, "value", value));
+		Optional<Long> sentMillis = this.forwarder.sentMillis(attemptId);
+		Optional<RequestLimits.LimitChange> change = this.limits.apply(endpoint, zone(endpoint), report, sentMillis,
+				nowMillis);
 		if (change.isPresent()) {
-			logLimitChange(event.endpoint(), change.get(), sentMillis.isPresent() ? "answer" : "control-call",
+			logLimitChange(endpoint, change.get(), sentMillis.isPresent() ? "answer" : "control-call",
 					sentMillis.map((sent) -> nowMillis - sent).orElse(0L));
 			this.effects.add(new GatewayEffect.PublishState());
 		}
 	}
 
-	private void backOffReported(GatewayEvent.BackOffReported event, long nowMillis) {
-		EndpointId endpoint = event.endpoint();
-		event.report()
-			.malformedValue()
+	private void backOffReported(EndpointId endpoint, BackOffReport report, long nowMillis) {
+		report.malformedValue()
 			.filter((value) -> this.backOffs.recordMalformed(endpoint, value))
 			.ifPresent((value) -> log("back-off-malformed", "endpoint", endpoint, "value", value));
-		event.report().durationMillis().ifPresent((millis) -> {
+		report.durationMillis().ifPresent((millis) -> {
 			long extendedByMillis = this.backOffs.extend(endpoint, millis, nowMillis);
 			log("back-off-requested", "endpoint", endpoint, "millis", millis, "extended-by", extendedByMillis);
 			if (extendedByMillis > 0) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -6,8 +6,7 @@
 
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.InstanceDigest;
-import io.mulberrylift.core.limit.BackOffReport;
-import io.mulberrylift.core.limit.RequestLimitReport;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 
@@ -61,32 +60,14 @@
 	}
 
 	/**
-	 * An answer named, or did not name, the limit of requests that its endpoint accepts.
+	 * An answer was received from an endpoint, with what it says about the requests that
+	 * the endpoint accepts.
 	 *
 	 * @param endpoint the endpoint
 	 * @param attemptId attempt that was answered, 0 for a control call
-	 * @param report what the answer says; that of a control call cannot raise a limit
+	 * @param notices what the answer says; that of a control call cannot raise a limit
 	 */
-	record RequestLimitReported(EndpointId endpoint, long attemptId,
-			RequestLimitReport report) implements GatewayEvent {
-	}
-
-	/**
-	 * An endpoint that turned a request away named a time for which it wants no requests
-	 * from this instance.
-	 *
-	 * @param endpoint the endpoint
-	 * @param report what the answer says
-	 */
-	record BackOffReported(EndpointId endpoint, BackOffReport report) implements GatewayEvent {
-	}
-
-	/**
-	 * An endpoint reported in an answer that it is leaving.
-	 *
-	 * @param endpoint the endpoint
-	 */
-	record LeavingReported(EndpointId endpoint) implements GatewayEvent {
+	record NoticesReceived(EndpointId endpoint, long attemptId, EndpointNotices notices) implements GatewayEvent {
 	}
 
 	/**
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayBackOffTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayBackOffTests.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import io.mulberrylift.core.limit.BackOffReport;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +23,8 @@
 	private final GatewayFixture fixture = new GatewayFixture().started();
 
 	private void backOff(String endpoint, long millis) {
-		this.fixture.reduce(new GatewayEvent.BackOffReported(new EndpointId(endpoint), BackOffReport.of(millis)));
+		this.fixture.reduce(new GatewayEvent.NoticesReceived(new EndpointId(endpoint), 0,
+				EndpointNotices.of(BackOffReport.of(millis))));
 	}
 
 	private long sendsTo(String endpoint) {
@@ -101,7 +103,8 @@
 
 	@Test
 	void malformedBackOffChangesNothing() {
-		this.fixture.reduce(new GatewayEvent.BackOffReported(new EndpointId("p1"), BackOffReport.malformed("soon")));
+		this.fixture.reduce(new GatewayEvent.NoticesReceived(new EndpointId("p1"), 0,
+				EndpointNotices.of(BackOffReport.malformed("soon"))));
 		this.fixture.arrive("/read/x", 0);
 		this.fixture.arrive("/read/x", 0);
 		assertThat(sendsTo("p1")).isEqualTo(1);
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
@@ -9,6 +9,7 @@
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.WorkTable;
@@ -24,8 +25,8 @@
 	private final GatewayFixture fixture = new GatewayFixture().started();
 
 	private void limit(String endpoint, double requestsPerSecond) {
-		this.fixture.reduce(new GatewayEvent.RequestLimitReported(new EndpointId(endpoint), 0,
-				RequestLimitReport.of(requestsPerSecond)));
+		this.fixture.reduce(new GatewayEvent.NoticesReceived(new EndpointId(endpoint), 0,
+				EndpointNotices.of(RequestLimitReport.of(requestsPerSecond))));
 	}
 
 	private List<GatewayEffect.Send> sendsTo(String endpoint) {
@@ -148,8 +149,8 @@
 	@Test
 	void malformedLimitIsLoggedOnce() {
 		for (int count = 0; count < 3; count++) {
-			this.fixture.reduce(new GatewayEvent.RequestLimitReported(new EndpointId("p1"), 0,
-					RequestLimitReport.malformed("soon")));
+			this.fixture.reduce(new GatewayEvent.NoticesReceived(new EndpointId("p1"), 0,
+					EndpointNotices.of(RequestLimitReport.malformed("soon"))));
 		}
 		assertThat(this.fixture.all(GatewayEffect.Log.class)
 			.stream()
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -11,6 +11,9 @@
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.limit.BackOffReport;
+import io.mulberrylift.core.limit.EndpointNotices;
+import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.core.placement.RequestWork;
@@ -314,12 +317,17 @@
 			.count();
 	}
 
+	private void reportLeaving(String endpoint) {
+		this.fixture.reduce(new GatewayEvent.NoticesReceived(new EndpointId(endpoint), 0,
+				new EndpointNotices(RequestLimitReport.unlimited(), BackOffReport.none(), true)));
+	}
+
 	/** Failure: only the list was believed when an endpoint said that it was leaving. */
 	@Test
 	void endpointThatReportsThatItIsLeavingGetsNoNewWorkWhileItIsListed() {
 		this.fixture.started();
-		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
-		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		reportLeaving("p1");
+		reportLeaving("p1");
 		assertThat(this.fixture.logged("endpoint-leaving")).containsEntry("source", "answer");
 		assertThat(this.fixture.all(GatewayEffect.DiscardConnections.class)).hasSize(1);
 		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
@@ -334,7 +342,7 @@
 	@Test
 	void endpointThatIsStillListedLongAfterItReportedThatItIsLeavingIsUsedAgain() {
 		this.fixture.started();
-		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		reportLeaving("p1");
 		this.fixture.advance(121_000);
 		this.fixture.arrive("/read/x", 0);
 		this.fixture.arrive("/read/x", 0);
@@ -344,7 +352,7 @@
 	@Test
 	void endpointThatIsListedAnewIsUsedAlthoughItReportedThatItIsLeaving() {
 		this.fixture.started();
-		this.fixture.reduce(new GatewayEvent.LeavingReported(new EndpointId("p1")));
+		reportLeaving("p1");
 		this.fixture.reduce(new GatewayEvent.EndpointsRead(List.of(GatewayFixture.endpoint("p2", "plain", false))));
 		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
 		this.fixture.arrive("/read/x", 0);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -1,8 +1,7 @@
 package io.mulberrylift.gateway.endpoint;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
-import io.mulberrylift.core.limit.BackOffReport;
-import io.mulberrylift.core.limit.RequestLimitReport;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 
@@ -40,25 +39,11 @@
 	void loadReported(EndpointId endpoint, ObservedLoad load);
 
 	/**
-	 * Called when an endpoint answered an attempt, whether or not the answer names a
-	 * limit of requests.
+	 * Called when the head of an answer of the expected endpoint was received.
 	 * @param endpoint the endpoint
 	 * @param attemptId the attempt
-	 * @param report what the answer says about the limit
+	 * @param notices what the answer says about the requests that the endpoint accepts
 	 */
-	void limitReported(EndpointId endpoint, long attemptId, RequestLimitReport report);
-
-	/**
-	 * Called when an answer names a time for which its endpoint wants no requests.
-	 * @param endpoint the endpoint
-	 * @param report the time
-	 */
-	void backOffReported(EndpointId endpoint, BackOffReport report);
-
-	/**
-	 * Called when an answer says that its endpoint is leaving.
-	 * @param endpoint the endpoint
-	 */
-	void leavingReported(EndpointId endpoint);
+	void noticesReceived(EndpointId endpoint, long attemptId, EndpointNotices notices);
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -6,7 +6,6 @@
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.GatewayEffect;
-import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.gateway.caller.BufferedRequest;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -101,15 +100,8 @@
 			classified = AnswerClass.INVALID;
 		}
 		if (classified.isFromExpectedEndpoint()) {
-			this.listener.limitReported(this.send.endpoint().id(), id(),
-					this.protocol.reportedLimit(response.headers()));
-			if (this.protocol.reportsLeaving(response.headers())) {
-				this.listener.leavingReported(this.send.endpoint().id());
-			}
-			BackOffReport backOff = this.protocol.reportedBackOff(response.status().code(), response.headers());
-			if (!backOff.isNone()) {
-				this.listener.backOffReported(this.send.endpoint().id(), backOff);
-			}
+			this.listener.noticesReceived(this.send.endpoint().id(), id(),
+					this.protocol.notices(response.status().code(), response.headers()));
 		}
 		if (classified == AnswerClass.NOT_RUN) {
 			this.protocol.reportedFault(response).ifPresent(this.listener::faultReported);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -3,8 +3,7 @@
 import java.util.Optional;
 
 import io.mulberrylift.core.forwarding.GatewayEffect;
-import io.mulberrylift.core.limit.BackOffReport;
-import io.mulberrylift.core.limit.RequestLimitReport;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.gateway.caller.BufferedRequest;
 import io.mulberrylift.gateway.http.CallResult;
@@ -57,30 +56,13 @@
 	Optional<ObservedLoad> reportedLoad(HttpResponse answer);
 
 	/**
-	 * Returns what an answer says about the requests that its endpoint accepts from all
-	 * instances together.
-	 * @param headers headers of any answer
-	 * @return the report, malformed if the limit is not a decimal number or is named with
-	 * different values
-	 */
-	RequestLimitReport reportedLimit(HttpHeaders headers);
-
-	/**
-	 * Returns for how long an endpoint that turned a request away wants no requests from
-	 * this instance.
-	 * @param status status of the answer
+	 * Returns what an answer says about the requests that its endpoint accepts.
+	 * @param status status of any answer
 	 * @param headers headers of the answer
-	 * @return the report, malformed if the time is not a number of seconds, is too long
-	 * or is named more than once; none for other answers
-	 */
-	BackOffReport reportedBackOff(int status, HttpHeaders headers);
-
-	/**
-	 * Returns whether an answer says that its endpoint is leaving.
-	 * @param headers headers of any answer
-	 * @return true if it is leaving
+	 * @return the notices, with malformed reports for values that cannot be read or are
+	 * ambiguous; a back-off only from an answer that turns a request away
 	 */
-	boolean reportsLeaving(HttpHeaders headers);
+	EndpointNotices notices(int status, HttpHeaders headers);
 
 	/**
 	 * Returns the endpoint that a refusal names as its cause.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
@@ -9,8 +9,7 @@
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.forwarding.GatewayEffect;
-import io.mulberrylift.core.limit.BackOffReport;
-import io.mulberrylift.core.limit.RequestLimitReport;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.http.CallResult;
 import io.mulberrylift.gateway.http.NetAddress;
@@ -92,27 +91,16 @@
 		queue.waiting
 			.addLast(() -> queue.client.call(HttpMethod.POST, call.target(), call.body(), TIMEOUT_MILLIS, (result) -> {
 				queue.busy = false;
-				reportNotices(endpoint.id(), result);
+				if (result.isAnswered()) {
+					this.listener.noticesReceived(endpoint.id(),
+							this.protocol.notices(result.status(), result.headers()));
+				}
 				handler.handle(result);
 				startNext(endpoint.id(), queue);
 			}));
 		startNext(endpoint.id(), queue);
 	}
 
-	private void reportNotices(EndpointId endpoint, CallResult result) {
-		RequestLimitReport report = this.protocol.reportedLimit(result.headers());
-		if (!report.isUnlimited()) {
-			this.listener.limitReported(endpoint, report);
-		}
-		if (this.protocol.reportsLeaving(result.headers())) {
-			this.listener.leavingReported(endpoint);
-		}
-		BackOffReport backOff = this.protocol.reportedBackOff(result.status(), result.headers());
-		if (!backOff.isNone()) {
-			this.listener.backOffReported(endpoint, backOff);
-		}
-	}
-
 	private void startNext(EndpointId endpoint, Queue queue) {
 		if (queue.busy) {
 			return;
@@ -140,26 +128,12 @@
 		void reservationAnswered(long requestId, EndpointId endpoint, Optional<Boolean> granted);
 
 		/**
-		 * Called when the answer to a call names a limit of requests. An answer without
-		 * one is not reported: engines may name their limit in answers to requests only.
-		 * @param endpoint the engine
-		 * @param report the limit
-		 */
-		void limitReported(EndpointId endpoint, RequestLimitReport report);
-
-		/**
-		 * Called when the answer to a call names a time for which the engine wants no
-		 * requests.
-		 * @param endpoint the engine
-		 * @param report the time
-		 */
-		void backOffReported(EndpointId endpoint, BackOffReport report);
-
-		/**
-		 * Called when the answer to a call says that the engine is leaving.
-		 * @param endpoint the engine
+		 * Called when a call was answered.
+		 * @param engine the engine
+		 * @param notices what the answer says about the requests that the engine accepts;
+		 * engines may name their limit in answers to requests only
 		 */
-		void leavingReported(EndpointId endpoint);
+		void noticesReceived(EndpointId engine, EndpointNotices notices);
 
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -22,8 +22,7 @@
 import io.mulberrylift.core.forwarding.GatewayIdentity;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
-import io.mulberrylift.core.limit.BackOffReport;
-import io.mulberrylift.core.limit.RequestLimitReport;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.gateway.caller.BufferedRequest;
@@ -409,23 +408,13 @@
 	}
 
 	@Override
-	public void limitReported(EndpointId endpoint, RequestLimitReport report) {
-		limitReported(endpoint, 0, report);
+	public void noticesReceived(EndpointId engine, EndpointNotices notices) {
+		noticesReceived(engine, 0, notices);
 	}
 
 	@Override
-	public void limitReported(EndpointId endpoint, long attemptId, RequestLimitReport report) {
-		run(new GatewayEvent.RequestLimitReported(endpoint, attemptId, report));
-	}
-
-	@Override
-	public void backOffReported(EndpointId endpoint, BackOffReport report) {
-		run(new GatewayEvent.BackOffReported(endpoint, report));
-	}
-
-	@Override
-	public void leavingReported(EndpointId endpoint) {
-		run(new GatewayEvent.LeavingReported(endpoint));
+	public void noticesReceived(EndpointId endpoint, long attemptId, EndpointNotices notices) {
+		run(new GatewayEvent.NoticesReceived(endpoint, attemptId, notices));
 	}
 
 	private Page page(String path) {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -34,6 +34,7 @@
 import io.mulberrylift.core.forwarding.WeightedService;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.http.NetAddress;
@@ -425,7 +426,8 @@
 				return;
 			}
 			report.requestsPerSecond().ifPresent((limit) -> runner.tell(this.address, SimulatedFleet.this.nowMillis));
-			reduce(new GatewayEvent.RequestLimitReported(runner.endpoint.id(), send.attemptId(), report));
+			reduce(new GatewayEvent.NoticesReceived(runner.endpoint.id(), send.attemptId(),
+					EndpointNotices.of(report)));
 			end(send.attemptId(),
 					(SimulatedFleet.this.failing) ? AttemptOutcome.ENDPOINT_ERROR : AttemptOutcome.COMPLETED,
 					(SimulatedFleet.this.failing) ? 500 : 200);
