--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -55,8 +55,6 @@
 	 */
 	private static final long RECHECK_MILLIS = 200;
 
-	private static final int FIRST_UNSUCCESSFUL_STATUS = 300;
-
 	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
@@ -65,7 +63,7 @@
 
 	private final WorkTable work;
 
-	private final CrashSuspects suspects;
+	private final CrashEvidence crashEvidence;
 
 	private final PromptPlacement promptPlacement;
 
@@ -79,9 +77,6 @@
 
 	private final Map<Long, ForwardState> byAttemptId = new HashMap<>();
 
-	/** Attempts that continue although their callers have disconnected. */
-	private final Map<Long, ForwardState> abandonedAttempts = new HashMap<>();
-
 	private final Map<String, ServiceRetryBudget> retryBudgets = new HashMap<>();
 
 	private ForwardingConfiguration configuration;
@@ -92,12 +87,12 @@
 	private long nextAttemptId = 1;
 
 	Forwarder(GatewayIdentity identity, RandomGenerator random, EndpointTable endpoints, WorkTable work,
-			CrashSuspects suspects, RequestLimits limits, EndpointBackOffs backOffs) {
+			CrashEvidence crashEvidence, RequestLimits limits, EndpointBackOffs backOffs) {
 		this.identity = identity;
 		this.random = random;
 		this.candidates = new EndpointCandidates(endpoints, work, limits, backOffs);
 		this.work = work;
-		this.suspects = suspects;
+		this.crashEvidence = crashEvidence;
 		this.promptPlacement = new PromptPlacement(random);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
@@ -139,7 +134,7 @@
 		this.configuration = current;
 		this.byRequestId.put(state.requestId, state);
 		retryBudget(state.service).recordRequest(nowMillis);
-		if (this.suspects.isIsolated(state.request.fingerprint())) {
+		if (this.crashEvidence.isIsolated(state)) {
 			refuse(state, RefusalCause.ISOLATED, nowMillis, effects);
 			return;
 		}
@@ -332,10 +327,7 @@
 
 	void attemptEnded(GatewayEvent.AttemptEnded event, long nowMillis, List<GatewayEffect> effects) {
 		AttemptOutcome outcome = event.outcome();
-		ForwardState abandoned = this.abandonedAttempts.remove(event.attemptId());
-		if (abandoned != null) {
-			recordEvidence(abandoned, event, nowMillis, effects);
-		}
+		this.crashEvidence.abandonedAttemptEnded(event, nowMillis, effects);
 		ForwardState state = this.byAttemptId.remove(event.attemptId());
 		if (state == null) {
 			return;
@@ -348,7 +340,7 @@
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
-		recordEvidence(state, event, nowMillis, effects);
+		this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
 		if (outcome == AttemptOutcome.COMPLETED) {
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
@@ -391,45 +383,10 @@
 		}
 	}
 
-	/**
-	 * Records what the end of an attempt says about whether its request crashes
-	 * endpoints.
-	 * @param state the request
-	 * @param event end of the attempt
-	 * @param nowMillis the current time
-	 * @param effects receives the log line
-	 */
-	private void recordEvidence(ForwardState state, GatewayEvent.AttemptEnded event, long nowMillis,
-			List<GatewayEffect> effects) {
-		if (event.outcome().mayHaveCrashedEndpoint()) {
-			recordLoss(state, nowMillis, effects);
-			return;
-		}
-		if (event.outcome() != AttemptOutcome.COMPLETED || event.status() >= FIRST_UNSUCCESSFUL_STATUS) {
-			return;
-		}
-		long fingerprint = state.request.fingerprint();
-		int cleared = this.suspects.recordAnswer(fingerprint, nowMillis);
-		if (cleared > 0) {
-			log(effects, "suspicion-cleared", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
-					"losses-before", cleared);
-		}
-	}
-
-	private void recordLoss(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		EndpointId endpoint = state.placement.endpoint().id();
-		long fingerprint = state.request.fingerprint();
-		this.suspects.recordLoss(fingerprint, WorkTable.hash(endpoint), state.sentMillis, nowMillis);
-		log(effects, "endpoint-lost", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
-				"endpoint", endpoint, "losses", this.suspects.lossCount(fingerprint), "isolated",
-				this.suspects.isIsolated(fingerprint));
-	}
-
 	private boolean mayRetry(ForwardState state, AttemptOutcome outcome, long nowMillis) {
 		boolean repeatable = !state.mayHaveRun || state.route.kind().isRepeatable();
 		boolean hasTimeLeft = state.timeLeftMillis(nowMillis) > MIN_RETRY_MILLIS;
-		if (outcome == AttemptOutcome.REJECTED || !repeatable || !hasTimeLeft
-				|| this.suspects.isIsolated(state.request.fingerprint())) {
+		if (outcome == AttemptOutcome.REJECTED || !repeatable || !hasTimeLeft || this.crashEvidence.isIsolated(state)) {
 			return false;
 		}
 		if (outcome == AttemptOutcome.NOT_CONNECTED) {
@@ -447,7 +404,7 @@
 		log(effects, "caller-disconnected", "request", requestId, "millis", nowMillis - state.arrivalMillis,
 				"answer-started", state.answerStarted);
 		if (state.attemptId != 0 && state.route.kind() == RequestKind.NON_IDEMPOTENT) {
-			this.abandonedAttempts.put(state.attemptId, state);
+			this.crashEvidence.attemptAbandoned(state);
 		}
 		else if (state.attemptId != 0) {
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
@@ -475,7 +432,6 @@
 	}
 
 	void tick(long nowMillis, List<GatewayEffect> effects) {
-		this.abandonedAttempts.values().removeIf((state) -> nowMillis >= state.deadlineMillis);
 		for (ForwardState state : List.copyOf(this.byRequestId.values())) {
 			if (nowMillis >= state.deadlineMillis) {
 				expire(state, nowMillis, effects);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -56,6 +56,8 @@
 
 	private final CrashSuspects suspects = new CrashSuspects();
 
+	private final CrashEvidence crashEvidence = new CrashEvidence(this.suspects);
+
 	private final RequestLimits limits;
 
 	private final EndpointBackOffs backOffs = new EndpointBackOffs();
@@ -81,7 +83,7 @@
 		this.identity = Objects.requireNonNull(identity, "identity");
 		this.random = Objects.requireNonNull(random, "random");
 		this.limits = new RequestLimits(FleetView.alone(identity.name(), identity.zone()), random);
-		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.suspects, this.limits,
+		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.crashEvidence, this.limits,
 				this.backOffs);
 	}
 
@@ -127,7 +129,9 @@
 			digestReceived(received.digest(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.CrashesReported reported) {
-			reported.crashes().forEach((each) -> crashReported(each, reported.sender(), nowMillis));
+			reported.crashes()
+				.forEach((each) -> this.crashEvidence.reported(each, reported.sender(), this.partialView, nowMillis,
+						this.effects));
 		}
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
@@ -280,21 +284,9 @@
 		}
 	}
 
-	private void crashReported(CrashObservation observation, String sender, long nowMillis) {
-		boolean isolatedBefore = this.suspects.isIsolated(observation.fingerprint());
-		if (this.suspects.recordReported(observation, this.partialView, nowMillis)) {
-			String event = (observation.lostEndpointHash().isPresent()) ? "endpoint-loss-reported"
-					: "suspicion-clearing-reported";
-			log(event, "peer", sender, "age-millis", observation.ageMillis(), "fingerprint",
-					Long.toHexString(observation.fingerprint()), "losses",
-					this.suspects.lossCount(observation.fingerprint()), "isolated",
-					this.suspects.isIsolated(observation.fingerprint()), "isolated-before", isolatedBefore);
-		}
-	}
-
 	private void tick(long nowMillis) {
 		this.work.expire(nowMillis);
-		this.suspects.tick(nowMillis);
+		this.crashEvidence.tick(nowMillis);
 		this.limits.expire(nowMillis);
 		this.backOffs.expire(nowMillis);
 		this.endpoints.expire(nowMillis);
