Keep a loss no longer than its own time

Now the newest loss or answer itself counts. Suspects and isolated requests have the same time, 10 min: a report in several messages would expire between them otherwise.

CrashSuspectsTests#reportDoesNotProlongTheTimeForWhichALossIsKept.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -19,7 +19,8 @@
  * {@value #ISOLATION_THRESHOLD} losses on. Observations are published promptly several
  * times, since messages may be lost; those of requests with {@value #RELAY_THRESHOLD}
  * losses or more are published in turn as long as they are kept, so that instances which
- * start or were disconnected learn them. Not thread-safe.
+ * start or were disconnected learn them. Times of peers' observations are those of the
+ * observations, not of the reports. Not thread-safe.
  * </p>
  */
 final class CrashSuspects {
@@ -27,9 +28,8 @@
 	/** Number of losses from which a request is isolated. */
 	static final int ISOLATION_THRESHOLD = 3;
 
-	private static final long SUSPICION_MILLIS = 120_000;
-
-	private static final long ISOLATION_MILLIS = 600_000;
+	/** Time for which a request is kept after its last loss or answer. */
+	private static final long RETENTION_MILLIS = 600_000;
 
 	private static final int MAX_FINGERPRINTS = 4096;
 
@@ -107,7 +107,6 @@
 		int before = suspect.losses.size();
 		suspect.losses.removeIf((loss) -> loss.millis <= answeredMillis);
 		suspect.answeredMillis = answeredMillis;
-		suspect.changedMillis = nowMillis;
 		int cleared = before - suspect.losses.size();
 		if (cleared > 0) {
 			suspect.answerPublication.request(publications, nowMillis);
@@ -124,7 +123,6 @@
 		}
 		loss.publication.request(publications, nowMillis);
 		suspect.losses.add(loss);
-		suspect.changedMillis = nowMillis;
 		this.suspects.remove(fingerprint);
 		this.suspects.put(fingerprint, suspect);
 		if (this.suspects.size() > MAX_FINGERPRINTS) {
@@ -157,7 +155,7 @@
 	}
 
 	void tick(long nowMillis) {
-		this.suspects.values().removeIf((suspect) -> nowMillis - suspect.changedMillis > suspect.retentionMillis());
+		this.suspects.values().removeIf((suspect) -> nowMillis - suspect.newestMillis() > RETENTION_MILLIS);
 	}
 
 	/**
@@ -252,12 +250,15 @@
 		private final Publication answerPublication = new Publication();
 
 		/** When the request was last answered completely, as far as is known. */
-		private long answeredMillis = Long.MIN_VALUE;
-
-		private long changedMillis;
-
-		long retentionMillis() {
-			return (this.losses.size() >= ISOLATION_THRESHOLD) ? ISOLATION_MILLIS : SUSPICION_MILLIS;
+		private long answeredMillis = Long.MIN_VALUE / 2;
+
+		/**
+		 * Returns the time of the newest observation. The time at which a peer reported
+		 * it does not count; reports would renew each other for ever.
+		 * @return the time
+		 */
+		long newestMillis() {
+			return this.losses.stream().mapToLong((loss) -> loss.millis).reduce(this.answeredMillis, Math::max);
 		}
 
 		boolean isPromptPublicationDue(long nowMillis) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/CrashSuspectsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/CrashSuspectsTests.java
@@ -88,6 +88,21 @@
 		assertThat(this.suspects.isIsolated(REQUEST)).isFalse();
 	}
 
+	/**
+	 * Failure: instances that reported the same losses to each other in turn would have
+	 * kept them for ever.
+	 */
+	@Test
+	void reportDoesNotProlongTheTimeForWhichALossIsKept() {
+		for (int endpoint = 1; endpoint <= 3; endpoint++) {
+			this.suspects.recordReported(loss(endpoint, 599_000), false, 600_000);
+		}
+		this.suspects.tick(600_900);
+		assertThat(this.suspects.isIsolated(REQUEST)).isTrue();
+		this.suspects.tick(601_100);
+		assertThat(this.suspects.isIsolated(REQUEST)).isFalse();
+	}
+
 	@Test
 	void requestWithMostLossesIsPublishedFirst() {
 		for (long other = 100; other < 150; other++) {
