--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -252,6 +252,23 @@
 		return targets;
 	}
 
+	/**
+	 * Returns the recipients of a message that should reach all instances soon: the
+	 * tracked peers and {@value #OTHER_ZONE_TARGETS} random other members, which may not
+	 * know this instance.
+	 * @return distinct addresses
+	 */
+	public List<String> promptTargets() {
+		List<String> targets = new ArrayList<>(trackedPeers());
+		List<String> others = new ArrayList<>(this.members.keySet());
+		others.removeAll(targets);
+		Collections.sort(others);
+		for (int count = 0; count < OTHER_ZONE_TARGETS && !others.isEmpty(); count++) {
+			targets.add(others.remove(this.random.nextInt(others.size())));
+		}
+		return targets;
+	}
+
 	/**
 	 * Returns up to {@value #SAMPLE_SIZE} random members to report to the members of this
 	 * instance's zone, or to instances whose zone is not known.
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -61,6 +61,26 @@
 		assertThat(this.membership.trackedPeers()).hasSizeLessThanOrEqualTo(370 / 22 + 1);
 	}
 
+	/**
+	 * Failure: a member of another zone that had just joined was sent a message of
+	 * changes, which it ignored, instead of its first full state.
+	 */
+	@Test
+	void messageThatShouldReachAllSoonDoesNotReplaceTheFullStateOfANewMember() {
+		for (int host = 1; host < 100; host++) {
+			this.membership.receive(digest(host, 1, 1, List.of()), 0);
+		}
+		for (int count = 0; count < 100; count++) {
+			this.membership.targets(0);
+		}
+		this.membership.receive(digest(101, 1, 1, List.of()), 0);
+		for (int count = 0; count < 100; count++) {
+			assertThat(this.membership.promptTargets()).doesNotHaveDuplicates()
+				.hasSize(this.membership.trackedPeers().size() + Membership.OTHER_ZONE_TARGETS);
+		}
+		assertThat(this.membership.targets(0)).contains("10.0.0.103:1");
+	}
+
 	/** Fault: a zone is partitioned and reconnects. */
 	@Test
 	void membersOfAPartitionedZoneAreNotLiveUntilItReconnects() {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -193,7 +193,7 @@
 			return;
 		}
 		this.lastCrashesMillis = nowMillis;
-		List<String> targets = this.membership.targets(nowMillis);
+		List<String> targets = this.membership.promptTargets();
 		int maxCrashes = (bytesPerTarget(targets, CRASHES_RATE_MILLIS) - CRASHES_HEADER_BYTES) / CRASH_BYTES;
 		List<CrashObservation> crashes = this.gateway.pollPublishedCrashes(Math.max(MIN_CRASHES, maxCrashes),
 				nowMillis);
