--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/EndpointBackOffs.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/EndpointBackOffs.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 
 import io.mulberrylift.core.model.EndpointId;
@@ -92,9 +91,11 @@
 	 */
 	public Map<EndpointId, Long> all(long nowMillis) {
 		Map<EndpointId, Long> all = new TreeMap<>();
-		this.endMillis.forEach((endpoint, end) -> Optional.of(end - nowMillis)
-			.filter((remaining) -> remaining > 0)
-			.ifPresent((remaining) -> all.put(endpoint, remaining)));
+		for (EndpointId endpoint : this.endMillis.keySet()) {
+			if (!mayUse(endpoint, nowMillis)) {
+				all.put(endpoint, remainingMillis(endpoint, nowMillis));
+			}
+		}
 		return all;
 	}
 
