Try isolated requests again that were answered before

Cause: requests that all callers send alike are on every runner that ends. Once they are isolated everywhere and no copy is in progress, nothing can clear them.

Change: an instance that has received a complete answer to a request before tries it again, 0.5 s after it was isolated and then after delays that double up to 30 s; its answer clears it for all instances. A request that was never answered, as one that ends every runner that runs it, is never tried.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashEvidence.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashEvidence.java
@@ -29,6 +29,22 @@
 		this.suspects = Objects.requireNonNull(suspects, "suspects");
 	}
 
+	/**
+	 * Returns whether a request that has just arrived may be sent to an endpoint.
+	 * @param state the request
+	 * @param nowMillis the current time
+	 * @param effects receives a log line if an isolated request is tried again
+	 * @return false if it is isolated and must not be tried now
+	 */
+	boolean mayStart(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		boolean mayStart = this.suspects.mayStart(state.request.fingerprint(), nowMillis);
+		if (mayStart && isIsolated(state)) {
+			log(effects, "isolated-request-tried", "request", state.requestId, "fingerprint",
+					Long.toHexString(state.request.fingerprint()));
+		}
+		return mayStart;
+	}
+
 	boolean isIsolated(ForwardState state) {
 		return this.suspects.isIsolated(state.request.fingerprint());
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.mulberrylift.core.gossip.CrashObservation;
 
@@ -20,7 +22,9 @@
  * times, since messages may be lost; those of requests with {@value #RELAY_THRESHOLD}
  * losses or more are published in turn as long as they are kept, so that instances which
  * start or were disconnected learn them. Times of peers' observations are those of the
- * observations, not of the reports. Not thread-safe.
+ * observations, not of the reports. An isolated request that this instance received an
+ * answer to before is tried again after growing delays, since another request may be the
+ * cause of its losses and nothing else could clear it. Not thread-safe.
  * </p>
  */
 final class CrashSuspects {
@@ -39,6 +43,11 @@
 	 */
 	private static final long SAME_LOSS_MILLIS = 1000;
 
+	/** Time from the isolation of a request that was answered before to its next try. */
+	private static final long INITIAL_TRIAL_DELAY_MILLIS = 500;
+
+	private static final long MAX_TRIAL_DELAY_MILLIS = 30_000;
+
 	/** Number of prompt publications of an own observation. */
 	private static final int OWN_PUBLICATIONS = 3;
 
@@ -51,6 +60,11 @@
 	/** By fingerprint, the least recently changed first. */
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
+	/**
+	 * Requests that this instance received a complete answer to, the least recent first.
+	 */
+	private final Set<Long> answered = new LinkedHashSet<>();
+
 	/**
 	 * Records that an endpoint was lost during an attempt of this instance.
 	 * @param fingerprint fingerprint of the request
@@ -74,6 +88,11 @@
 	 * @return the number of losses of which the request is cleared
 	 */
 	int recordAnswer(long fingerprint, long nowMillis) {
+		this.answered.remove(fingerprint);
+		this.answered.add(fingerprint);
+		if (this.answered.size() > MAX_FINGERPRINTS) {
+			this.answered.remove(this.answered.iterator().next());
+		}
 		return clear(fingerprint, nowMillis, OWN_PUBLICATIONS, nowMillis);
 	}
 
@@ -109,6 +128,7 @@
 		suspect.answeredMillis = answeredMillis;
 		int cleared = before - suspect.losses.size();
 		if (cleared > 0) {
+			suspect.trialDelayMillis = INITIAL_TRIAL_DELAY_MILLIS;
 			suspect.answerPublication.request(publications, nowMillis);
 		}
 		return cleared;
@@ -123,6 +143,7 @@
 		}
 		loss.publication.request(publications, nowMillis);
 		suspect.losses.add(loss);
+		suspect.trialMillis = nowMillis + suspect.trialDelayMillis;
 		this.suspects.remove(fingerprint);
 		this.suspects.put(fingerprint, suspect);
 		if (this.suspects.size() > MAX_FINGERPRINTS) {
@@ -131,6 +152,26 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether a request may be sent to an endpoint. If it is an isolated one that
+	 * was answered before, the next try is delayed.
+	 * @param fingerprint fingerprint of the request
+	 * @param nowMillis the current time
+	 * @return false if the request is isolated and must not be tried now
+	 */
+	boolean mayStart(long fingerprint, long nowMillis) {
+		if (!isIsolated(fingerprint)) {
+			return true;
+		}
+		Suspect suspect = this.suspects.get(fingerprint);
+		if (!this.answered.contains(fingerprint) || nowMillis < suspect.trialMillis) {
+			return false;
+		}
+		suspect.trialDelayMillis = Math.min(2 * suspect.trialDelayMillis, MAX_TRIAL_DELAY_MILLIS);
+		suspect.trialMillis = nowMillis + suspect.trialDelayMillis;
+		return true;
+	}
+
 	boolean isIsolated(long fingerprint) {
 		return lossCount(fingerprint) >= ISOLATION_THRESHOLD;
 	}
@@ -247,6 +288,11 @@
 		/** At most {@value #ISOLATION_THRESHOLD}. */
 		private final List<Loss> losses = new ArrayList<>();
 
+		private long trialDelayMillis = INITIAL_TRIAL_DELAY_MILLIS;
+
+		/** When the request may be tried again if it is isolated. */
+		private long trialMillis;
+
 		private final Publication answerPublication = new Publication();
 
 		/** When the request was last answered completely, as far as is known. */
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -134,7 +134,7 @@
 		this.configuration = current;
 		this.byRequestId.put(state.requestId, state);
 		retryBudget(state.service).recordRequest(nowMillis);
-		if (this.crashEvidence.isIsolated(state)) {
+		if (!this.crashEvidence.mayStart(state, nowMillis, effects)) {
 			refuse(state, RefusalCause.ISOLATED, nowMillis, effects);
 			return;
 		}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/CrashSuspectsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/CrashSuspectsTests.java
@@ -61,6 +61,30 @@
 		assertThat(this.suspects.recordReported(answer, false, 2100)).isFalse();
 	}
 
+	@Test
+	void isolatedRequestThatWasAnsweredBeforeIsTriedAfterGrowingDelays() {
+		this.suspects.recordAnswer(REQUEST, 500);
+		for (int endpoint = 1; endpoint <= 3; endpoint++) {
+			lose(endpoint, 1000);
+		}
+		assertThat(this.suspects.mayStart(REQUEST, 1499)).isFalse();
+		assertThat(this.suspects.mayStart(REQUEST, 1500)).isTrue();
+		assertThat(this.suspects.mayStart(REQUEST, 2499)).isFalse();
+		assertThat(this.suspects.mayStart(REQUEST, 2500)).isTrue();
+		assertThat(this.suspects.mayStart(REQUEST, 4499)).isFalse();
+		assertThat(this.suspects.isIsolated(REQUEST)).isTrue();
+		this.suspects.recordAnswer(REQUEST, 4600);
+		assertThat(this.suspects.mayStart(REQUEST, 4600)).isTrue();
+	}
+
+	@Test
+	void isolatedRequestThatWasNeverAnsweredIsNotTried() {
+		for (int endpoint = 1; endpoint <= 3; endpoint++) {
+			lose(endpoint, 1000);
+		}
+		assertThat(this.suspects.mayStart(REQUEST, 500_000)).isFalse();
+	}
+
 	@Test
 	void ownLossIsPublishedPromptlyThreeTimes() {
 		lose(1, 1000);
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetCrashTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetCrashTests.java
@@ -54,6 +54,7 @@
 			crash(fleet, 9, 80);
 			assertThat(fleet.crashes()).as("seed %d", seed).isGreaterThanOrEqualTo(3);
 			assertThat(fleet.lateCrashingSends()).as("seed %d", seed).isLessThanOrEqualTo(MAX_LATE_SENDS);
+			assertThat(fleet.isWithinPeerRate()).as("seed %d", seed).isTrue();
 		}
 	}
 
@@ -65,6 +66,7 @@
 			fleet.run(2 * START_MILLIS);
 			crash(fleet, instances, 60);
 			assertThat(fleet.lateCrashingSends()).as("%d instances", instances).isLessThanOrEqualTo(MAX_LATE_SENDS);
+			assertThat(fleet.isWithinPeerRate()).as("%d instances", instances).isTrue();
 		}
 	}
 
@@ -106,6 +108,26 @@
 		}
 	}
 
+	/**
+	 * Failure: if all requests were equal and few runners left, none was in progress that
+	 * could clear them when they were isolated, and they were refused for good.
+	 */
+	@Test
+	void onlyRequestOfAllCallersIsServedAfterRunnersHaveEnded() {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(9, 3, 3, 60, seed);
+			fleet.runnersKeepIdentities = true;
+			fleet.popularShare = 1;
+			fleet.run(START_MILLIS);
+			crash(fleet, 9, 40);
+			fleet.run(5000);
+			long settledMillis = fleet.nowMillis();
+			fleet.run(5000);
+			assertThat(fleet.isolatedHarmlessMillis).as("seed %d", seed).noneMatch((millis) -> millis >= settledMillis);
+			assertThat(fleet.lateCrashingSends()).as("seed %d", seed).isLessThanOrEqualTo(MAX_LATE_SENDS);
+		}
+	}
+
 	/**
 	 * Failure: a popular request that was in progress on runners when another request
 	 * ended them was refused for two minutes.
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -49,6 +49,8 @@
 
 	private static final int MAX_PEER_BYTES_PER_SECOND = 4096;
 
+	private static final int MAX_BURST_SECONDS = 2;
+
 	private static final long TICK_MILLIS = 20;
 
 	private static final long NETWORK_MILLIS = 2;
@@ -69,6 +71,9 @@
 
 	private final SplittableRandom random;
 
+	/** Separate, so that fingerprints do not change the times of a seed. */
+	private final SplittableRandom fingerprintRandom;
+
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
 			Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::number));
 
@@ -132,8 +137,9 @@
 		this.zones = zones;
 		this.requestsPerSecond = requestsPerSecond;
 		this.random = new SplittableRandom(seed);
-		this.crashingFingerprint = this.random.nextLong();
-		this.popularFingerprint = this.random.nextLong();
+		this.fingerprintRandom = new SplittableRandom(~seed);
+		this.crashingFingerprint = this.fingerprintRandom.nextLong();
+		this.popularFingerprint = this.fingerprintRandom.nextLong();
 		for (int index = 0; index < runners; index++) {
 			this.runners.add(new SimulatedRunner(endpoint("runner-" + index, 1000 + index, zone(index))));
 		}
@@ -172,6 +178,17 @@
 			.count();
 	}
 
+	/**
+	 * Returns whether no instance has sent its peers more bytes than its rate permits
+	 * since its start, with a burst of {@value #MAX_BURST_SECONDS} s.
+	 */
+	boolean isWithinPeerRate() {
+		return this.instances.values().stream().allMatch((instance) -> {
+			double seconds = (this.nowMillis - instance.startMillis) / 1000.0;
+			return instance.peerBytes <= MAX_PEER_BYTES_PER_SECOND * (seconds + MAX_BURST_SECONDS);
+		});
+	}
+
 	private void crash(SimulatedRunner runner) {
 		this.crashMillis.add(this.nowMillis);
 		runner.end().forEach((broken) -> at(this.nowMillis + NETWORK_MILLIS, broken));
@@ -184,6 +201,11 @@
 		});
 	}
 
+	private long nextFingerprint() {
+		return (this.fingerprintRandom.nextDouble() < this.popularShare) ? this.popularFingerprint
+				: this.fingerprintRandom.nextLong();
+	}
+
 	private String zone(int index) {
 		return "zone-" + index % this.zones;
 	}
@@ -278,6 +300,8 @@
 
 		private final long startMillis = SimulatedFleet.this.nowMillis;
 
+		private long peerBytes;
+
 		private boolean stopped;
 
 		Instance(int index) {
@@ -310,7 +334,9 @@
 			for (String target : targets) {
 				at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> deliver(target, message));
 			}
-			return targets.size() * (message.length + PeerLink.DATAGRAM_OVERHEAD_BYTES);
+			int bytes = targets.size() * (message.length + PeerLink.DATAGRAM_OVERHEAD_BYTES);
+			this.peerBytes += bytes;
+			return bytes;
 		}
 
 		private void deliver(String target, byte[] message) {
@@ -351,8 +377,7 @@
 			double gapMillis = -Math.log(1 - SimulatedFleet.this.random.nextDouble()) * 1000 / perInstance;
 			at(SimulatedFleet.this.nowMillis + 1 + (long) gapMillis, () -> {
 				if (!this.stopped) {
-					arrive((SimulatedFleet.this.random.nextDouble() < SimulatedFleet.this.popularShare)
-							? SimulatedFleet.this.popularFingerprint : SimulatedFleet.this.random.nextLong());
+					arrive(SimulatedFleet.this.nextFingerprint());
 					scheduleRequest();
 				}
 			});
