Answer new members that know nobody before others

Cause: an instance that knows nobody hears only from the seeds, and a seed has two messages in a round for other zones, in the order of arrival, also for those that have found their zone in the meantime.

Change: members that report no member themselves are answered first.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -87,6 +87,9 @@
 	/** New members of other zones that this instance has not sent a message to yet. */
 	private final Set<String> newcomers = new LinkedHashSet<>();
 
+	/** Members of other zones that have reported no member themselves. */
+	private final Set<String> uninformed = new LinkedHashSet<>();
+
 	/** When instances of this zone were last active, as far as is known. */
 	private final Map<String, Long> zoneInstanceMillis = new HashMap<>();
 
@@ -155,6 +158,12 @@
 		if (current == null && !state.zone().equals(this.zone)) {
 			this.newcomers.add(digest.sender());
 		}
+		if (state.members().isEmpty() && !state.zone().equals(this.zone)) {
+			this.uninformed.add(digest.sender());
+		}
+		else {
+			this.uninformed.remove(digest.sender());
+		}
 		this.members.put(digest.sender(), new Member(state.zone(), digest.incarnation(), digest.sequence(), nowMillis,
 				state.configurationVersion(), state.storeRevision()));
 		recordActivity(digest.sender(), state.zone(), nowMillis);
@@ -236,10 +245,11 @@
 		others.removeAll(targets);
 		Collections.sort(others);
 		this.newcomers.retainAll(others);
+		this.uninformed.retainAll(others);
 		for (int count = 0; count < OTHER_ZONE_TARGETS && !others.isEmpty(); count++) {
-			String target = (this.newcomers.isEmpty()) ? others.get(this.random.nextInt(others.size()))
-					: this.newcomers.iterator().next();
+			String target = otherZoneTarget(others);
 			this.newcomers.remove(target);
+			this.uninformed.remove(target);
 			others.remove(target);
 			targets.add(target);
 		}
@@ -252,6 +262,20 @@
 		return targets;
 	}
 
+	/**
+	 * Chooses a member of another zone: one that knows no member, so that it depends on
+	 * this instance, before other new members and those before a random one.
+	 * @param others the members of other zones, not empty
+	 * @return its address
+	 */
+	private String otherZoneTarget(List<String> others) {
+		if (!this.uninformed.isEmpty()) {
+			return this.uninformed.iterator().next();
+		}
+		return (this.newcomers.isEmpty()) ? others.get(this.random.nextInt(others.size()))
+				: this.newcomers.iterator().next();
+	}
+
 	/**
 	 * Returns the recipients of a message that should reach all instances soon: the
 	 * tracked peers and {@value #OTHER_ZONE_TARGETS} random other members, which may not
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -141,6 +141,18 @@
 		assertThat(this.membership.view(700_000).zones()).containsExactly("zone-0");
 	}
 
+	@Test
+	void newMemberThatKnowsNobodyIsAnsweredFirst() {
+		List<KnownMember> known = List.of(new KnownMember("10.0.0.250:1", "zone-3", 10));
+		for (int host = 1; host < 100; host++) {
+			this.membership.receive(digest(host, 1, 1, (host == 90) ? List.of() : known), 0);
+		}
+		assertThat(this.membership.targets(0)).contains("10.0.0.92:1");
+		this.membership.receive(digest(91, 1, 2, List.of()), 0);
+		this.membership.receive(digest(91, 1, 3, known), 0);
+		assertThat(this.membership.targets(0)).doesNotContain("10.0.0.93:1");
+	}
+
 	@Test
 	void newMemberOfAnotherZoneIsSentMembersOfItsZone() {
 		for (int host = 1; host < 370; host++) {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetDiscoveryTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetDiscoveryTests.java
@@ -6,6 +6,20 @@
 
 class FleetDiscoveryTests {
 
+	/**
+	 * Failure: of 300 instances that start together, some were not told of any other one
+	 * for more than 30 s, since the seeds had two messages in a round for all.
+	 */
+	@Test
+	void noInstanceOfALargeFleetStaysAlone() {
+		for (long seed = 1; seed <= 3; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(300, 12, 1, 60, seed);
+			fleet.run(20_000);
+			assertThat(fleet.discoveredInZone().min().orElseThrow()).as("seed %d", seed).isGreaterThan(1);
+			assertThat(fleet.isWithinPeerRate()).as("seed %d", seed).isTrue();
+		}
+	}
+
 	/**
 	 * Failure: instances of a zone without a seed did not find each other for more than
 	 * 20 s, and the list of the others' work stayed incomplete.
