--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/fleet/ManagedProcess.java
@@ -209,6 +209,14 @@
 		signal("CONT");
 	}
 
+	/**
+	 * Sends the signal that asks a process to read its settings again.
+	 * @throws IOException if the signal cannot be sent
+	 */
+	public void reload() throws IOException {
+		signal("HUP");
+	}
+
 	private void signal(String signal) throws IOException {
 		Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(this.process.pid())).start();
 		try {
