--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -6,14 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.IntStream;
 
-import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
-import io.mulberrylift.core.limit.BackOffReport;
-import io.mulberrylift.core.limit.EndpointNotices;
-import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
 import io.mulberrylift.core.placement.RequestWork;
@@ -297,147 +292,6 @@
 		assertThat(this.fixture.gateway.inProgress()).isZero();
 	}
 
-	@Test
-	void requestThatCrashedThreeEndpointsIsIsolated() {
-		this.fixture.started();
-		for (int hash = 1; hash <= 3; hash++) {
-			this.fixture.reduce(new GatewayEvent.CrashesReported("10.0.0.9:1",
-					List.of(new CrashObservation(42, Optional.of(hash), 0))));
-		}
-		this.fixture.arrive("/read/x", 0);
-		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
-		this.fixture.arrive("/read/x", 0, Optional.of("key-1"), 43);
-		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
-	}
-
-	private long sendsTo(String endpoint) {
-		return this.fixture.all(GatewayEffect.Send.class)
-			.stream()
-			.filter((send) -> send.endpoint().id().value().equals(endpoint))
-			.count();
-	}
-
-	private void reportLeaving(String endpoint) {
-		this.fixture.reduce(new GatewayEvent.NoticesReceived(new EndpointId(endpoint), 0,
-				new EndpointNotices(RequestLimitReport.unlimited(), BackOffReport.none(), true)));
-	}
-
-	/** Failure: only the list was believed when an endpoint said that it was leaving. */
-	@Test
-	void endpointThatReportsThatItIsLeavingGetsNoNewWorkWhileItIsListed() {
-		this.fixture.started();
-		reportLeaving("p1");
-		reportLeaving("p1");
-		assertThat(this.fixture.logged("endpoint-leaving")).containsEntry("source", "answer");
-		assertThat(this.fixture.all(GatewayEffect.DiscardConnections.class)).hasSize(1);
-		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
-		for (int count = 0; count < 100; count++) {
-			this.fixture.arrive("/read/x", 0);
-			this.fixture.advance(1000);
-		}
-		assertThat(sendsTo("p1")).isZero();
-		assertThat(sendsTo("p2")).isEqualTo(100);
-	}
-
-	@Test
-	void endpointThatIsStillListedLongAfterItReportedThatItIsLeavingIsUsedAgain() {
-		this.fixture.started();
-		reportLeaving("p1");
-		this.fixture.advance(121_000);
-		this.fixture.arrive("/read/x", 0);
-		this.fixture.arrive("/read/x", 0);
-		assertThat(sendsTo("p1")).isEqualTo(1);
-	}
-
-	@Test
-	void endpointThatIsListedAnewIsUsedAlthoughItReportedThatItIsLeaving() {
-		this.fixture.started();
-		reportLeaving("p1");
-		this.fixture.reduce(new GatewayEvent.EndpointsRead(List.of(GatewayFixture.endpoint("p2", "plain", false))));
-		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
-		this.fixture.arrive("/read/x", 0);
-		this.fixture.arrive("/read/x", 0);
-		assertThat(sendsTo("p1")).isEqualTo(1);
-	}
-
-	/**
-	 * Failure: endpoints that send bytes without end were chosen again and again, so that
-	 * one in ten requests met two of them.
-	 */
-	@Test
-	void requestsAreServedBesideEndpointsThatSendTooMuch() {
-		this.fixture.started();
-		listPlainEndpoints(8);
-		for (int count = 0; count < 800; count++) {
-			this.fixture.arrive("/read/x", 0);
-			for (int attempt = 0; attempt < 2; attempt++) {
-				GatewayEffect.Send send = this.fixture.last(GatewayEffect.Send.class);
-				boolean endless = List.of("p1", "p2").contains(send.endpoint().id().value());
-				this.fixture.end(send.attemptId(), (endless) ? AttemptOutcome.OVERSIZED : AttemptOutcome.COMPLETED);
-			}
-			this.fixture.advance(10);
-		}
-		assertThat(this.fixture.all(GatewayEffect.Deliver.class)).hasSizeGreaterThan(792);
-	}
-
-	private void listPlainEndpoints(int count) {
-		this.fixture.reduce(new GatewayEvent.EndpointsRead(IntStream.rangeClosed(1, count)
-			.mapToObj((index) -> GatewayFixture.endpoint("p" + index, "plain", false))
-			.toList()));
-	}
-
-	/**
-	 * Failure: an endpoint that ended and came back under its identity counted once.
-	 */
-	@Test
-	void everyEndOfAnEndpointThatKeepsItsIdentityCounts() {
-		this.fixture.started();
-		listPlainEndpoints(1);
-		for (int crash = 0; crash < 3; crash++) {
-			this.fixture.arrive("/read/x", 0);
-			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.BROKEN);
-			this.fixture.advance(5000);
-		}
-		this.fixture.arrive("/read/x", 0);
-		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(3);
-		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
-	}
-
-	/**
-	 * Failure: an end of an endpoint was not counted if the caller of the request had
-	 * left.
-	 */
-	@Test
-	void endOfAnEndpointCountsAfterTheCallerDisconnected() {
-		this.fixture.started();
-		listPlainEndpoints(4);
-		for (int crash = 0; crash < 3; crash++) {
-			long request = this.fixture.arrive("/post/x", 0);
-			this.fixture.reduce(new GatewayEvent.CallerDisconnected(request));
-			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.BROKEN);
-		}
-		this.fixture.arrive("/post/x", 0);
-		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(3);
-		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.ISOLATED);
-	}
-
-	/**
-	 * Failure: a request was isolated for the ends of endpoints on which it had run
-	 * beside others, although it was answered elsewhere.
-	 */
-	@Test
-	void requestThatWasAnsweredIsNotIsolatedForEarlierEndsOfEndpoints() {
-		this.fixture.started();
-		listPlainEndpoints(4);
-		for (int crash = 0; crash < 4; crash++) {
-			this.fixture.arrive("/read/x", 0);
-			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.BROKEN);
-			this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.COMPLETED);
-		}
-		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).isEmpty();
-		assertThat(this.fixture.all(GatewayEffect.Deliver.class)).hasSize(4);
-	}
-
 	@Test
 	void endpointThatRefusesConnectionsIsAvoidedAndTheRequestIsResent() {
 		this.fixture.started();
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -43,7 +43,8 @@
 
 /**
  * Instances of several availability zones in virtual time, with their gossip, before
- * endpoints of one service that may name limits of requests.
+ * endpoints of one service that may name limits of requests or end when they run a
+ * certain request.
  */
 final class SimulatedFleet {
 
@@ -115,7 +116,7 @@
 
 	private final List<CrashingSend> crashingSends = new ArrayList<>();
 
-	/** Refusals of harmless requests as isolated ones. */
+	/** When harmless requests were refused as isolated ones. */
 	final List<Long> isolatedHarmlessMillis = new ArrayList<>();
 
 	private int startedRunners;
