--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetDiscoveryTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetDiscoveryTests.java
@@ -26,7 +26,8 @@
 	 */
 	@Test
 	void instancesOfAZoneWithoutASeedDiscoverEachOther() {
-		for (long seed = 1; seed <= 5; seed++) {
+		// An instance knew 18 and 19 of 20 with seeds 21 and 40.
+		for (long seed : new long[] { 1, 2, 3, 4, 5, 21, 40 }) {
 			SimulatedFleet fleet = new SimulatedFleet(83, 4, 1, 83, seed);
 			fleet.run(12_500);
 			assertThat(fleet.discoveredInZone().min()).as("seed %d", seed).hasValue(20);
