Look at suspected requests only when something may be due

Suspected cause, by reading: each tick (20 ms) of each instance looked at every suspected request twice, for expired ones and for ones to publish, and requests are kept for 10 min now.

Change: expired requests are removed once a second, and publications are looked for only in the 5 s after the last observation that needs one.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -57,6 +57,17 @@
 	/** Number of losses from which observations of peers are published as well. */
 	private static final int RELAY_THRESHOLD = 2;
 
+	/** Interval at which expired requests are removed, which takes time for each. */
+	private static final long EXPIRY_INTERVAL_MILLIS = 1000;
+
+	/** Time after an observation in which it is published promptly at the latest. */
+	private static final long PROMPT_MILLIS = 5000;
+
+	private long nextExpiryMillis = Long.MIN_VALUE;
+
+	/** Until when there may be observations to publish promptly. */
+	private long promptUntilMillis = Long.MIN_VALUE;
+
 	/** By fingerprint, the least recently changed first. */
 	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
 
@@ -113,7 +124,7 @@
 		}
 		boolean added = addLoss(fingerprint, new Loss(observation.lostEndpointHash().get(), millis), 0, nowMillis);
 		if (added && relay && lossCount(fingerprint) >= RELAY_THRESHOLD) {
-			this.suspects.get(fingerprint).losses.forEach((loss) -> loss.publication.request(1, nowMillis));
+			this.suspects.get(fingerprint).losses.forEach((loss) -> requestPublication(loss.publication, 1, nowMillis));
 		}
 		return added;
 	}
@@ -129,7 +140,7 @@
 		int cleared = before - suspect.losses.size();
 		if (cleared > 0) {
 			suspect.trialDelayMillis = INITIAL_TRIAL_DELAY_MILLIS;
-			suspect.answerPublication.request(publications, nowMillis);
+			requestPublication(suspect.answerPublication, publications, nowMillis);
 		}
 		return cleared;
 	}
@@ -141,7 +152,7 @@
 		if (known || suspect.losses.size() >= ISOLATION_THRESHOLD) {
 			return false;
 		}
-		loss.publication.request(publications, nowMillis);
+		requestPublication(loss.publication, publications, nowMillis);
 		suspect.losses.add(loss);
 		suspect.trialMillis = nowMillis + suspect.trialDelayMillis;
 		this.suspects.remove(fingerprint);
@@ -152,6 +163,13 @@
 		return true;
 	}
 
+	private void requestPublication(Publication publication, int count, long nowMillis) {
+		if (count > 0) {
+			publication.request(count, nowMillis);
+			this.promptUntilMillis = nowMillis + PROMPT_MILLIS;
+		}
+	}
+
 	/**
 	 * Returns whether a request may be sent to an endpoint. If it is an isolated one that
 	 * was answered before, the next try is delayed.
@@ -196,6 +214,10 @@
 	}
 
 	void tick(long nowMillis) {
+		if (nowMillis < this.nextExpiryMillis) {
+			return;
+		}
+		this.nextExpiryMillis = nowMillis + EXPIRY_INTERVAL_MILLIS;
 		this.suspects.values().removeIf((suspect) -> nowMillis - suspect.newestMillis() > RETENTION_MILLIS);
 	}
 
@@ -205,7 +227,8 @@
 	 * @return true if a prompt publication is due
 	 */
 	boolean hasPromptObservations(long nowMillis) {
-		return this.suspects.values().stream().anyMatch((suspect) -> suspect.isPromptPublicationDue(nowMillis));
+		return nowMillis <= this.promptUntilMillis
+				&& this.suspects.values().stream().anyMatch((suspect) -> suspect.isPromptPublicationDue(nowMillis));
 	}
 
 	/**
