--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -8,6 +8,12 @@
 	/** A complete answer was received and is passed on. */
 	COMPLETED(true, false, false),
 
+	/**
+	 * An answer was received that ended with its connection. It is passed on, but an
+	 * endpoint that crashes may end its answer in the same way.
+	 */
+	COMPLETED_AT_CLOSE(true, false, false),
+
 	/** A complete answer was received that reports a failure of the endpoint. */
 	ENDPOINT_ERROR(true, false, true),
 
@@ -56,6 +62,14 @@
 		this.endpointFault = endpointFault;
 	}
 
+	/**
+	 * Returns whether the answer is passed on to the caller as a success.
+	 * @return true if it was received to its end
+	 */
+	public boolean isCompleted() {
+		return this == COMPLETED || this == COMPLETED_AT_CLOSE;
+	}
+
 	/**
 	 * Returns whether the endpoint may have run the request.
 	 * @return false if it is certain that the endpoint did not run it
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashEvidence.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashEvidence.java
@@ -83,7 +83,7 @@
 		if (event.outcome().mayHaveCrashedEndpoint()) {
 			recordLoss(state, nowMillis, effects);
 		}
-		else if (event.outcome() == AttemptOutcome.COMPLETED && event.status() < FIRST_UNSUCCESSFUL_STATUS) {
+		else if (event.outcome().isCompleted() && event.status() < FIRST_UNSUCCESSFUL_STATUS) {
 			recordAnswer(state, nowMillis, effects);
 		}
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardRequest.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardRequest.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.core.forwarding;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -17,9 +18,11 @@
  * engine cost model
  * @param fingerprint hash that is equal for repeated sends of the same request by the
  * same caller
+ * @param promptParts hashes of the parts of the prompt that other requests may contain as
+ * well, each once; empty if they are not known
  */
 public record ForwardRequest(String attemptId, String host, String path, Optional<String> key, long deadlineMillis,
-		long promptTokens, long maxOutputTokens, long fingerprint) {
+		long promptTokens, long maxOutputTokens, long fingerprint, List<Long> promptParts) {
 
 	/**
 	 * Creates the request.
@@ -30,6 +33,7 @@
 		Objects.requireNonNull(host, "host");
 		Objects.requireNonNull(path, "path");
 		Objects.requireNonNull(key, "key");
+		promptParts = List.copyOf(promptParts);
 		if (deadlineMillis < 0 || promptTokens < 0 || maxOutputTokens < 0) {
 			throw new IllegalArgumentException("Deadline and token counts of a request must not be negative");
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -257,9 +257,9 @@
 				? placement.helpers().stream().map((each) -> new GatewayEffect.Helper(each, Optional.empty())).toList()
 				: this.reservations.helpers(state);
 		log(effects, "sent", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
-				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "attempt",
-				state.attemptId, "endpoint", placement.endpoint().id(), "parts", placement.parts(), "listed-helpers",
-				helpers.size(), "helpers",
+				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "prompt-parts",
+				promptParts(state), "attempt", state.attemptId, "endpoint", placement.endpoint().id(), "parts",
+				placement.parts(), "listed-helpers", helpers.size(), "helpers",
 				placement.helpers().stream().map((each) -> each.id().value()).collect(Collectors.joining(" ")),
 				"prompt", state.request.promptTokens(), "expected-first-token-millis",
 				(long) placement.expectedFirstTokenMillis(), "cost", Math.round(placement.cost() * 100) / 100.0,
@@ -268,6 +268,10 @@
 				state.timeLeftMillis(nowMillis), rank(state), state.route.kind(), state.workspace));
 	}
 
+	private static String promptParts(ForwardState state) {
+		return state.request.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(" "));
+	}
+
 	private void recordWork(ForwardState state, PromptDemand demand, long nowMillis) {
 		Placement placement = state.placement;
 		int endpointHash = WorkTable.hash(placement.endpoint().id());
@@ -341,7 +345,7 @@
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
 		this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
-		if (outcome == AttemptOutcome.COMPLETED) {
+		if (outcome.isCompleted()) {
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 			return;
@@ -370,7 +374,7 @@
 
 	private void recordOutcome(ForwardState state, AttemptOutcome outcome, EndpointId endpoint, long nowMillis) {
 		EndpointHealth health = this.work.health(endpoint);
-		if (outcome == AttemptOutcome.COMPLETED) {
+		if (outcome.isCompleted()) {
 			health.recordSuccess();
 		}
 		else if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.MISDIRECTED
@@ -515,9 +519,9 @@
 		finish(state, nowMillis, effects);
 		Optional<Long> retryAfterMillis = retryAfterMillis(state, cause, nowMillis);
 		log(effects, "refused", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
-				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "cause", cause,
-				"sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L), "configuration",
-				this.configuration.version());
+				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "prompt-parts",
+				promptParts(state), "cause", cause, "sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L),
+				"configuration", this.configuration.version());
 		effects.add(new GatewayEffect.Refuse(state.requestId, cause, retryAfterMillis));
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
@@ -82,9 +82,13 @@
 	}
 
 	long arrive(String path, long promptTokens, Optional<String> key, long fingerprint) {
+		return arrive(path, promptTokens, key, fingerprint, List.of());
+	}
+
+	long arrive(String path, long promptTokens, Optional<String> key, long fingerprint, List<Long> promptParts) {
 		long id = this.nextRequest++;
-		reduce(new GatewayEvent.RequestArrived(id,
-				new ForwardRequest("attempt-" + id, "api.example", path, key, 10_000, promptTokens, 100, fingerprint)));
+		reduce(new GatewayEvent.RequestArrived(id, new ForwardRequest("attempt-" + id, "api.example", path, key, 10_000,
+				promptTokens, 100, fingerprint, promptParts)));
 		return id;
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/RequestHead.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/RequestHead.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.gateway.caller;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -13,15 +14,18 @@
  * @param deadlineMillis time that the caller waits for the answer
  * @param promptTokens number of prompt tokens, 0 if not stated
  * @param maxOutputTokens maximum number of answer tokens, 0 if not stated
+ * @param promptParts identifiers of the parts of the prompt that other requests may
+ * contain as well, each once; empty if not stated or malformed
  */
 public record RequestHead(String attemptId, String host, String path, Optional<String> apiKey, long deadlineMillis,
-		long promptTokens, long maxOutputTokens) {
+		long promptTokens, long maxOutputTokens, List<String> promptParts) {
 
 	public RequestHead {
 		Objects.requireNonNull(attemptId, "attemptId");
 		Objects.requireNonNull(host, "host");
 		Objects.requireNonNull(path, "path");
 		Objects.requireNonNull(apiKey, "apiKey");
+		promptParts = List.copyOf(promptParts);
 	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -171,10 +171,12 @@
 
 	/**
 	 * Ends the attempt after the answer was received completely.
+	 * @param framed whether the answer itself states where it ends; otherwise it ended
+	 * with its connection
 	 */
-	void complete() {
+	void complete(boolean framed) {
 		switch (this.answerClass) {
-			case VALID -> completeValid();
+			case VALID -> completeValid((framed) ? AttemptOutcome.COMPLETED : AttemptOutcome.COMPLETED_AT_CLOSE);
 			case FAILURE -> {
 				this.answer.buffer(this.status, this.headers, this.bufferedBody.toByteArray());
 				end(AttemptOutcome.ENDPOINT_ERROR);
@@ -186,13 +188,13 @@
 		}
 	}
 
-	private void completeValid() {
+	private void completeValid(AttemptOutcome completed) {
 		if (!isStreamed()) {
 			this.answer.buffer(this.status, this.headers, this.bufferedBody.toByteArray());
-			end(AttemptOutcome.COMPLETED);
+			end(completed);
 		}
 		else {
-			end((this.splitter.hasPartialEvent()) ? AttemptOutcome.BROKEN_MIDWAY : AttemptOutcome.COMPLETED);
+			end((this.splitter.hasPartialEvent()) ? AttemptOutcome.BROKEN_MIDWAY : completed);
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -48,6 +48,9 @@
 	/** Bytes of answers to other requests that were received in the attempt. */
 	private long skippedBytes;
 
+	/** Whether the answer has a length, is sent in chunks or has no body. */
+	private boolean framed;
+
 	private boolean reusable;
 
 	private boolean requestWritten;
@@ -153,8 +156,8 @@
 		this.skippingAnswer = !this.attempt.headReceived(response);
 		if (!this.skippingAnswer) {
 			this.headRead = true;
-			this.reusable = HttpUtil.isKeepAlive(response)
-					&& (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+			this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+			this.reusable = HttpUtil.isKeepAlive(response) && this.framed;
 			this.maxIdleMillis = KeepAliveTimeout.millis(response);
 		}
 		return true;
@@ -190,7 +193,7 @@
 			else {
 				this.channel.close();
 			}
-			done.complete();
+			done.complete(this.framed);
 		}
 		else if (!this.attempt.isCallerWritable()) {
 			this.channel.config().setAutoRead(false);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/Fingerprint.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/Fingerprint.java
@@ -34,6 +34,20 @@
 		return (checksum(new CRC32(), request, workspace) << 32) | checksum(new CRC32C(), request, workspace);
 	}
 
+	/**
+	 * Computes the hash of a part of a prompt.
+	 * @param id identifier of the part; its letter case does not matter
+	 * @return the hash
+	 */
+	static long ofPromptPart(String id) {
+		byte[] bytes = id.toLowerCase(Locale.ROOT).getBytes(StandardCharsets.UTF_8);
+		Checksum high = new CRC32();
+		Checksum low = new CRC32C();
+		high.update(bytes);
+		low.update(bytes);
+		return (high.getValue() << 32) | low.getValue();
+	}
+
 	private static long checksum(Checksum checksum, BufferedRequest request, Optional<String> workspace) {
 		checksum.update(request.method().name().getBytes(StandardCharsets.UTF_8));
 		checksum.update(SEPARATOR);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -350,7 +350,8 @@
 			.flatMap((configuration) -> head.apiKey().map(configuration.workspacesByKey()::get));
 		run(new GatewayEvent.RequestArrived(exchange.id(),
 				new ForwardRequest(head.attemptId(), head.host(), head.path(), head.apiKey(), head.deadlineMillis(),
-						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request, workspace))));
+						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request, workspace),
+						head.promptParts().stream().map(Fingerprint::ofPromptPart).toList())));
 	}
 
 	@Override
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
@@ -120,7 +120,7 @@
 			}
 			for (long due = now * requestsPerSecond / 1000; request < due; request++) {
 				ForwardRequest arrival = new ForwardRequest("a" + request, "h", "/x", Optional.empty(), 60_000, 0, 0,
-						request);
+						request, List.of());
 				for (GatewayEffect effect : gateway.reduce(new GatewayEvent.RequestArrived(request, arrival), now)) {
 					if (effect instanceof GatewayEffect.Send send) {
 						int key = EndpointSummary.key(WorkTable.hash(send.endpoint().id()));
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -110,7 +110,13 @@
 	/** Fingerprint of a request that many callers send at the same time. */
 	private final long popularFingerprint;
 
-	private final Map<Long, Long> fingerprints = new HashMap<>();
+	/** Part of prompts that ends each runner which answers a request with it. */
+	final long crashingPart;
+
+	/** Parts of prompts of which each other request contains one. */
+	List<Long> sharedParts = List.of();
+
+	private final Map<Long, ForwardRequest> requests = new HashMap<>();
 
 	private final List<Long> crashMillis = new ArrayList<>();
 
@@ -141,6 +147,7 @@
 		this.fingerprintRandom = new SplittableRandom(~seed);
 		this.crashingFingerprint = this.fingerprintRandom.nextLong();
 		this.popularFingerprint = this.fingerprintRandom.nextLong();
+		this.crashingPart = ~this.crashingFingerprint;
 		for (int index = 0; index < runners; index++) {
 			this.runners.add(new SimulatedRunner(endpoint("runner-" + index, 1000 + index, zone(index))));
 		}
@@ -158,7 +165,25 @@
 	 * Sends the request that ends runners to an instance.
 	 */
 	void sendCrashingRequest(int instance) {
-		this.instances.get(address(instance).toString()).arrive(this.crashingFingerprint);
+		this.instances.get(address(instance).toString()).arrive(this.crashingFingerprint, List.of());
+	}
+
+	/**
+	 * Sends a new request with the part that ends runners to an instance.
+	 * @param instance the instance
+	 * @param otherParts further parts of its prompt
+	 */
+	void sendRequestWithCrashingPart(int instance, List<Long> otherParts) {
+		List<Long> parts = new ArrayList<>(otherParts);
+		parts.add(this.crashingPart);
+		this.instances.get(address(instance).toString()).arrive(this.fingerprintRandom.nextLong(), parts);
+	}
+
+	/**
+	 * Sends a request that ends no runner to an instance.
+	 */
+	void sendHarmlessRequest(int instance, List<Long> parts) {
+		this.instances.get(address(instance).toString()).arrive(this.fingerprintRandom.nextLong(), parts);
 	}
 
 	int crashes() {
@@ -170,10 +195,18 @@
 	 * by instances that had run long enough.
 	 */
 	long lateCrashingSends() {
-		if (this.crashMillis.size() < MAX_CRASHES) {
+		return lateCrashingSends(MAX_CRASHES);
+	}
+
+	/**
+	 * Returns how often requests that end runners reached one later than they may.
+	 * @param maxCrashes number of ended runners from which they must not be sent
+	 */
+	long lateCrashingSends(int maxCrashes) {
+		if (this.crashMillis.size() < maxCrashes) {
 			return 0;
 		}
-		long lastMillis = this.crashMillis.get(MAX_CRASHES - 1) + CONTACT_MILLIS;
+		long lastMillis = this.crashMillis.get(maxCrashes - 1) + CONTACT_MILLIS;
 		return this.crashingSends.stream()
 			.filter((send) -> send.millis() > lastMillis && send.instanceAgeMillis() >= CONTACT_MILLIS)
 			.count();
@@ -207,6 +240,11 @@
 				: this.fingerprintRandom.nextLong();
 	}
 
+	private boolean isCrashing(long requestId) {
+		ForwardRequest request = this.requests.get(requestId);
+		return request.fingerprint() == this.crashingFingerprint || request.promptParts().contains(this.crashingPart);
+	}
+
 	private String zone(int index) {
 		return "zone-" + index % this.zones;
 	}
@@ -378,18 +416,21 @@
 			double gapMillis = -Math.log(1 - SimulatedFleet.this.random.nextDouble()) * 1000 / perInstance;
 			at(SimulatedFleet.this.nowMillis + 1 + (long) gapMillis, () -> {
 				if (!this.stopped) {
-					arrive(SimulatedFleet.this.nextFingerprint());
+					List<Long> shared = SimulatedFleet.this.sharedParts;
+					arrive(SimulatedFleet.this.nextFingerprint(), (shared.isEmpty()) ? List.of()
+							: List.of(shared.get(SimulatedFleet.this.fingerprintRandom.nextInt(shared.size()))));
 					scheduleRequest();
 				}
 			});
 		}
 
-		private void arrive(long fingerprint) {
+		private void arrive(long fingerprint, List<Long> parts) {
 			long id = SimulatedFleet.this.requestNumber++;
-			SimulatedFleet.this.fingerprints.put(id, fingerprint);
+			ForwardRequest request = new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, fingerprint,
+					parts);
+			SimulatedFleet.this.requests.put(id, request);
 			SimulatedFleet.this.requestMillis.add(SimulatedFleet.this.nowMillis);
-			reduce(new GatewayEvent.RequestArrived(id,
-					new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, fingerprint)));
+			reduce(new GatewayEvent.RequestArrived(id, request));
 		}
 
 		private void reduce(GatewayEvent event) {
@@ -408,8 +449,8 @@
 				}
 				else if (effect instanceof GatewayEffect.Refuse refuse) {
 					SimulatedFleet.this.refused.add(refuse);
-					if (refuse.cause() == RefusalCause.ISOLATED && SimulatedFleet.this.fingerprints
-						.get(refuse.requestId()) != SimulatedFleet.this.crashingFingerprint) {
+					if (refuse.cause() == RefusalCause.ISOLATED
+							&& !SimulatedFleet.this.isCrashing(refuse.requestId())) {
 						SimulatedFleet.this.isolatedHarmlessMillis.add(SimulatedFleet.this.nowMillis);
 					}
 				}
@@ -428,8 +469,7 @@
 			SimulatedRunner runner = found.get();
 			RequestLimitReport report = runner.arrive(this.address, SimulatedFleet.this.nowMillis);
 			runner.begin(send.attemptId() + this.address, () -> end(send.attemptId(), AttemptOutcome.BROKEN, 0));
-			boolean crashing = SimulatedFleet.this.fingerprints
-				.get(send.requestId()) == SimulatedFleet.this.crashingFingerprint;
+			boolean crashing = SimulatedFleet.this.isCrashing(send.requestId());
 			if (crashing) {
 				SimulatedFleet.this.crashingSends.add(new CrashingSend(SimulatedFleet.this.nowMillis,
 						SimulatedFleet.this.nowMillis - this.startMillis));
