--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashEvidence.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashEvidence.java
@@ -4,13 +4,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.stream.Collectors;
 
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.RequestAttribute;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.WorkTable;
 
 /**
- * Evidence from the ends of attempts and from peers on which requests crash endpoints.
+ * Evidence from the ends of attempts and from peers on which attributes of requests crash
+ * endpoints.
  *
  * <p>
  * Not thread-safe; owned by the reducer.
@@ -33,20 +36,28 @@
 	 * Returns whether a request that has just arrived may be sent to an endpoint.
 	 * @param state the request
 	 * @param nowMillis the current time
-	 * @param effects receives a log line if an isolated request is tried again
+	 * @param effects receives a log line if the request is isolated
 	 * @return false if it is isolated and must not be tried now
 	 */
 	boolean mayStart(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		boolean mayStart = this.suspects.mayStart(state.request.fingerprint(), nowMillis);
-		if (mayStart && isIsolated(state)) {
-			log(effects, "isolated-request-tried", "request", state.requestId, "fingerprint",
-					Long.toHexString(state.request.fingerprint()));
+		List<RequestAttribute> isolated = this.suspects.isolated(state.attributes, nowMillis);
+		boolean mayStart = this.suspects.mayStart(state.attributes, nowMillis);
+		if (!isolated.isEmpty()) {
+			log(effects, (mayStart) ? "isolated-request-tried" : "isolated-request-refused", "request", state.requestId,
+					"attributes", losses(isolated));
 		}
 		return mayStart;
 	}
 
-	boolean isIsolated(ForwardState state) {
-		return this.suspects.isIsolated(state.request.fingerprint());
+	/**
+	 * Returns whether a request must not be sent to another endpoint, because it is
+	 * likely to crash that one as well.
+	 * @param state the request
+	 * @param nowMillis the current time
+	 * @return true if it has an attribute that is isolated or under suspicion
+	 */
+	boolean isSuspected(ForwardState state, long nowMillis) {
+		return state.attributes.stream().anyMatch((attribute) -> this.suspects.isSuspected(attribute, nowMillis));
 	}
 
 	/**
@@ -71,8 +82,9 @@
 	}
 
 	/**
-	 * Records the end of an attempt: the loss of its endpoint counts against the request,
-	 * a complete answer clears it.
+	 * Records the end of an attempt: the loss of its endpoint counts against the
+	 * attributes of the request, a complete answer clears them. An answer that ended with
+	 * its connection does neither, since it ends in the same way if its endpoint crashes.
 	 * @param state the request
 	 * @param event end of the attempt
 	 * @param nowMillis the current time
@@ -83,26 +95,38 @@
 		if (event.outcome().mayHaveCrashedEndpoint()) {
 			recordLoss(state, nowMillis, effects);
 		}
-		else if (event.outcome().isCompleted() && event.status() < FIRST_UNSUCCESSFUL_STATUS) {
+		else if (event.outcome() == AttemptOutcome.COMPLETED && event.status() < FIRST_UNSUCCESSFUL_STATUS) {
 			recordAnswer(state, nowMillis, effects);
 		}
 	}
 
 	private void recordLoss(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		EndpointId endpoint = state.placement.endpoint().id();
-		long fingerprint = state.request.fingerprint();
-		this.suspects.recordLoss(fingerprint, WorkTable.hash(endpoint), state.sentMillis, nowMillis);
-		log(effects, "endpoint-lost", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
-				"endpoint", endpoint, "losses", this.suspects.lossCount(fingerprint), "isolated",
-				this.suspects.isIsolated(fingerprint));
+		state.attributes.forEach((attribute) -> this.suspects.recordLoss(attribute, WorkTable.hash(endpoint),
+				state.sentMillis, nowMillis));
+		log(effects, "endpoint-lost", "request", state.requestId, "endpoint", endpoint, "attributes",
+				losses(state.attributes), "isolated", this.suspects.isolated(state.attributes, nowMillis).toString());
+	}
+
+	/**
+	 * Returns the numbers of losses of attributes for a log line.
+	 * @param attributes the attributes
+	 * @return attributes with losses
+	 */
+	private String losses(List<RequestAttribute> attributes) {
+		return attributes.stream()
+			.filter((attribute) -> this.suspects.lossCount(attribute) > 0)
+			.map((attribute) -> attribute + "=" + this.suspects.lossCount(attribute))
+			.collect(Collectors.joining(" "));
 	}
 
 	private void recordAnswer(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		long fingerprint = state.request.fingerprint();
-		int cleared = this.suspects.recordAnswer(fingerprint, nowMillis);
-		if (cleared > 0) {
-			log(effects, "suspicion-cleared", "request", state.requestId, "fingerprint", Long.toHexString(fingerprint),
-					"losses-before", cleared);
+		for (RequestAttribute attribute : state.attributes) {
+			int cleared = this.suspects.recordAnswer(attribute, nowMillis);
+			if (cleared >= CrashCulprits.SUSPICION_THRESHOLD) {
+				log(effects, "suspicion-cleared", "request", state.requestId, "attribute", attribute, "losses-before",
+						cleared);
+			}
 		}
 	}
 
@@ -110,21 +134,24 @@
 	 * Records an observation of a peer.
 	 * @param observation the observation
 	 * @param sender address of the peer
-	 * @param relay whether to publish the losses of the request promptly if there are
+	 * @param relay whether to publish the losses of the attribute promptly if there are
 	 * several
 	 * @param nowMillis the current time
-	 * @param effects receives the log line
+	 * @param effects receives a log line if the attribute is under suspicion
 	 */
 	void reported(CrashObservation observation, String sender, boolean relay, long nowMillis,
 			List<GatewayEffect> effects) {
-		long fingerprint = observation.fingerprint();
-		boolean isolatedBefore = this.suspects.isIsolated(fingerprint);
-		if (this.suspects.recordReported(observation, relay, nowMillis)) {
+		RequestAttribute attribute = observation.attribute();
+		int lossesBefore = this.suspects.lossCount(attribute);
+		if (!this.suspects.recordReported(observation, relay, nowMillis)) {
+			return;
+		}
+		int losses = this.suspects.lossCount(attribute);
+		if (Math.max(losses, lossesBefore) >= CrashCulprits.SUSPICION_THRESHOLD) {
 			String event = (observation.lostEndpointHash().isPresent()) ? "endpoint-loss-reported"
 					: "suspicion-clearing-reported";
-			log(effects, event, "peer", sender, "age-millis", observation.ageMillis(), "fingerprint",
-					Long.toHexString(fingerprint), "losses", this.suspects.lossCount(fingerprint), "isolated",
-					this.suspects.isIsolated(fingerprint), "isolated-before", isolatedBefore);
+			log(effects, event, "peer", sender, "age-millis", observation.ageMillis(), "attribute", attribute, "losses",
+					losses, "losses-before", lossesBefore, "isolated", this.suspects.isIsolated(attribute, nowMillis));
 		}
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/CrashSuspects.java
@@ -3,163 +3,174 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.RequestAttribute;
+import io.mulberrylift.core.limit.FleetView;
 
 /**
- * Requests suspected of crashing endpoints, as observed by all instances.
+ * Attributes of requests that are suspected of crashing endpoints, as observed by all
+ * instances.
  *
  * <p>
- * The loss of an endpoint counts against each request that was running on it. An endpoint
- * that starts again under its identity can be lost again. A complete answer to the
- * request clears it of all earlier losses. A request is isolated from
- * {@value #ISOLATION_THRESHOLD} losses on. Observations are published promptly several
- * times, since messages may be lost; those of requests with {@value #RELAY_THRESHOLD}
- * losses or more are published in turn as long as they are kept, so that instances which
- * start or were disconnected learn them. Times of peers' observations are those of the
- * observations, not of the reports. An isolated request that this instance received an
- * answer to before is tried again after growing delays, since another request may be the
- * cause of its losses and nothing else could clear it. Not thread-safe.
+ * The loss of an endpoint counts against each attribute of each request that was running
+ * on it. An endpoint that starts again under its identity can be lost again. A complete
+ * answer to a request clears its attributes of all earlier losses. {@link CrashCulprits}
+ * decides which attributes are isolated. Observations are published promptly several
+ * times, since messages may be lost; those of attributes with
+ * {@value CrashCulprits#SUSPICION_THRESHOLD} losses or more are published in turn as long
+ * as they are kept, so that instances which start or were disconnected learn them. Times
+ * of peers' observations are those of the observations, not of the reports. An isolated
+ * attribute is tried again after growing delays by one instance of the fleet at a time,
+ * since something else may be the cause of its losses and nothing else could clear it.
+ * Not thread-safe.
  * </p>
  */
 final class CrashSuspects {
 
-	/** Number of losses from which a request is isolated. */
-	static final int ISOLATION_THRESHOLD = 3;
-
-	/** Time for which a request is kept after its last loss or answer. */
+	/** Time for which an attribute is kept after its last loss. */
 	private static final long RETENTION_MILLIS = 600_000;
 
-	private static final int MAX_FINGERPRINTS = 4096;
+	private static final int MAX_ATTRIBUTES = 4096;
 
 	/**
-	 * Losses of the same endpoint that are reported with a smaller difference in time are
-	 * the same one; a process takes longer to start again.
+	 * Time from the isolation of an attribute that was answered before to its next trial.
 	 */
-	private static final long SAME_LOSS_MILLIS = 1000;
+	private static final long ANSWERED_TRIAL_DELAY_MILLIS = 500;
 
-	/** Time from the isolation of a request that was answered before to its next try. */
-	private static final long INITIAL_TRIAL_DELAY_MILLIS = 500;
+	/**
+	 * Time from the isolation of a part of prompts that was never answered to its next
+	 * trial.
+	 */
+	private static final long UNANSWERED_TRIAL_DELAY_MILLIS = 60_000;
 
-	private static final long MAX_TRIAL_DELAY_MILLIS = 30_000;
+	/** Factor by which the time until the next trial grows. */
+	private static final int TRIAL_DELAY_FACTOR = 5;
 
 	/** Number of prompt publications of an own observation. */
 	private static final int OWN_PUBLICATIONS = 3;
 
-	/** Interval between the prompt publications of an observation. */
-	private static final long PUBLICATION_INTERVAL_MILLIS = 300;
-
-	/** Number of losses from which observations of peers are published as well. */
-	private static final int RELAY_THRESHOLD = 2;
-
-	/** Interval at which expired requests are removed, which takes time for each. */
+	/** Interval at which expired attributes are removed, which takes time for each. */
 	private static final long EXPIRY_INTERVAL_MILLIS = 1000;
 
 	/** Time after an observation in which it is published promptly at the latest. */
 	private static final long PROMPT_MILLIS = 5000;
 
+	/** Priority of observations that are not published promptly. */
+	private static final int NOT_PROMPT = -1;
+
+	private FleetView fleet;
+
 	private long nextExpiryMillis = Long.MIN_VALUE;
 
 	/** Until when there may be observations to publish promptly. */
 	private long promptUntilMillis = Long.MIN_VALUE;
 
-	/** By fingerprint, the least recently changed first. */
-	private final Map<Long, Suspect> suspects = new LinkedHashMap<>();
+	/** The least recently changed first. */
+	private final Map<RequestAttribute, CrashSuspect> suspects = new LinkedHashMap<>();
 
-	/**
-	 * Requests that this instance received a complete answer to, the least recent first.
-	 */
-	private final Set<Long> answered = new LinkedHashSet<>();
+	/** When attributes were last answered completely, the least recent first. */
+	private final Map<RequestAttribute, Long> answerMillis = new LinkedHashMap<>();
+
+	/** Empty if losses have changed. */
+	private Optional<CrashCulprits> culprits = Optional.empty();
+
+	CrashSuspects(FleetView fleet) {
+		this.fleet = Objects.requireNonNull(fleet, "fleet");
+	}
+
+	void setFleet(FleetView current) {
+		this.fleet = Objects.requireNonNull(current, "current");
+	}
 
 	/**
 	 * Records that an endpoint was lost during an attempt of this instance.
-	 * @param fingerprint fingerprint of the request
+	 * @param attribute attribute of the request
 	 * @param endpointHash hash of the endpoint's identity
 	 * @param sentMillis when the attempt was sent; a known loss after it is the same one
 	 * @param nowMillis the current time
 	 */
-	void recordLoss(long fingerprint, int endpointHash, long sentMillis, long nowMillis) {
-		Suspect suspect = this.suspects.get(fingerprint);
-		boolean known = suspect != null && suspect.losses.stream()
-			.anyMatch((loss) -> loss.endpointHash == endpointHash && loss.millis >= sentMillis);
-		if (!known) {
-			addLoss(fingerprint, new Loss(endpointHash, nowMillis), OWN_PUBLICATIONS, nowMillis);
+	void recordLoss(RequestAttribute attribute, int endpointHash, long sentMillis, long nowMillis) {
+		CrashSuspect suspect = this.suspects.get(attribute);
+		if (suspect == null || !suspect.isLostSince(endpointHash, sentMillis)) {
+			addLoss(attribute, new EndpointLoss(endpointHash, nowMillis), OWN_PUBLICATIONS, nowMillis);
 		}
 	}
 
 	/**
 	 * Records that this instance received a complete answer to a request.
-	 * @param fingerprint fingerprint of the request
+	 * @param attribute attribute of the request
 	 * @param nowMillis the current time
-	 * @return the number of losses of which the request is cleared
+	 * @return the number of losses of which the attribute is cleared
 	 */
-	int recordAnswer(long fingerprint, long nowMillis) {
-		this.answered.remove(fingerprint);
-		this.answered.add(fingerprint);
-		if (this.answered.size() > MAX_FINGERPRINTS) {
-			this.answered.remove(this.answered.iterator().next());
-		}
-		return clear(fingerprint, nowMillis, OWN_PUBLICATIONS, nowMillis);
+	int recordAnswer(RequestAttribute attribute, long nowMillis) {
+		return clear(attribute, nowMillis, OWN_PUBLICATIONS, nowMillis);
 	}
 
 	/**
 	 * Records an observation of a peer.
 	 * @param observation the observation
-	 * @param relay whether to publish the losses of the request promptly if there are
+	 * @param relay whether to publish the losses of the attribute promptly if there are
 	 * several, for peers that do not receive the messages of all instances
 	 * @param nowMillis the current time
-	 * @return whether it changed the losses of its request
+	 * @return whether it changed the losses of its attribute
 	 */
 	boolean recordReported(CrashObservation observation, boolean relay, long nowMillis) {
-		long fingerprint = observation.fingerprint();
+		RequestAttribute attribute = observation.attribute();
 		long millis = nowMillis - observation.ageMillis();
 		if (observation.lostEndpointHash().isEmpty()) {
-			boolean relayed = relay && lossCount(fingerprint) >= RELAY_THRESHOLD;
-			return clear(fingerprint, millis, (relayed) ? 1 : 0, nowMillis) > 0;
+			boolean relayed = relay && lossCount(attribute) >= CrashCulprits.SUSPICION_THRESHOLD;
+			return clear(attribute, millis, (relayed) ? 1 : 0, nowMillis) > 0;
 		}
-		boolean added = addLoss(fingerprint, new Loss(observation.lostEndpointHash().get(), millis), 0, nowMillis);
-		if (added && relay && lossCount(fingerprint) >= RELAY_THRESHOLD) {
-			this.suspects.get(fingerprint).losses.forEach((loss) -> requestPublication(loss.publication, 1, nowMillis));
+		boolean added = addLoss(attribute, new EndpointLoss(observation.lostEndpointHash().get(), millis), 0,
+				nowMillis);
+		int losses = lossCount(attribute);
+		boolean decisive = losses >= CrashCulprits.SUSPICION_THRESHOLD && losses <= CrashCulprits.ISOLATION_THRESHOLD;
+		if (added && relay && decisive) {
+			this.suspects.get(attribute)
+				.losses()
+				.forEach((loss) -> requestPublication(loss.publication(), 1, nowMillis));
 		}
 		return added;
 	}
 
-	private int clear(long fingerprint, long answeredMillis, int publications, long nowMillis) {
-		Suspect suspect = this.suspects.get(fingerprint);
-		if (suspect == null || answeredMillis <= suspect.answeredMillis) {
+	private int clear(RequestAttribute attribute, long answeredMillis, int publications, long nowMillis) {
+		Long known = this.answerMillis.get(attribute);
+		if (known != null && answeredMillis <= known) {
 			return 0;
 		}
-		int before = suspect.losses.size();
-		suspect.losses.removeIf((loss) -> loss.millis <= answeredMillis);
-		suspect.answeredMillis = answeredMillis;
-		int cleared = before - suspect.losses.size();
+		this.answerMillis.remove(attribute);
+		this.answerMillis.put(attribute, answeredMillis);
+		if (this.answerMillis.size() > MAX_ATTRIBUTES) {
+			this.answerMillis.remove(this.answerMillis.keySet().iterator().next());
+		}
+		CrashSuspect suspect = this.suspects.get(attribute);
+		int cleared = (suspect != null) ? suspect.removeUntil(answeredMillis) : 0;
 		if (cleared > 0) {
-			suspect.trialDelayMillis = INITIAL_TRIAL_DELAY_MILLIS;
-			requestPublication(suspect.answerPublication, publications, nowMillis);
+			this.culprits = Optional.empty();
+			requestPublication(suspect.answerPublication(), publications, nowMillis);
 		}
 		return cleared;
 	}
 
-	private boolean addLoss(long fingerprint, Loss loss, int publications, long nowMillis) {
-		Suspect suspect = this.suspects.getOrDefault(fingerprint, new Suspect());
-		boolean known = loss.millis <= suspect.answeredMillis
-				|| suspect.losses.stream().anyMatch((each) -> each.isSameAs(loss));
-		if (known || suspect.losses.size() >= ISOLATION_THRESHOLD) {
+	private boolean addLoss(RequestAttribute attribute, EndpointLoss loss, int publications, long nowMillis) {
+		Long answered = this.answerMillis.get(attribute);
+		CrashSuspect suspect = this.suspects.getOrDefault(attribute, new CrashSuspect(attribute));
+		if ((answered != null && loss.millis() <= answered) || !suspect.add(loss)) {
 			return false;
 		}
-		requestPublication(loss.publication, publications, nowMillis);
-		suspect.losses.add(loss);
-		suspect.trialMillis = nowMillis + suspect.trialDelayMillis;
-		this.suspects.remove(fingerprint);
-		this.suspects.put(fingerprint, suspect);
-		if (this.suspects.size() > MAX_FINGERPRINTS) {
+		boolean decided = suspect.losses().size() > CrashCulprits.ISOLATION_THRESHOLD;
+		requestPublication(loss.publication(), (decided) ? Math.min(1, publications) : publications, nowMillis);
+		this.suspects.remove(attribute);
+		this.suspects.put(attribute, suspect);
+		if (this.suspects.size() > MAX_ATTRIBUTES) {
 			this.suspects.remove(this.suspects.keySet().iterator().next());
 		}
+		this.culprits = Optional.empty();
 		return true;
 	}
 
@@ -170,47 +181,105 @@
 		}
 	}
 
+	private CrashCulprits culprits() {
+		if (this.culprits.isEmpty()) {
+			this.culprits = Optional.of(new CrashCulprits(this.suspects.values(), this.answerMillis::containsKey));
+		}
+		return this.culprits.get();
+	}
+
 	/**
-	 * Returns whether a request may be sent to an endpoint. If it is an isolated one that
-	 * was answered before, the next try is delayed.
-	 * @param fingerprint fingerprint of the request
+	 * Returns whether a request may be sent to an endpoint. If it has isolated attributes
+	 * whose trial is due, this is the trial.
+	 * @param attributes attributes of the request
 	 * @param nowMillis the current time
-	 * @return false if the request is isolated and must not be tried now
+	 * @return false if the request must not be sent now
 	 */
-	boolean mayStart(long fingerprint, long nowMillis) {
-		if (!isIsolated(fingerprint)) {
-			return true;
+	boolean mayStart(List<RequestAttribute> attributes, long nowMillis) {
+		List<RequestAttribute> isolated = isolated(attributes, nowMillis);
+		boolean mayStart = isolated.stream().allMatch((attribute) -> isTrialDue(attribute, nowMillis));
+		if (mayStart) {
+			isolated.forEach((attribute) -> this.suspects.get(attribute).startTrial(trialNumber(attribute, nowMillis)));
 		}
-		Suspect suspect = this.suspects.get(fingerprint);
-		if (!this.answered.contains(fingerprint) || nowMillis < suspect.trialMillis) {
-			return false;
+		return mayStart;
+	}
+
+	private boolean isTrialDue(RequestAttribute attribute, long nowMillis) {
+		int trial = trialNumber(attribute, nowMillis);
+		return trial > this.suspects.get(attribute).trial() && this.fleet.isChosen(attribute + "/" + trial);
+	}
+
+	/**
+	 * Returns the number of the trial that may be made now.
+	 * @param attribute an isolated attribute
+	 * @param nowMillis the current time
+	 * @return the number, -1 for none yet
+	 */
+	private int trialNumber(RequestAttribute attribute, long nowMillis) {
+		boolean answered = this.answerMillis.containsKey(attribute);
+		if (!answered && attribute.kind() == RequestAttribute.Kind.REQUEST) {
+			return -1;
 		}
-		suspect.trialDelayMillis = Math.min(2 * suspect.trialDelayMillis, MAX_TRIAL_DELAY_MILLIS);
-		suspect.trialMillis = nowMillis + suspect.trialDelayMillis;
-		return true;
+		long isolatedMillis = nowMillis - culprits().isolatedFromMillis(attribute).orElse(nowMillis);
+		long delayMillis = (answered) ? ANSWERED_TRIAL_DELAY_MILLIS : UNANSWERED_TRIAL_DELAY_MILLIS;
+		int number = -1;
+		while (isolatedMillis >= delayMillis) {
+			number++;
+			delayMillis *= TRIAL_DELAY_FACTOR;
+		}
+		return number;
+	}
+
+	/**
+	 * Returns those of a request's attributes that are isolated.
+	 * @param attributes attributes of the request
+	 * @param nowMillis the current time
+	 * @return the isolated ones
+	 */
+	List<RequestAttribute> isolated(List<RequestAttribute> attributes, long nowMillis) {
+		return attributes.stream().filter((attribute) -> isIsolated(attribute, nowMillis)).toList();
+	}
+
+	boolean isIsolated(RequestAttribute attribute, long nowMillis) {
+		return culprits().isolatedFromMillis(attribute).filter((from) -> from <= nowMillis).isPresent();
+	}
+
+	/**
+	 * Returns whether an attribute is isolated, or was never answered and has
+	 * {@value CrashCulprits#SUSPICION_THRESHOLD} losses that nothing else explains.
+	 * @param attribute the attribute
+	 * @param nowMillis the current time
+	 * @return true if it is likely to crash endpoints
+	 */
+	boolean isSuspected(RequestAttribute attribute, long nowMillis) {
+		return culprits().isSuspected(attribute) || isIsolated(attribute, nowMillis);
 	}
 
-	boolean isIsolated(long fingerprint) {
-		return lossCount(fingerprint) >= ISOLATION_THRESHOLD;
+	/**
+	 * Returns the number of losses that count against an attribute.
+	 * @param attribute the attribute
+	 * @return the number
+	 */
+	int lossCount(RequestAttribute attribute) {
+		CrashSuspect suspect = this.suspects.get(attribute);
+		return (suspect != null) ? suspect.losses().size() : 0;
 	}
 
 	/**
-	 * Returns the number of losses that count against a request.
-	 * @param fingerprint fingerprint of the request
-	 * @return the number, at most {@value #ISOLATION_THRESHOLD}
+	 * Returns the number of attributes with losses.
+	 * @return the number of attributes
 	 */
-	int lossCount(long fingerprint) {
-		Suspect suspect = this.suspects.get(fingerprint);
-		return (suspect != null) ? suspect.losses.size() : 0;
+	long suspectCount() {
+		return this.suspects.values().stream().filter((suspect) -> !suspect.losses().isEmpty()).count();
 	}
 
 	/**
-	 * Returns the number of requests with a number of losses.
-	 * @param minLosses minimum number of losses
-	 * @return the number of requests
+	 * Returns the number of isolated attributes.
+	 * @param nowMillis the current time
+	 * @return the number of attributes
 	 */
-	long count(int minLosses) {
-		return this.suspects.values().stream().filter((suspect) -> suspect.losses.size() >= minLosses).count();
+	long isolatedCount(long nowMillis) {
+		return culprits().isolatedCount(nowMillis);
 	}
 
 	void tick(long nowMillis) {
@@ -218,7 +287,12 @@
 			return;
 		}
 		this.nextExpiryMillis = nowMillis + EXPIRY_INTERVAL_MILLIS;
-		this.suspects.values().removeIf((suspect) -> nowMillis - suspect.newestMillis() > RETENTION_MILLIS);
+		boolean expired = this.suspects.values()
+			.removeIf((suspect) -> nowMillis - suspect.newestLossMillis() > RETENTION_MILLIS
+					&& !suspect.answerPublication().isPromptRequested());
+		if (expired) {
+			this.culprits = Optional.empty();
+		}
 	}
 
 	/**
@@ -232,120 +306,49 @@
 	}
 
 	/**
-	 * Returns the observations to publish next: those to be published promptly, of the
-	 * requests with most losses first, and then the least recently published ones of
-	 * requests with at least {@value #RELAY_THRESHOLD} losses.
+	 * Returns the observations to publish next: those to be published promptly, answers
+	 * and attributes with most losses first, and last the losses of attributes that were
+	 * answered before and those that isolation does not need; and then the least recently
+	 * published ones of attributes with at least
+	 * {@value CrashCulprits#SUSPICION_THRESHOLD} losses.
 	 * @param maxCount maximum number of observations
 	 * @param nowMillis the current time
 	 * @return the observations
 	 */
 	List<CrashObservation> pollPublished(int maxCount, long nowMillis) {
 		List<Publishable> candidates = new ArrayList<>();
-		this.suspects.forEach((fingerprint, suspect) -> suspect.addPublishable(fingerprint, candidates, nowMillis));
-		candidates.sort(Comparator.comparingInt((Publishable each) -> -each.promptLosses(nowMillis))
-			.thenComparingLong((each) -> each.publication().lastMillis));
+		this.suspects.values().forEach((suspect) -> addPublishable(suspect, candidates, nowMillis));
+		candidates.sort(Comparator.comparingInt((Publishable each) -> -each.promptPriority)
+			.thenComparingLong((each) -> each.publication.lastMillis()));
 		return candidates.stream().limit(maxCount).map((each) -> each.publish(nowMillis)).toList();
 	}
 
-	/** When an observation was and will be published. */
-	private static final class Publication {
-
-		private int promptLeft;
-
-		private long promptMillis;
-
-		private long lastMillis = Long.MIN_VALUE / 2;
-
-		void request(int count, long nowMillis) {
-			this.promptLeft = Math.max(this.promptLeft, count);
-			this.promptMillis = nowMillis;
+	private void addPublishable(CrashSuspect suspect, List<Publishable> target, long nowMillis) {
+		RequestAttribute attribute = suspect.attribute();
+		Long answered = this.answerMillis.get(attribute);
+		if (answered != null && suspect.answerPublication().isPromptDue(nowMillis)) {
+			target.add(new Publishable(new CrashObservation(attribute, Optional.empty(), nowMillis - answered),
+					CrashCulprits.ISOLATION_THRESHOLD, suspect.answerPublication()));
 		}
-
-		boolean isPromptDue(long nowMillis) {
-			return this.promptLeft > 0 && nowMillis >= this.promptMillis;
-		}
-
-		void published(long nowMillis) {
-			this.promptLeft = Math.max(0, this.promptLeft - 1);
-			this.promptMillis = nowMillis + PUBLICATION_INTERVAL_MILLIS;
-			this.lastMillis = nowMillis;
+		int losses = suspect.losses().size();
+		for (int index = 0; index < losses; index++) {
+			EndpointLoss loss = suspect.losses().get(index);
+			boolean due = loss.publication().isPromptDue(nowMillis);
+			boolean decisive = answered == null && index < CrashCulprits.ISOLATION_THRESHOLD;
+			if (due || losses >= CrashCulprits.SUSPICION_THRESHOLD) {
+				CrashObservation observation = new CrashObservation(attribute, Optional.of(loss.endpointHash()),
+						Math.max(0, nowMillis - loss.millis()));
+				int priority = (decisive) ? losses : 0;
+				target.add(new Publishable(observation, (due) ? priority : NOT_PROMPT, loss.publication()));
+			}
 		}
-
 	}
 
-	private record Publishable(long fingerprint, Optional<Integer> lostEndpointHash, long millis, int losses,
-			Publication publication) {
-
-		int promptLosses(long nowMillis) {
-			return (this.publication.isPromptDue(nowMillis)) ? this.losses : 0;
-		}
+	private record Publishable(CrashObservation observation, int promptPriority, Publication publication) {
 
 		CrashObservation publish(long nowMillis) {
 			this.publication.published(nowMillis);
-			return new CrashObservation(this.fingerprint, this.lostEndpointHash, Math.max(0, nowMillis - this.millis));
-		}
-
-	}
-
-	private static final class Loss {
-
-		private final int endpointHash;
-
-		private final long millis;
-
-		private final Publication publication = new Publication();
-
-		Loss(int endpointHash, long millis) {
-			this.endpointHash = endpointHash;
-			this.millis = millis;
-		}
-
-		boolean isSameAs(Loss other) {
-			return this.endpointHash == other.endpointHash && Math.abs(this.millis - other.millis) < SAME_LOSS_MILLIS;
-		}
-
-	}
-
-	private static final class Suspect {
-
-		/** At most {@value #ISOLATION_THRESHOLD}. */
-		private final List<Loss> losses = new ArrayList<>();
-
-		private long trialDelayMillis = INITIAL_TRIAL_DELAY_MILLIS;
-
-		/** When the request may be tried again if it is isolated. */
-		private long trialMillis;
-
-		private final Publication answerPublication = new Publication();
-
-		/** When the request was last answered completely, as far as is known. */
-		private long answeredMillis = Long.MIN_VALUE / 2;
-
-		/**
-		 * Returns the time of the newest observation. The time at which a peer reported
-		 * it does not count; reports would renew each other for ever.
-		 * @return the time
-		 */
-		long newestMillis() {
-			return this.losses.stream().mapToLong((loss) -> loss.millis).reduce(this.answeredMillis, Math::max);
-		}
-
-		boolean isPromptPublicationDue(long nowMillis) {
-			return this.answerPublication.isPromptDue(nowMillis)
-					|| this.losses.stream().anyMatch((loss) -> loss.publication.isPromptDue(nowMillis));
-		}
-
-		void addPublishable(long fingerprint, List<Publishable> target, long nowMillis) {
-			if (this.answerPublication.isPromptDue(nowMillis)) {
-				target.add(new Publishable(fingerprint, Optional.empty(), this.answeredMillis, ISOLATION_THRESHOLD,
-						this.answerPublication));
-			}
-			for (Loss loss : this.losses) {
-				if (loss.publication.isPromptDue(nowMillis) || this.losses.size() >= RELAY_THRESHOLD) {
-					target.add(new Publishable(fingerprint, Optional.of(loss.endpointHash), loss.millis,
-							this.losses.size(), loss.publication));
-				}
-			}
+			return this.observation;
 		}
 
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardRequest.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardRequest.java
@@ -1,9 +1,12 @@
 package io.mulberrylift.core.forwarding;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
+import io.mulberrylift.core.gossip.RequestAttribute;
+
 /**
  * Properties of a caller's request that determine its routing and placement.
  *
@@ -39,4 +42,15 @@
 		}
 	}
 
+	/**
+	 * Returns the attributes by which the request may crash endpoints.
+	 * @return the whole request and the parts of its prompt
+	 */
+	List<RequestAttribute> attributes() {
+		List<RequestAttribute> attributes = new ArrayList<>(this.promptParts.size() + 1);
+		attributes.add(RequestAttribute.ofRequest(this.fingerprint));
+		this.promptParts.forEach((part) -> attributes.add(RequestAttribute.ofPromptPart(part)));
+		return attributes;
+	}
+
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -3,10 +3,12 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
+import io.mulberrylift.core.gossip.RequestAttribute;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.Placement;
 
@@ -23,6 +25,9 @@
 
 	final ForwardRequest request;
 
+	/** The whole request and the parts of its prompt. */
+	final List<RequestAttribute> attributes;
+
 	final Route route;
 
 	final String service;
@@ -84,6 +89,7 @@
 			long nowMillis) {
 		this.requestId = requestId;
 		this.request = request;
+		this.attributes = request.attributes();
 		this.route = route;
 		this.service = service;
 		this.workspace = workspace;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -390,7 +390,8 @@
 	private boolean mayRetry(ForwardState state, AttemptOutcome outcome, long nowMillis) {
 		boolean repeatable = !state.mayHaveRun || state.route.kind().isRepeatable();
 		boolean hasTimeLeft = state.timeLeftMillis(nowMillis) > MIN_RETRY_MILLIS;
-		if (outcome == AttemptOutcome.REJECTED || !repeatable || !hasTimeLeft || this.crashEvidence.isIsolated(state)) {
+		if (outcome == AttemptOutcome.REJECTED || !repeatable || !hasTimeLeft
+				|| this.crashEvidence.isSuspected(state, nowMillis)) {
 			return false;
 		}
 		if (outcome == AttemptOutcome.NOT_CONNECTED) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -54,9 +54,9 @@
 
 	private final WorkTable work = new WorkTable();
 
-	private final CrashSuspects suspects = new CrashSuspects();
+	private final CrashSuspects suspects;
 
-	private final CrashEvidence crashEvidence = new CrashEvidence(this.suspects);
+	private final CrashEvidence crashEvidence;
 
 	private final RequestLimits limits;
 
@@ -82,7 +82,10 @@
 	public Gateway(GatewayIdentity identity, RandomGenerator random) {
 		this.identity = Objects.requireNonNull(identity, "identity");
 		this.random = Objects.requireNonNull(random, "random");
-		this.limits = new RequestLimits(FleetView.alone(identity.name(), identity.zone()), random);
+		FleetView alone = FleetView.alone(identity.name(), identity.zone());
+		this.suspects = new CrashSuspects(alone);
+		this.crashEvidence = new CrashEvidence(this.suspects);
+		this.limits = new RequestLimits(alone, random);
 		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.crashEvidence, this.limits,
 				this.backOffs);
 	}
@@ -309,6 +312,7 @@
 	 */
 	public void setFleet(FleetView fleet, long nowMillis) {
 		this.limits.setFleet(fleet, nowMillis);
+		this.suspects.setFleet(fleet);
 		this.forwarder.setRetryPart(fleet.equalPart());
 	}
 
@@ -383,11 +387,13 @@
 	}
 
 	/**
-	 * Returns the number of requests that are refused because they crashed endpoints.
+	 * Returns the number of requests and parts of prompts that are refused because they
+	 * crashed endpoints.
+	 * @param nowMillis the current time
 	 * @return the number
 	 */
-	public long isolatedRequests() {
-		return this.suspects.count(CrashSuspects.ISOLATION_THRESHOLD);
+	public long isolatedAttributes(long nowMillis) {
+		return this.suspects.isolatedCount(nowMillis);
 	}
 
 	/**
@@ -475,8 +481,8 @@
 		state.put("avoided", avoidedEndpoints(nowMillis).toString());
 		state.put("limits", this.limits.all().toString());
 		state.put("back-offs", this.backOffs.all(nowMillis).toString());
-		state.put("suspects", this.suspects.count(1));
-		state.put("isolated", isolatedRequests());
+		state.put("suspects", this.suspects.suspectCount());
+		state.put("isolated", isolatedAttributes(nowMillis));
 		state.put("loads", this.work.recentLoads(nowMillis).toString());
 		return state;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
@@ -95,6 +95,16 @@
 		return (rank < holders) ? portion(zoneShares, holders, rank) : 0;
 	}
 
+	/**
+	 * Returns whether this is the one instance of the fleet that a subject is assigned
+	 * to.
+	 * @param subject name of the subject
+	 * @return false if another instance is chosen or the view is not complete
+	 */
+	public boolean isChosen(String subject) {
+		return heldShares(subject, "", 0) > 0;
+	}
+
 	/**
 	 * Returns the part of a bound that each instance may use if it is divided equally, by
 	 * zone and then by instance.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -422,11 +422,10 @@
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
 			case "/state" -> Page.text(200, this.gateway.describe(nowMillis()) + "\n");
-			case "/metrics" -> Page.text(200,
-					this.metrics.text() + "mulberrylift_connections_opened " + this.endpointPool.openedConnections()
-							+ "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
-							+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
-							+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedRequests() + "\n");
+			case "/metrics" -> Page.text(200, this.metrics.text() + "mulberrylift_connections_opened "
+					+ this.endpointPool.openedConnections() + "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
+					+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
+					+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis()) + "\n");
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot());
 			default -> Page.NOT_FOUND;
 		};
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -81,8 +81,13 @@
 
 	private static final int MIN_CRASHES = 3;
 
+	/**
+	 * Seconds of the byte rate that messages of crash observations may use in advance.
+	 */
+	private static final double MAX_CRASHES_DEBT_SECONDS = 0.5;
+
 	/** Maximum size of an encoded crash observation. */
-	private static final int CRASH_BYTES = 18;
+	private static final int CRASH_BYTES = 19;
 
 	/** Size of a message of crash observations without the observations. */
 	private static final int CRASHES_HEADER_BYTES = 24;
@@ -188,7 +193,7 @@
 	 * @param nowMillis the current time
 	 */
 	private void sendCrashes(long nowMillis) {
-		double maxDebtBytes = this.settings.maxPeerBytesPerSecond() * BURST_SECONDS;
+		double maxDebtBytes = this.settings.maxPeerBytesPerSecond() * MAX_CRASHES_DEBT_SECONDS;
 		if (nowMillis - this.lastCrashesMillis < CRASHES_INTERVAL_MILLIS || this.allowedBytes < -maxDebtBytes) {
 			return;
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -14,6 +14,7 @@
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
+import io.mulberrylift.core.gossip.RequestAttribute;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.msgpack.core.MessageBufferPacker;
@@ -32,9 +33,9 @@
 	 */
 	public static final int MAX_BYTES = 1400;
 
-	private static final int FULL_FORMAT = 8;
+	private static final int FULL_FORMAT = 10;
 
-	private static final int CHANGES_FORMAT = 7;
+	private static final int CHANGES_FORMAT = 9;
 
 	/** Unit of memory in summaries. */
 	private static final int SUMMARY_MEMORY_UNIT_TOKENS = 4096;
@@ -162,7 +163,7 @@
 	}
 
 	private static void pack(MessageBufferPacker packer, CrashObservation crash) throws IOException {
-		packer.packLong(crash.fingerprint());
+		packer.packInt(crash.attribute().kind().ordinal()).packLong(crash.attribute().hash());
 		if (crash.lostEndpointHash().isPresent()) {
 			packer.packInt(crash.lostEndpointHash().get());
 		}
@@ -290,10 +291,11 @@
 	}
 
 	private static CrashObservation unpackCrash(MessageUnpacker unpacker) throws IOException {
-		long fingerprint = unpacker.unpackLong();
+		RequestAttribute.Kind kind = RequestAttribute.Kind.values()[unpacker.unpackInt()];
+		RequestAttribute attribute = new RequestAttribute(kind, unpacker.unpackLong());
 		Optional<Integer> lostEndpointHash = (unpacker.tryUnpackNil()) ? Optional.empty()
 				: Optional.of(unpacker.unpackInt());
-		return new CrashObservation(fingerprint, lostEndpointHash, unpacker.unpackLong() * TIME_UNIT_MILLIS);
+		return new CrashObservation(attribute, lostEndpointHash, unpacker.unpackLong() * TIME_UNIT_MILLIS);
 	}
 
 	private static EndpointLimit unpackLimit(MessageUnpacker unpacker) throws IOException {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -223,8 +223,19 @@
 		});
 	}
 
+	/**
+	 * Ends runners for a reason that has nothing to do with their requests.
+	 */
+	void endRunners(int count) {
+		List.copyOf(this.runners).stream().filter((runner) -> !runner.isEnded()).limit(count).forEach(this::end);
+	}
+
 	private void crash(SimulatedRunner runner) {
 		this.crashMillis.add(this.nowMillis);
+		end(runner);
+	}
+
+	private void end(SimulatedRunner runner) {
 		runner.end().forEach((broken) -> at(this.nowMillis + NETWORK_MILLIS, broken));
 		at(this.nowMillis + RESTART_MILLIS, () -> {
 			ForwardEndpoint previous = runner.endpoint;
