--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
+import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
@@ -118,6 +119,17 @@
 
 	private final Map<Long, ForwardRequest> requests = new HashMap<>();
 
+	/** Indices of the instances whose connections to endpoints do not get established. */
+	Set<Integer> cutInstances = Set.of();
+
+	/** Requests of callers by the index of the instance they arrived at. */
+	private final Map<Long, Integer> arrivedAt = new HashMap<>();
+
+	private final Set<Long> answeredRequests = new HashSet<>();
+
+	/** Time after which a connection attempt to an unreachable endpoint ends. */
+	private static final long CONNECT_TIMEOUT_MILLIS = 350;
+
 	private final List<Long> crashMillis = new ArrayList<>();
 
 	private final List<CrashingSend> crashingSends = new ArrayList<>();
@@ -251,6 +263,24 @@
 				: this.fingerprintRandom.nextLong();
 	}
 
+	/**
+	 * Returns the share of the requests of callers that were answered.
+	 * @param fromRequest number of the first request
+	 * @param instance which instances they arrived at
+	 */
+	double answeredShare(long fromRequest, IntPredicate instance) {
+		List<Long> arrived = this.arrivedAt.entrySet()
+			.stream()
+			.filter((entry) -> entry.getKey() >= fromRequest && instance.test(entry.getValue()))
+			.map(Map.Entry::getKey)
+			.toList();
+		return (double) arrived.stream().filter(this.answeredRequests::contains).count() / arrived.size();
+	}
+
+	long requestNumber() {
+		return this.requestNumber;
+	}
+
 	private boolean isCrashing(long requestId) {
 		ForwardRequest request = this.requests.get(requestId);
 		return request.fingerprint() == this.crashingFingerprint || request.promptParts().contains(this.crashingPart);
@@ -336,6 +366,8 @@
 
 	private final class Instance {
 
+		private final int index;
+
 		private final String address;
 
 		private final String zone;
@@ -355,6 +387,7 @@
 		private boolean stopped;
 
 		Instance(int index) {
+			this.index = index;
 			NetAddress self = address(index);
 			this.address = self.toString();
 			this.zone = zone(index);
@@ -440,6 +473,7 @@
 			ForwardRequest request = new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, fingerprint,
 					parts);
 			SimulatedFleet.this.requests.put(id, request);
+			SimulatedFleet.this.arrivedAt.put(id, this.index);
 			SimulatedFleet.this.requestMillis.add(SimulatedFleet.this.nowMillis);
 			reduce(new GatewayEvent.RequestArrived(id, request));
 		}
@@ -455,8 +489,9 @@
 				else if (effect instanceof GatewayEffect.PublishState) {
 					this.gossip.requestFullState();
 				}
-				else if (effect instanceof GatewayEffect.Deliver) {
+				else if (effect instanceof GatewayEffect.Deliver deliver) {
 					SimulatedFleet.this.answered++;
+					SimulatedFleet.this.answeredRequests.add(deliver.requestId());
 				}
 				else if (effect instanceof GatewayEffect.Refuse refuse) {
 					SimulatedFleet.this.refused.add(refuse);
@@ -469,6 +504,11 @@
 		}
 
 		private void serve(GatewayEffect.Send send) {
+			if (SimulatedFleet.this.cutInstances.contains(this.index)) {
+				at(SimulatedFleet.this.nowMillis + CONNECT_TIMEOUT_MILLIS,
+						() -> end(send.attemptId(), AttemptOutcome.NOT_CONNECTED, 0));
+				return;
+			}
 			Optional<SimulatedRunner> found = SimulatedFleet.this.runners.stream()
 				.filter((each) -> each.endpoint.id().equals(send.endpoint().id()) && !each.isEnded())
 				.findFirst();
