--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -86,6 +86,15 @@
 		return this.mayHaveCrashedEndpoint;
 	}
 
+	/**
+	 * Returns whether no answer was received from the endpoint at the end of the attempt,
+	 * which its link may be the cause of.
+	 * @return true if the endpoint was not reached or its connection was lost
+	 */
+	public boolean isUnanswered() {
+		return this == NOT_CONNECTED || this == BROKEN || this == BROKEN_MIDWAY || this == SILENT;
+	}
+
 	/**
 	 * Returns whether the outcome raises the failure rate of the endpoint.
 	 * @return true if it counts as a failure
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -6,6 +6,7 @@
 
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
+import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointWork;
 import io.mulberrylift.core.placement.WorkTable;
 
@@ -51,6 +52,15 @@
 		return healthy.isEmpty() ? all : healthy;
 	}
 
+	/**
+	 * Returns the endpoints of a service that accept new work.
+	 * @param service name of the service
+	 * @return their identities
+	 */
+	List<EndpointId> available(String service) {
+		return this.endpoints.available(service).stream().map(ForwardEndpoint::id).toList();
+	}
+
 	private Stream<ForwardEndpoint> untried(ForwardState state) {
 		return this.endpoints.available(state.service)
 			.stream()
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -50,8 +50,14 @@
 	/** When each reservation was last requested, by reservation name. */
 	final Map<String, Long> reservedMillis = new HashMap<>();
 
+	/** Addresses of the peers that the request was handed to. */
+	final Set<String> triedPeers = new HashSet<>();
+
 	Placement placement;
 
+	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
+	Optional<String> relayPeer = Optional.empty();
+
 	/** Identifier of the attempt in progress; 0 for none. */
 	long attemptId;
 
@@ -97,6 +103,10 @@
 		this.deadlineMillis = nowMillis + Math.min(request.deadlineMillis(), route.timeoutMillis());
 	}
 
+	int maxAttempts() {
+		return Math.min(this.route.maxAttempts(), this.request.relayedAttempts().orElse(Integer.MAX_VALUE));
+	}
+
 	long timeLeftMillis(long nowMillis) {
 		return this.deadlineMillis - nowMillis;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
+import io.mulberrylift.core.gossip.RelayPeer;
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
@@ -32,6 +33,9 @@
 	/** Minimum remaining time for another attempt, in milliseconds. */
 	private static final long MIN_RETRY_MILLIS = 60;
 
+	/** Number of connection failures after which a request is handed to a peer. */
+	private static final int RELAY_CONNECT_FAILURES = 2;
+
 	/** Maximum number of connection failures after which a request is sent elsewhere. */
 	private static final int MAX_CONNECT_FAILURES = 3;
 
@@ -73,6 +77,10 @@
 
 	private final MemoryReservations reservations;
 
+	private final EndpointLinks links = new EndpointLinks();
+
+	private final Relays relays;
+
 	private final Map<Long, ForwardState> byRequestId = new HashMap<>();
 
 	private final Map<Long, ForwardState> byAttemptId = new HashMap<>();
@@ -94,6 +102,7 @@
 		this.work = work;
 		this.crashEvidence = crashEvidence;
 		this.promptPlacement = new PromptPlacement(random);
+		this.relays = new Relays(random);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
 		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits, backOffs);
@@ -113,6 +122,22 @@
 		this.retryPart = part;
 	}
 
+	void setRelayPeers(List<RelayPeer> peers) {
+		this.relays.setPeers(peers);
+	}
+
+	int relayPeers() {
+		return this.relays.peers();
+	}
+
+	/**
+	 * Returns whether this instance reaches any endpoint, as far as it knows.
+	 * @return false if several endpoints in a row did not answer
+	 */
+	boolean reachesEndpoints() {
+		return !this.links.isCut();
+	}
+
 	void setPartialView(boolean partial) {
 		this.promptPlacement.setOtherZonesUnknown(partial);
 	}
@@ -133,7 +158,9 @@
 	void start(ForwardState state, ForwardingConfiguration current, long nowMillis, List<GatewayEffect> effects) {
 		this.configuration = current;
 		this.byRequestId.put(state.requestId, state);
-		retryBudget(state.service).recordRequest(nowMillis);
+		if (state.request.relayedAttempts().isEmpty()) {
+			retryBudget(state.service).recordRequest(nowMillis);
+		}
 		if (!this.crashEvidence.mayStart(state, nowMillis, effects)) {
 			refuse(state, RefusalCause.ISOLATED, nowMillis, effects);
 			return;
@@ -147,6 +174,9 @@
 	}
 
 	private void dispatch(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		if (this.links.isCut(state.service) && dispatchAroundCut(state, nowMillis, effects)) {
+			return;
+		}
 		List<EndpointWork> available = this.candidates.find(state, nowMillis);
 		if (available.isEmpty()) {
 			giveUp(state, this.candidates.unavailabilityCause(state, nowMillis), nowMillis, effects);
@@ -177,6 +207,57 @@
 		recordWork(state, demand, nowMillis);
 	}
 
+	/**
+	 * Hands a request to a peer or refuses it if the link to the service is cut. Now and
+	 * then, a new request is sent over the link instead to find out if it works again.
+	 * @param state the request
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 * @return false if the request is to be sent over the link
+	 */
+	private boolean dispatchAroundCut(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		boolean relayed = state.request.relayedAttempts().isPresent();
+		boolean mayProbe = !relayed && state.connectFailures == 0 && state.triedPeers.isEmpty();
+		if (mayProbe && this.links.takeProbe(state.service, nowMillis)) {
+			return false;
+		}
+		if (relay(state, nowMillis, effects)) {
+			return true;
+		}
+		if (relayed || this.links.isUnconnected()) {
+			giveUp(state, RefusalCause.NO_ENDPOINT, nowMillis, effects);
+			return true;
+		}
+		return false;
+	}
+
+	private boolean relay(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		Optional<String> peer = this.relays.choose(state);
+		if (peer.isEmpty()) {
+			return false;
+		}
+		beginAttempt(state, nowMillis);
+		state.relayPeer = peer;
+		state.triedPeers.add(peer.get());
+		state.stallDeadlineMillis = Long.MAX_VALUE;
+		int attemptsLeft = Math.max(1, state.maxAttempts() - state.sends);
+		log(effects, "relayed", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
+				state.route.name(), "attempt", state.attemptId, "peer", peer.get(), "peers-tried",
+				state.triedPeers.size(), "sends", state.sends, "remaining-millis", state.timeLeftMillis(nowMillis));
+		effects.add(new GatewayEffect.Relay(state.requestId, state.attemptId, peer.get(),
+				state.timeLeftMillis(nowMillis), attemptsLeft, state.route.kind()));
+		return true;
+	}
+
+	private void beginAttempt(ForwardState state, long nowMillis) {
+		state.attemptId = this.nextAttemptId++;
+		state.attemptStarted = false;
+		state.sentMillis = nowMillis;
+		state.longestGapMillis = 0;
+		state.lastChunkMillis = nowMillis;
+		this.byAttemptId.put(state.attemptId, state);
+	}
+
 	/**
 	 * Chooses engines that together have enough memory. Engines that name a limit are
 	 * used only if there are not enough others, since reservations take several requests.
@@ -238,16 +319,11 @@
 	}
 
 	private void send(ForwardState state, Placement placement, long nowMillis, List<GatewayEffect> effects) {
+		beginAttempt(state, nowMillis);
 		state.placement = placement;
 		state.sends++;
-		state.attemptId = this.nextAttemptId++;
-		state.attemptStarted = false;
-		state.sentMillis = nowMillis;
-		state.longestGapMillis = 0;
-		state.lastChunkMillis = nowMillis;
 		state.stallDeadlineMillis = nowMillis + firstChunkTimeoutMillis(state, placement);
 		state.triedEndpoints.add(placement.endpoint().id());
-		this.byAttemptId.put(state.attemptId, state);
 		recordWork(state, demand(state, nowMillis), nowMillis);
 		this.limits.recordRequest(placement.endpoint().id(), nowMillis);
 		if (state.reservations.isEmpty()) {
@@ -310,7 +386,7 @@
 		return Math.max(stallTimeoutMillis(state.route), (long) (1.5 * placement.expectedFirstTokenMillis()) + 500);
 	}
 
-	void chunkReceived(long attemptId, long nowMillis) {
+	void chunkReceived(long attemptId, long nowMillis, List<GatewayEffect> effects) {
 		ForwardState state = this.byAttemptId.get(attemptId);
 		if (state == null) {
 			return;
@@ -325,6 +401,10 @@
 			state.longestGapMillis = Math.max(state.longestGapMillis, nowMillis - state.lastChunkMillis);
 		}
 		state.lastChunkMillis = nowMillis;
+		if (state.relayPeer.isPresent()) {
+			return;
+		}
+		answerReceived(state.service, effects);
 		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
 		state.stallDeadlineMillis = nowMillis + stallTimeoutMillis(state.route);
 	}
@@ -336,6 +416,10 @@
 		if (state == null) {
 			return;
 		}
+		if (state.relayPeer.isPresent()) {
+			relayEnded(state, event, nowMillis, effects);
+			return;
+		}
 		EndpointId endpoint = state.placement.endpoint().id();
 		long firstChunkMillis = (state.attemptStarted) ? state.firstChunkMillis - state.sentMillis : -1;
 		log(effects, "attempt-ended", "request", state.requestId, "attempt", event.attemptId(), "endpoint", endpoint,
@@ -344,7 +428,10 @@
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
-		this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
+		boolean linkBroken = recordLink(state, event, nowMillis, effects);
+		if (!linkBroken) {
+			this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
+		}
 		if (outcome.isCompleted()) {
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
@@ -358,8 +445,12 @@
 		this.work.remove(state.requestId);
 		this.reservations.release(state, nowMillis, effects);
 		boolean hasCandidates = !this.candidates.find(state, nowMillis).isEmpty();
-		if (hasCandidates && mayRetry(state, outcome, nowMillis)) {
-			dispatch(state, nowMillis, effects);
+		boolean hasPeers = this.relays.choose(state).isPresent();
+		boolean connectsNowhere = state.connectFailures >= RELAY_CONNECT_FAILURES;
+		if ((hasCandidates || hasPeers) && mayRetry(state, outcome, nowMillis)) {
+			if (!(hasPeers && (connectsNowhere || !hasCandidates) && relay(state, nowMillis, effects))) {
+				dispatch(state, nowMillis, effects);
+			}
 		}
 		else if (outcome == AttemptOutcome.ENDPOINT_ERROR && !state.answerStarted) {
 			finish(state, nowMillis, effects);
@@ -372,6 +463,78 @@
 		}
 	}
 
+	/**
+	 * Handles the end of an attempt that a peer had. The peer has recorded what it says
+	 * about the endpoint.
+	 * @param state the request
+	 * @param event end of the attempt
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 */
+	private void relayEnded(ForwardState state, GatewayEvent.AttemptEnded event, long nowMillis,
+			List<GatewayEffect> effects) {
+		AttemptOutcome outcome = event.outcome();
+		log(effects, "relay-ended", "request", state.requestId, "attempt", event.attemptId(), "peer",
+				state.relayPeer.get(), "outcome", outcome, "status", event.status(), "millis",
+				nowMillis - state.sentMillis, "longest-gap-millis", state.longestGapMillis);
+		state.attemptId = 0;
+		state.relayPeer = Optional.empty();
+		if (outcome.isCompleted() || (outcome == AttemptOutcome.ENDPOINT_ERROR && !state.answerStarted)) {
+			finish(state, nowMillis, effects);
+			effects.add(new GatewayEffect.Deliver(state.requestId));
+			return;
+		}
+		state.mayHaveRun |= outcome.mayHaveRun();
+		boolean repeatable = !state.mayHaveRun || state.route.kind().isRepeatable();
+		boolean mayRepeat = outcome != AttemptOutcome.REJECTED && repeatable
+				&& state.timeLeftMillis(nowMillis) > MIN_RETRY_MILLIS && this.relays.choose(state).isPresent()
+				&& (!outcome.mayHaveRun() || retryBudget(state.service).tryAcquire(this.retryPart, nowMillis));
+		if (!mayRepeat || !relay(state, nowMillis, effects)) {
+			giveUp(state, RefusalCause.NOT_RUN, nowMillis, effects);
+		}
+	}
+
+	/**
+	 * Records that bytes were received from an endpoint.
+	 * @param service service of the endpoint
+	 * @param effects receives the effects if the link was cut
+	 */
+	void answerReceived(String service, List<GatewayEffect> effects) {
+		if (this.links.recordAnswer(service)) {
+			log(effects, "endpoints-reached-again", "service", service);
+			effects.add(new GatewayEffect.PublishState());
+		}
+	}
+
+	/**
+	 * Records what the end of an attempt says about the link of this instance.
+	 * @param state the request
+	 * @param event end of the attempt
+	 * @param nowMillis the current time
+	 * @param effects receives the effects if the link is cut
+	 * @return whether the link is the likely cause of the end of a connection
+	 */
+	private boolean recordLink(ForwardState state, GatewayEvent.AttemptEnded event, long nowMillis,
+			List<GatewayEffect> effects) {
+		EndpointId endpoint = state.placement.endpoint().id();
+		if (!event.outcome().isUnanswered()) {
+			answerReceived(state.service, effects);
+			return false;
+		}
+		endpointSilent(state, event.outcome() != AttemptOutcome.NOT_CONNECTED, nowMillis, effects);
+		return event.outcome().mayHaveCrashedEndpoint()
+				&& this.links.recordBroken(endpoint, state.sentMillis, nowMillis);
+	}
+
+	private void endpointSilent(ForwardState state, boolean connected, long nowMillis, List<GatewayEffect> effects) {
+		if (this.links.recordSilence(state.service, state.placement.endpoint().id(), connected, nowMillis)) {
+			log(effects, "endpoints-unreachable", "service", state.service, "any-service", this.links.isCut());
+			this.candidates.available(state.service)
+				.forEach((endpoint) -> effects.add(new GatewayEffect.DiscardConnections(endpoint)));
+			effects.add(new GatewayEffect.PublishState());
+		}
+	}
+
 	private void recordOutcome(ForwardState state, AttemptOutcome outcome, EndpointId endpoint, long nowMillis) {
 		EndpointHealth health = this.work.health(endpoint);
 		if (outcome.isCompleted()) {
@@ -397,8 +560,7 @@
 		if (outcome == AttemptOutcome.NOT_CONNECTED) {
 			return state.connectFailures <= MAX_CONNECT_FAILURES;
 		}
-		return state.sends < state.route.maxAttempts()
-				&& retryBudget(state.service).tryAcquire(this.retryPart, nowMillis);
+		return state.sends < state.maxAttempts() && retryBudget(state.service).tryAcquire(this.retryPart, nowMillis);
 	}
 
 	void callerDisconnected(long requestId, long nowMillis, List<GatewayEffect> effects) {
@@ -459,7 +621,12 @@
 				nowMillis - state.arrivalMillis, "answer-started", state.answerStarted);
 		if (state.attemptId != 0) {
 			state.mayHaveRun = true;
-			this.work.health(state.placement.endpoint().id()).recordFailure();
+			if (state.relayPeer.isEmpty()) {
+				this.work.health(state.placement.endpoint().id()).recordFailure();
+				if (!state.attemptStarted) {
+					endpointSilent(state, true, nowMillis, effects);
+				}
+			}
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
 		}
 		giveUp(state, (state.mayHaveRun) ? RefusalCause.EXPIRED : RefusalCause.EXPIRED_NOT_RUN, nowMillis, effects);
@@ -483,10 +650,12 @@
 			return;
 		}
 		state.stallDeadlineMillis = Long.MAX_VALUE;
+		endpointSilent(state, true, nowMillis, effects);
 		boolean movable = state.route.kind() == RequestKind.RESUMABLE_STREAM && state.reservations.isEmpty()
-				&& state.sends < state.route.maxAttempts();
+				&& state.sends < state.maxAttempts();
 		Optional<Placement> placement = (movable) ? placement(state, nowMillis) : Optional.empty();
-		if (placement.isEmpty() || !mayRetry(state, AttemptOutcome.SILENT, nowMillis)) {
+		boolean aroundCut = movable && this.links.isCut(state.service) && this.relays.choose(state).isPresent();
+		if ((placement.isEmpty() && !aroundCut) || !mayRetry(state, AttemptOutcome.SILENT, nowMillis)) {
 			health.recordFailure();
 			return;
 		}
@@ -496,7 +665,10 @@
 		this.byAttemptId.remove(state.attemptId);
 		health.recordFault(nowMillis);
 		state.mayHaveRun = true;
-		send(state, placement.get(), nowMillis, effects);
+		this.work.remove(state.requestId);
+		if (!aroundCut || !relay(state, nowMillis, effects)) {
+			send(state, placement.orElseThrow(), nowMillis, effects);
+		}
 	}
 
 	private long maxIterationMillis(ForwardState state) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -14,6 +14,7 @@
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.gossip.RelayPeer;
 import io.mulberrylift.core.limit.BackOffReport;
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.FleetView;
@@ -101,7 +102,7 @@
 			arrived(arrived, nowMillis);
 		}
 		else if (event instanceof GatewayEvent.AnswerChunk chunk) {
-			this.forwarder.chunkReceived(chunk.attemptId(), nowMillis);
+			this.forwarder.chunkReceived(chunk.attemptId(), nowMillis, this.effects);
 		}
 		else if (event instanceof GatewayEvent.AttemptEnded ended) {
 			this.forwarder.attemptEnded(ended, nowMillis, this.effects);
@@ -224,6 +225,8 @@
 	}
 
 	private void noticesReceived(GatewayEvent.NoticesReceived event, long nowMillis) {
+		this.endpoints.find(event.endpoint())
+			.ifPresent((endpoint) -> this.forwarder.answerReceived(endpoint.service(), this.effects));
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
@@ -316,6 +319,23 @@
 		this.forwarder.setRetryPart(fleet.equalPart());
 	}
 
+	/**
+	 * Sets the peers that requests are handed to if this instance does not reach their
+	 * endpoints.
+	 * @param peers the peers
+	 */
+	public void setRelayPeers(List<RelayPeer> peers) {
+		this.forwarder.setRelayPeers(peers);
+	}
+
+	/**
+	 * Returns whether this instance reaches any endpoint, as far as it knows.
+	 * @return false if several endpoints in a row did not answer
+	 */
+	public boolean reachesEndpoints() {
+		return this.forwarder.reachesEndpoints();
+	}
+
 	/**
 	 * Returns the work of this instance, to be published to its peers.
 	 * @param nowMillis the current time
@@ -359,10 +379,11 @@
 	 * Returns the endpoints that this instance avoids because of faults that it observed
 	 * itself.
 	 * @param nowMillis the current time
-	 * @return the endpoints with the remaining times
+	 * @return the endpoints with the remaining times; none if this instance reaches no
+	 * endpoint, since its link is the cause then
 	 */
 	public List<AvoidedEndpoint> avoidedEndpoints(long nowMillis) {
-		return this.work.locallyAvoided(nowMillis);
+		return (reachesEndpoints()) ? this.work.locallyAvoided(nowMillis) : List.of();
 	}
 
 	/**
@@ -476,6 +497,8 @@
 		state.put("ready", isReady());
 		state.put("configuration", configurationVersion());
 		state.put("requests", inProgress());
+		state.put("reaches-endpoints", reachesEndpoints());
+		state.put("relay-peers", this.forwarder.relayPeers());
 		state.put("endpoints", this.endpoints.available());
 		state.put("instances", this.liveInstances);
 		state.put("avoided", avoidedEndpoints(nowMillis).toString());
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEffect.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEffect.java
@@ -27,6 +27,20 @@
 			int rank, RequestKind kind, Optional<String> workspace) implements GatewayEffect {
 	}
 
+	/**
+	 * Hands a request to a peer, which sends it to an endpoint.
+	 *
+	 * @param requestId the request
+	 * @param attemptId identifier of the attempt
+	 * @param peer address of the peer
+	 * @param timeLeftMillis time left for the answer
+	 * @param attemptsLeft number of endpoints that the peer may send the request to
+	 * @param kind whether the request may be repeated and how its answer is delivered
+	 */
+	record Relay(long requestId, long attemptId, String peer, long timeLeftMillis, int attemptsLeft,
+			RequestKind kind) implements GatewayEffect {
+	}
+
 	/**
 	 * An endpoint that prefills a part of a prompt.
 	 *
--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
@@ -0,0 +1,59 @@
+package io.mulberrylift.core.forwarding;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import io.mulberrylift.core.gossip.RelayPeer;
+
+/**
+ * Chooses peers that requests are handed to if this instance does not reach their
+ * endpoints.
+ *
+ * <p>
+ * A request that a peer handed to this instance is not handed on. Not thread-safe; owned
+ * by the reducer.
+ * </p>
+ */
+final class Relays {
+
+	/** Maximum number of peers that a request is handed to. */
+	private static final int MAX_PEERS = 3;
+
+	private final RandomGenerator random;
+
+	private List<RelayPeer> peers = List.of();
+
+	Relays(RandomGenerator random) {
+		this.random = Objects.requireNonNull(random, "random");
+	}
+
+	void setPeers(List<RelayPeer> current) {
+		this.peers = List.copyOf(current);
+	}
+
+	int peers() {
+		return this.peers.size();
+	}
+
+	/**
+	 * Chooses a peer that the request was not handed to yet, one of the same availability
+	 * zone if there is any.
+	 * @param state the request
+	 * @return address of the peer, empty if there is none
+	 */
+	Optional<String> choose(ForwardState state) {
+		if (state.request.relayedAttempts().isPresent() || state.triedPeers.size() >= MAX_PEERS) {
+			return Optional.empty();
+		}
+		List<RelayPeer> untried = this.peers.stream()
+			.filter((peer) -> !state.triedPeers.contains(peer.address()))
+			.toList();
+		List<RelayPeer> near = untried.stream().filter(RelayPeer::sameZone).toList();
+		List<RelayPeer> choice = near.isEmpty() ? untried : near;
+		return choice.isEmpty() ? Optional.empty()
+				: Optional.of(choice.get(this.random.nextInt(choice.size())).address());
+	}
+
+}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
@@ -10,12 +10,13 @@
  * @param zone availability zone of the instance
  * @param configurationVersion version of its newest configuration; 0 for none
  * @param storeRevision revision of the platform's store that it has read up to
+ * @param endpointsReachable whether it reaches any endpoint, as far as it knows
  * @param avoided endpoints that it avoids because of faults that it observed itself
  * @param limits limits of requests that endpoints named or ended recently
  * @param members a sample of the instances that it knows
  */
-public record FullState(String zone, long configurationVersion, long storeRevision, List<AvoidedEndpoint> avoided,
-		List<EndpointLimit> limits, List<KnownMember> members) {
+public record FullState(String zone, long configurationVersion, long storeRevision, boolean endpointsReachable,
+		List<AvoidedEndpoint> avoided, List<EndpointLimit> limits, List<KnownMember> members) {
 
 	/**
 	 * Creates the state.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -165,14 +165,14 @@
 			this.uninformed.remove(digest.sender());
 		}
 		this.members.put(digest.sender(), new Member(state.zone(), digest.incarnation(), digest.sequence(), nowMillis,
-				state.configurationVersion(), state.storeRevision()));
+				state.configurationVersion(), state.storeRevision(), state.endpointsReachable()));
 		recordActivity(digest.sender(), state.zone(), nowMillis);
 		for (KnownMember reported : state.members()) {
 			recordActivity(reported.address(), reported.zone(), nowMillis - reported.ageMillis());
 			boolean unknown = !reported.address().equals(this.self) && !this.members.containsKey(reported.address());
 			if (unknown && reported.ageMillis() < LIVENESS_TIMEOUT_MILLIS) {
 				this.members.put(reported.address(),
-						new Member(reported.zone(), 0, 0, nowMillis - reported.ageMillis(), 0, 0));
+						new Member(reported.zone(), 0, 0, nowMillis - reported.ageMillis(), 0, 0, false));
 			}
 		}
 		return true;
@@ -366,6 +366,33 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the live members that reach endpoints and have at least a certain
+	 * configuration.
+	 * @param configurationVersion version of the configuration
+	 * @param nowMillis the current time
+	 * @return the members in order of their addresses
+	 */
+	public List<RelayPeer> relayPeers(long configurationVersion, long nowMillis) {
+		return this.members.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().endpointsReachable()
+					&& entry.getValue().configurationVersion() >= configurationVersion
+					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS)
+			.map((entry) -> new RelayPeer(entry.getKey(), entry.getValue().zone().equals(this.zone)))
+			.sorted(Comparator.comparing(RelayPeer::address))
+			.toList();
+	}
+
+	/**
+	 * Returns whether a host is that of a live or recently lost member.
+	 * @param host the IP address
+	 * @return true if a member has that address
+	 */
+	public boolean isMemberHost(String host) {
+		return this.members.keySet().stream().anyMatch((address) -> address.startsWith(host + ":"));
+	}
+
 	/**
 	 * Returns whether gossip rounds reach only a subset of the members.
 	 * @return true in large fleets
@@ -375,11 +402,11 @@
 	}
 
 	private record Member(String zone, long incarnation, long sequence, long lastReceivedMillis,
-			long configurationVersion, long storeRevision) {
+			long configurationVersion, long storeRevision, boolean endpointsReachable) {
 
 		Member refreshed(InstanceDigest digest, long nowMillis) {
 			return new Member(this.zone, digest.incarnation(), digest.sequence(), nowMillis, this.configurationVersion,
-					this.storeRevision);
+					this.storeRevision, this.endpointsReachable);
 		}
 
 		boolean isAheadOf(long version, long revision) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointCandidatesTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointCandidatesTests.java
@@ -30,7 +30,8 @@
 			this.backOffs);
 
 	private final ForwardState state = new ForwardState(1,
-			new ForwardRequest("a", "api.example", "/read/x", Optional.empty(), 5000, 0, 0, 1, List.of()),
+			new ForwardRequest("a", "api.example", "/read/x", Optional.empty(), 5000, 0, 0, 1, List.of(),
+					Optional.empty()),
 			GatewayFixture.route("/read/", "plain", RequestKind.IDEMPOTENT, 2), "plain", Optional.empty(), 0);
 
 	@BeforeEach
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
@@ -88,7 +88,7 @@
 	long arrive(String path, long promptTokens, Optional<String> key, long fingerprint, List<Long> promptParts) {
 		long id = this.nextRequest++;
 		reduce(new GatewayEvent.RequestArrived(id, new ForwardRequest("attempt-" + id, "api.example", path, key, 10_000,
-				promptTokens, 100, fingerprint, promptParts)));
+				promptTokens, 100, fingerprint, promptParts, Optional.empty())));
 		return id;
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
@@ -174,7 +174,7 @@
 	private static InstanceDigest digest(long sequence, Optional<Double> limit, long ageMillis) {
 		EndpointLimit published = new EndpointLimit(WorkTable.hash(new EndpointId("p1")), limit, ageMillis);
 		return new InstanceDigest("peer", 1, sequence, Map.of(), List.of(), List.of(), List.of(),
-				Optional.of(new FullState("zone-a", 1, 1, List.of(), List.of(published), List.of())));
+				Optional.of(new FullState("zone-a", 1, 1, true, List.of(), List.of(published), List.of())));
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -15,7 +15,7 @@
 	private final Membership membership = new Membership("10.0.0.1:1", "zone-0", new SplittableRandom(1));
 
 	private static InstanceDigest digest(int host, long incarnation, long sequence, List<KnownMember> members) {
-		FullState state = new FullState("zone-" + host % 22, 5, 100 + host, List.of(), List.of(), members);
+		FullState state = new FullState("zone-" + host % 22, 5, 100 + host, true, List.of(), List.of(), members);
 		return new InstanceDigest("10.0." + host / 250 + "." + (host % 250 + 2) + ":1", incarnation, sequence, Map.of(),
 				List.of(), List.of(), List.of(), Optional.of(state));
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
@@ -1,8 +1,9 @@
 package io.mulberrylift.gateway.caller;
 
+import java.net.InetSocketAddress;
 import java.util.Objects;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 import io.mulberrylift.gateway.http.NetAddress;
 import io.netty.bootstrap.ServerBootstrap;
@@ -33,18 +34,21 @@
 
 	private final CallerListener listener;
 
-	private final AtomicLong exchangeIds = new AtomicLong();
+	private final LongSupplier exchangeIds;
 
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param group the event loop
 	 * @param protocol decodes request heads
 	 * @param listener receives the events of connections
+	 * @param exchangeIds returns a new identifier for each request
 	 */
-	public CallerServer(EventLoopGroup group, CallerProtocol protocol, CallerListener listener) {
+	public CallerServer(EventLoopGroup group, CallerProtocol protocol, CallerListener listener,
+			LongSupplier exchangeIds) {
 		this.group = Objects.requireNonNull(group, "group");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.listener = Objects.requireNonNull(listener, "listener");
+		this.exchangeIds = Objects.requireNonNull(exchangeIds, "exchangeIds");
 	}
 
 	/**
@@ -53,6 +57,16 @@
 	 * @return the listening channel
 	 */
 	public Channel listen(NetAddress address) {
+		return listen(address, (host) -> true);
+	}
+
+	/**
+	 * Starts to listen for connections from certain hosts. Others are closed.
+	 * @param address local address to bind to
+	 * @param admits whether connections from a host are accepted, by its IP address
+	 * @return the listening channel
+	 */
+	public Channel listen(NetAddress address, Predicate<String> admits) {
 		return new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -61,8 +75,12 @@
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel accepted) {
+					if (!admits.test(((InetSocketAddress) accepted.remoteAddress()).getAddress().getHostAddress())) {
+						accepted.close();
+						return;
+					}
 					configurePipeline(accepted.pipeline(), CallerServer.this.protocol, CallerServer.this.listener,
-							CallerServer.this.exchangeIds::incrementAndGet);
+							CallerServer.this.exchangeIds);
 				}
 			})
 			.bind(address.socketAddress())
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/RequestHead.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/RequestHead.java
@@ -16,9 +16,11 @@
  * @param maxOutputTokens maximum number of answer tokens, 0 if not stated
  * @param promptParts identifiers of the parts of the prompt that other requests may
  * contain as well, each once; empty if not stated or malformed
+ * @param relayedAttempts number of attempts that a peer which received the request from
+ * its caller leaves to this instance; empty if this instance received it
  */
 public record RequestHead(String attemptId, String host, String path, Optional<String> apiKey, long deadlineMillis,
-		long promptTokens, long maxOutputTokens, List<String> promptParts) {
+		long promptTokens, long maxOutputTokens, List<String> promptParts, Optional<Integer> relayedAttempts) {
 
 	public RequestHead {
 		Objects.requireNonNull(attemptId, "attemptId");
@@ -26,6 +28,7 @@
 		Objects.requireNonNull(path, "path");
 		Objects.requireNonNull(apiKey, "apiKey");
 		promptParts = List.copyOf(promptParts);
+		Objects.requireNonNull(relayedAttempts, "relayedAttempts");
 	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -1,10 +1,12 @@
 package io.mulberrylift.gateway.endpoint;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
@@ -73,7 +75,19 @@
 	 * @param answer receives the endpoint's answer
 	 */
 	public void send(GatewayEffect.Send send, ForwardedAnswer answer) {
-		EndpointAttempt attempt = new EndpointAttempt(send, answer, this.protocol, this.listener, this.buffers);
+		send(send, answer, this.protocol, Optional.empty());
+	}
+
+	/**
+	 * Starts an attempt that uses another protocol.
+	 * @param send the endpoint and how the request is sent
+	 * @param answer receives the endpoint's answer
+	 * @param attemptProtocol encodes the request and decodes the answer
+	 * @param source local address of the connection, empty for any
+	 */
+	public void send(GatewayEffect.Send send, ForwardedAnswer answer, EndpointProtocol attemptProtocol,
+			Optional<InetSocketAddress> source) {
+		EndpointAttempt attempt = new EndpointAttempt(send, answer, attemptProtocol, this.listener, this.buffers);
 		ActiveAttempt started = new ActiveAttempt(attempt);
 		this.activeAttempts.put(attempt.id(), started);
 		EndpointConnection pooled = pollIdle(send.endpoint().id());
@@ -82,7 +96,7 @@
 			pooled.send(attempt);
 			return;
 		}
-		connect(send.endpoint(), started);
+		connect(send.endpoint(), source, started);
 	}
 
 	private EndpointConnection pollIdle(EndpointId endpoint) {
@@ -98,7 +112,7 @@
 		return null;
 	}
 
-	private void connect(ForwardEndpoint endpoint, ActiveAttempt started) {
+	private void connect(ForwardEndpoint endpoint, Optional<InetSocketAddress> source, ActiveAttempt started) {
 		this.openedConnections++;
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
 		EndpointConnection connection = new EndpointConnection(this, decoder);
@@ -107,20 +121,22 @@
 			protected void initChannel(Channel channel) {
 				channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
 			}
-		}).connect(new NetAddress(endpoint.host(), endpoint.port()).socketAddress()).addListener((future) -> {
-			EndpointAttempt attempt = started.attempt;
-			if (!future.isSuccess()) {
-				this.activeAttempts.remove(attempt.id());
-				attempt.end(AttemptOutcome.NOT_CONNECTED);
-			}
-			else if (attempt.isEnded()) {
-				release(connection, attempt);
-			}
-			else {
-				started.connection = connection;
-				connection.send(attempt);
-			}
-		});
+		})
+			.connect(new NetAddress(endpoint.host(), endpoint.port()).socketAddress(), source.orElse(null))
+			.addListener((future) -> {
+				EndpointAttempt attempt = started.attempt;
+				if (!future.isSuccess()) {
+					this.activeAttempts.remove(attempt.id());
+					attempt.end(AttemptOutcome.NOT_CONNECTED);
+				}
+				else if (attempt.isEnded()) {
+					release(connection, attempt);
+				}
+				else {
+					started.connection = connection;
+					connection.send(attempt);
+				}
+			});
 	}
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -26,6 +26,16 @@
 	 */
 	HttpHeaders requestHeaders(BufferedRequest request, GatewayEffect.Send send, Optional<String> resumeAfter);
 
+	/**
+	 * Returns the end-to-end headers of a request that is handed to a peer, without
+	 * Content-Length: those that the caller sent.
+	 * @param request the caller's request
+	 * @param resumeAfter identifier of the event after which the answer is resumed, empty
+	 * to keep the one that the caller sent
+	 * @return new headers
+	 */
+	HttpHeaders relayHeaders(BufferedRequest request, Optional<String> resumeAfter);
+
 	/**
 	 * Returns the limit of the endpoints that a request would exceed.
 	 * @param send the endpoint and how the request is sent
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/NetAddress.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/NetAddress.java
@@ -63,6 +63,14 @@
 		}
 	}
 
+	/**
+	 * Returns the local address of outgoing connections from this host.
+	 * @return the host with a port that the operating system chooses
+	 */
+	public InetSocketAddress ephemeralSocketAddress() {
+		return new InetSocketAddress(socketAddress().getAddress(), 0);
+	}
+
 	@Override
 	public String toString() {
 		return this.host + ":" + this.port;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.ClientLimits;
@@ -36,10 +37,13 @@
 import io.mulberrylift.gateway.endpoint.EndpointProtocol;
 import io.mulberrylift.gateway.endpoint.ForwardedAnswer;
 import io.mulberrylift.gateway.endpoint.MemoryReservationClient;
+import io.mulberrylift.gateway.http.NetAddress;
 import io.mulberrylift.gateway.http.Page;
 import io.mulberrylift.gateway.http.PageServer;
 import io.mulberrylift.gateway.logging.EventLog;
 import io.mulberrylift.gateway.peer.PeerLink;
+import io.mulberrylift.gateway.relay.RelayCallerProtocol;
+import io.mulberrylift.gateway.relay.RelayEndpointProtocol;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -98,6 +102,9 @@
 
 	private final Map<Long, Long> attemptByRequest = new HashMap<>();
 
+	/** Numbers the requests of callers and of peers. */
+	private final AtomicLong exchangeIds = new AtomicLong();
+
 	private final CountDownLatch terminated = new CountDownLatch(1);
 
 	private GossipScheduler gossip;
@@ -154,13 +161,25 @@
 		PageServer.listen(this.group, this.settings.readyAddress(), this::page);
 		PageServer.listen(this.group, this.settings.peersAddress(), this::page);
 		PageServer.listen(this.group, this.settings.metricsAddress(), this::page);
-		new CallerServer(this.group, this.callerProtocol, this).listen(this.settings.callersAddress());
+		new CallerServer(this.group, this.callerProtocol, this, this.exchangeIds::incrementAndGet)
+			.listen(this.settings.callersAddress());
+		new CallerServer(this.group, new RelayCallerProtocol(this.callerProtocol), this,
+				this.exchangeIds::incrementAndGet)
+			.listen(this.settings.relayAddress(), this::admitsRelay);
 		this.group.execute(() -> this.platform.start(this));
 		this.group.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 		this.log.write("started", "callers", this.settings.callersAddress(), "peers", this.settings.peersAddress(),
 				"zone", this.settings.identity().zone());
 	}
 
+	private boolean admitsRelay(String host) {
+		boolean admitted = this.membership.isMemberHost(host);
+		if (!admitted) {
+			this.log.write("relay-connection-rejected", "host", host, "problem", "not the host of a known peer");
+		}
+		return admitted;
+	}
+
 	/**
 	 * Starts an orderly shutdown: requests in progress are completed within the shutdown
 	 * timeout.
@@ -233,6 +252,7 @@
 			this.gateway.setLiveInstances(this.membership.liveInstances(now));
 			this.gateway.setPartialView(this.membership.isPartial());
 			this.gateway.setFleet(this.membership.view(now), now);
+			this.gateway.setRelayPeers(this.membership.relayPeers(this.gateway.configurationVersion(), now));
 			run(new GatewayEvent.Tick());
 			this.gossip.tick(now);
 			this.platform.updatePeersAhead(
@@ -259,6 +279,9 @@
 		else if (effect instanceof GatewayEffect.Send send) {
 			send(send);
 		}
+		else if (effect instanceof GatewayEffect.Relay relay) {
+			relay(relay);
+		}
 		else if (effect instanceof GatewayEffect.Deliver deliver) {
 			removeRequest(deliver.requestId()).ifPresent(ForwardedAnswer::deliver);
 		}
@@ -303,6 +326,21 @@
 		this.gossip.requestPlaced(nowMillis());
 	}
 
+	private void relay(GatewayEffect.Relay relay) {
+		this.requestByAttempt.put(relay.attemptId(), relay.requestId());
+		this.attemptByRequest.put(relay.requestId(), relay.attemptId());
+		this.metrics.count("relays");
+		NetAddress address = GatewaySettings.relayAddress(NetAddress.parse(relay.peer()));
+		ForwardEndpoint peer = new ForwardEndpoint(new EndpointId("peer-" + relay.peer()), "", address.host(),
+				address.port(), "", 1, false, 0);
+		this.endpointPool.send(
+				new GatewayEffect.Send(relay.requestId(), relay.attemptId(), peer, List.of(), relay.timeLeftMillis(), 0,
+						relay.kind(), Optional.empty()),
+				this.answersByRequest.get(relay.requestId()),
+				new RelayEndpointProtocol(this.endpointProtocol, relay.attemptsLeft()),
+				Optional.of(this.settings.peersAddress().ephemeralSocketAddress()));
+	}
+
 	private Optional<ForwardedAnswer> removeRequest(long requestId) {
 		Long arrived = this.arrivalMillisByRequest.remove(requestId);
 		if (arrived != null) {
@@ -333,6 +371,9 @@
 			if (refuse.cause().status() == 401) {
 				headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
 			}
+			if (answer.exchange().request().head().relayedAttempts().isPresent()) {
+				RelayEndpointProtocol.markRefusal(headers, refuse.cause());
+			}
 			String type = refuse.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
 			String body = "{\"title\":\"" + type + "\",\"status\":" + refuse.cause().status() + "}\n";
 			answer.exchange().answer(refuse.cause().status(), headers, body.getBytes(StandardCharsets.UTF_8));
@@ -351,7 +392,7 @@
 		run(new GatewayEvent.RequestArrived(exchange.id(),
 				new ForwardRequest(head.attemptId(), head.host(), head.path(), head.apiKey(), head.deadlineMillis(),
 						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request, workspace),
-						head.promptParts().stream().map(Fingerprint::ofPromptPart).toList())));
+						head.promptParts().stream().map(Fingerprint::ofPromptPart).toList(), head.relayedAttempts())));
 	}
 
 	@Override
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewaySettings.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewaySettings.java
@@ -13,7 +13,7 @@
  * @param callersAddress address that callers connect to
  * @param readyAddress address of the readiness page for the load balancer
  * @param peersAddress address for peers: UDP for digests, TCP for the view of the
- * platform
+ * platform; at the next port, TCP for requests that peers hand to this instance
  * @param metricsAddress address of the metrics page
  * @param seedAddresses peer addresses of some instances, from which the others are
  * discovered
@@ -33,4 +33,21 @@
 		seedAddresses = List.copyOf(seedAddresses);
 	}
 
+	/**
+	 * Returns the address at which this instance accepts requests from its peers.
+	 * @return the address
+	 */
+	public NetAddress relayAddress() {
+		return relayAddress(this.peersAddress);
+	}
+
+	/**
+	 * Returns the address at which an instance accepts requests from its peers.
+	 * @param peersAddress address of the instance for peers
+	 * @return the address
+	 */
+	static NetAddress relayAddress(NetAddress peersAddress) {
+		return new NetAddress(peersAddress.host(), peersAddress.port() + 1);
+	}
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -243,7 +243,8 @@
 		for (String target : targets) {
 			if (!tracked.contains(target)) {
 				FullState other = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
-						state.avoided(), state.limits(), this.membership.sampleFor(target, nowMillis));
+						state.endpointsReachable(), state.avoided(), state.limits(),
+						this.membership.sampleFor(target, nowMillis));
 				send(List.of(target), digest(Map.of(), List.of(), selected, crashes, Optional.of(other)),
 						DigestCodec.MAX_BYTES);
 			}
@@ -252,8 +253,9 @@
 
 	private FullState state(int maxLimits, List<KnownMember> sample, long nowMillis) {
 		return new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
-				this.storeRevision.getAsLong(), this.gateway.avoidedEndpoints(nowMillis),
-				this.gateway.pollPublishedLimits(maxLimits, nowMillis), sample);
+				this.storeRevision.getAsLong(), this.gateway.reachesEndpoints(),
+				this.gateway.avoidedEndpoints(nowMillis), this.gateway.pollPublishedLimits(maxLimits, nowMillis),
+				sample);
 	}
 
 	private void sendSummaries(long nowMillis) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -33,9 +33,9 @@
 	 */
 	public static final int MAX_BYTES = 1400;
 
-	private static final int FULL_FORMAT = 10;
+	private static final int FULL_FORMAT = 12;
 
-	private static final int CHANGES_FORMAT = 9;
+	private static final int CHANGES_FORMAT = 11;
 
 	/** Unit of memory in summaries. */
 	private static final int SUMMARY_MEMORY_UNIT_TOKENS = 4096;
@@ -175,6 +175,7 @@
 
 	private static void pack(MessageBufferPacker packer, FullState state) throws IOException {
 		packer.packString(state.zone()).packLong(state.configurationVersion()).packLong(state.storeRevision());
+		packer.packBoolean(state.endpointsReachable());
 		packer.packArrayHeader(state.avoided().size());
 		for (AvoidedEndpoint avoided : state.avoided()) {
 			packer.packInt(avoided.endpointHash()).packLong(avoided.leftMillis());
@@ -275,6 +276,7 @@
 		String zone = unpacker.unpackString();
 		long configurationVersion = unpacker.unpackLong();
 		long storeRevision = unpacker.unpackLong();
+		boolean endpointsReachable = unpacker.unpackBoolean();
 		List<AvoidedEndpoint> avoided = new ArrayList<>();
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			avoided.add(new AvoidedEndpoint(unpacker.unpackInt(), unpacker.unpackLong()));
@@ -287,7 +289,7 @@
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			members.add(new KnownMember(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong()));
 		}
-		return new FullState(zone, configurationVersion, storeRevision, avoided, limits, members);
+		return new FullState(zone, configurationVersion, storeRevision, endpointsReachable, avoided, limits, members);
 	}
 
 	private static CrashObservation unpackCrash(MessageUnpacker unpacker) throws IOException {
--- /dev/null
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayCallerProtocol.java
@@ -0,0 +1,40 @@
+package io.mulberrylift.gateway.relay;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import io.mulberrylift.gateway.caller.BadRequestException;
+import io.mulberrylift.gateway.caller.CallerProtocol;
+import io.mulberrylift.gateway.caller.RequestHead;
+import io.netty.handler.codec.http.HttpRequest;
+
+/**
+ * Decodes callers' requests that a peer hands to this instance, with the peer's terms.
+ * Stateless.
+ */
+public final class RelayCallerProtocol implements CallerProtocol {
+
+	private final CallerProtocol callers;
+
+	/**
+	 * Creates the protocol.
+	 * @param callers decodes the requests as callers sent them
+	 */
+	public RelayCallerProtocol(CallerProtocol callers) {
+		this.callers = Objects.requireNonNull(callers, "callers");
+	}
+
+	/**
+	 * Decodes the head of a request and removes the peer's terms from its headers.
+	 */
+	@Override
+	public RequestHead readHead(HttpRequest request) throws BadRequestException {
+		RelayTerms terms = RelayTerms.parse(request.headers().get(RelayTerms.HEADER));
+		request.headers().remove(RelayTerms.HEADER);
+		RequestHead head = this.callers.readHead(request);
+		return new RequestHead(head.attemptId(), head.host(), head.path(), head.apiKey(),
+				Math.min(head.deadlineMillis(), terms.timeLeftMillis()), head.promptTokens(), head.maxOutputTokens(),
+				head.promptParts(), Optional.of(terms.attemptsLeft()));
+	}
+
+}
--- /dev/null
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Requests that an instance which does not reach their endpoints hands to a peer.
+ */
+package io.mulberrylift.gateway.relay;
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/caller/CallerConnectionTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/caller/CallerConnectionTests.java
@@ -62,7 +62,7 @@
 
 	private EmbeddedChannel open() {
 		CallerProtocol protocol = (request) -> new RequestHead("id", request.headers().get("Host", ""), request.uri(),
-				Optional.empty(), 5000, 0, 0, List.of());
+				Optional.empty(), 5000, 0, 0, List.of(), Optional.empty());
 		EmbeddedChannel opened = new EmbeddedChannel();
 		opened.freezeTime();
 		CallerServer.configurePipeline(opened.pipeline(), protocol, this.listener, new AtomicLong()::incrementAndGet);
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FingerprintTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FingerprintTests.java
@@ -18,7 +18,7 @@
 	private static BufferedRequest request(String method, String host, String target, String key, String body) {
 		return new BufferedRequest(HttpMethod.valueOf(method), target, new DefaultHttpHeaders(),
 				body.getBytes(StandardCharsets.UTF_8),
-				new RequestHead("a", host, target, Optional.of(key), 1000, 0, 0, List.of()));
+				new RequestHead("a", host, target, Optional.of(key), 1000, 0, 0, List.of(), Optional.empty()));
 	}
 
 	@Test
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
@@ -120,7 +120,7 @@
 			}
 			for (long due = now * requestsPerSecond / 1000; request < due; request++) {
 				ForwardRequest arrival = new ForwardRequest("a" + request, "h", "/x", Optional.empty(), 60_000, 0, 0,
-						request, List.of());
+						request, List.of(), Optional.empty());
 				for (GatewayEffect effect : gateway.reduce(new GatewayEvent.RequestArrived(request, arrival), now)) {
 					if (effect instanceof GatewayEffect.Send send) {
 						int key = EndpointSummary.key(WorkTable.hash(send.endpoint().id()));
@@ -142,7 +142,7 @@
 
 	private static void receiveFromPeers(Membership membership, int instances, int zones, long now) {
 		for (int index = 1; index < instances; index++) {
-			FullState state = new FullState("zone-" + index % zones, 1, 1, List.of(), List.of(), List.of());
+			FullState state = new FullState("zone-" + index % zones, 1, 1, true, List.of(), List.of(), List.of());
 			membership.receive(new InstanceDigest("10.1." + index / 200 + "." + index % 200 + ":7340", 1, now + 1,
 					Map.of(), List.of(), List.of(), List.of(), Optional.of(state)), now);
 		}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 
@@ -119,12 +120,21 @@
 
 	private final Map<Long, ForwardRequest> requests = new HashMap<>();
 
-	/** Indices of the instances whose connections to endpoints do not get established. */
+	/** Indices of the instances that do not reach any endpoint. */
 	Set<Integer> cutInstances = Set.of();
 
+	/** What happens to attempts of these instances. */
+	AttemptOutcome cutOutcome = AttemptOutcome.NOT_CONNECTED;
+
+	/** Time until that happens. */
+	long cutOutcomeMillis = CONNECT_TIMEOUT_MILLIS;
+
 	/** Requests of callers by the index of the instance they arrived at. */
 	private final Map<Long, Integer> arrivedAt = new HashMap<>();
 
+	/** When requests were handed to peers. */
+	final List<Long> relayedMillis = new ArrayList<>();
+
 	private final Set<Long> answeredRequests = new HashSet<>();
 
 	/** Time after which a connection attempt to an unreachable endpoint ends. */
@@ -380,6 +390,9 @@
 
 		private final Set<Long> sentRequests = new HashSet<>();
 
+		/** What happens with the outcome of each request that a peer handed over. */
+		private final Map<Long, Consumer<AttemptOutcome>> relayedRequests = new HashMap<>();
+
 		private final long startMillis = SimulatedFleet.this.nowMillis;
 
 		private long peerBytes;
@@ -449,6 +462,7 @@
 			this.gateway.setLiveInstances(this.membership.liveInstances(now));
 			this.gateway.setPartialView(this.membership.isPartial());
 			this.gateway.setFleet(this.membership.view(now), now);
+			this.gateway.setRelayPeers(this.membership.relayPeers(1, now));
 			reduce(new GatewayEvent.Tick());
 			this.gossip.tick(now);
 			at(now + TICK_MILLIS, this::tick);
@@ -471,7 +485,7 @@
 		private void arrive(long fingerprint, List<Long> parts) {
 			long id = SimulatedFleet.this.requestNumber++;
 			ForwardRequest request = new ForwardRequest("a" + id, "h", "/", Optional.empty(), 5000, 0, 0, fingerprint,
-					parts);
+					parts, Optional.empty());
 			SimulatedFleet.this.requests.put(id, request);
 			SimulatedFleet.this.arrivedAt.put(id, this.index);
 			SimulatedFleet.this.requestMillis.add(SimulatedFleet.this.nowMillis);
@@ -486,9 +500,22 @@
 					}
 					at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> serve(send));
 				}
+				else if (effect instanceof GatewayEffect.Relay relay) {
+					at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> relay(relay));
+				}
 				else if (effect instanceof GatewayEffect.PublishState) {
 					this.gossip.requestFullState();
 				}
+				else if (effect instanceof GatewayEffect.Deliver deliver
+						&& this.relayedRequests.containsKey(deliver.requestId())) {
+					this.relayedRequests.remove(deliver.requestId()).accept(AttemptOutcome.COMPLETED);
+				}
+				else if (effect instanceof GatewayEffect.Refuse refuse
+						&& this.relayedRequests.containsKey(refuse.requestId())) {
+					this.relayedRequests.remove(refuse.requestId())
+						.accept((refuse.cause().status() == 503) ? AttemptOutcome.REFUSED_FULL
+								: AttemptOutcome.GARBLED);
+				}
 				else if (effect instanceof GatewayEffect.Deliver deliver) {
 					SimulatedFleet.this.answered++;
 					SimulatedFleet.this.answeredRequests.add(deliver.requestId());
@@ -503,10 +530,32 @@
 			}
 		}
 
+		/**
+		 * Hands a request of this instance to a peer.
+		 */
+		private void relay(GatewayEffect.Relay relay) {
+			SimulatedFleet.this.relayedMillis.add(SimulatedFleet.this.nowMillis);
+			Instance peer = SimulatedFleet.this.instances.get(relay.peer());
+			if (peer == null || !SimulatedFleet.this.connected.test(this.zone, peer.zone)) {
+				at(SimulatedFleet.this.nowMillis + CONNECT_TIMEOUT_MILLIS,
+						() -> end(relay.attemptId(), AttemptOutcome.NOT_CONNECTED, 0));
+				return;
+			}
+			long id = SimulatedFleet.this.requestNumber++;
+			ForwardRequest original = SimulatedFleet.this.requests.get(relay.requestId());
+			ForwardRequest handed = new ForwardRequest(original.attemptId(), original.host(), original.path(),
+					original.key(), relay.timeLeftMillis(), 0, 0, original.fingerprint(), original.promptParts(),
+					Optional.of(relay.attemptsLeft()));
+			SimulatedFleet.this.requests.put(id, handed);
+			peer.relayedRequests.put(id, (outcome) -> at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS,
+					() -> end(relay.attemptId(), outcome, (outcome == AttemptOutcome.COMPLETED) ? 200 : 503)));
+			peer.reduce(new GatewayEvent.RequestArrived(id, handed));
+		}
+
 		private void serve(GatewayEffect.Send send) {
 			if (SimulatedFleet.this.cutInstances.contains(this.index)) {
-				at(SimulatedFleet.this.nowMillis + CONNECT_TIMEOUT_MILLIS,
-						() -> end(send.attemptId(), AttemptOutcome.NOT_CONNECTED, 0));
+				at(SimulatedFleet.this.nowMillis + SimulatedFleet.this.cutOutcomeMillis,
+						() -> end(send.attemptId(), SimulatedFleet.this.cutOutcome, 0));
 				return;
 			}
 			Optional<SimulatedRunner> found = SimulatedFleet.this.runners.stream()
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -36,7 +36,7 @@
 
 	@Test
 	void fullStateSurvivesRoundTrip() throws IOException {
-		FullState state = new FullState("zone-a", 17, 4711, List.of(new AvoidedEndpoint(5, 400)),
+		FullState state = new FullState("zone-a", 17, 4711, false, List.of(new AvoidedEndpoint(5, 400)),
 				List.of(new EndpointLimit(6, Optional.of(1.25), 840), new EndpointLimit(-7, Optional.empty(), 4)),
 				List.of(new KnownMember("10.0.0.2:7340", "zone-b", 30)));
 		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, prefillWork()), List.of(4L), List.of(),
