--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -6,7 +6,6 @@
 
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
-import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointWork;
 import io.mulberrylift.core.placement.WorkTable;
 
@@ -55,10 +54,10 @@
 	/**
 	 * Returns the endpoints of a service that accept new work.
 	 * @param service name of the service
-	 * @return their identities
+	 * @return the endpoints
 	 */
-	List<EndpointId> available(String service) {
-		return this.endpoints.available(service).stream().map(ForwardEndpoint::id).toList();
+	List<ForwardEndpoint> available(String service) {
+		return this.endpoints.available(service);
 	}
 
 	private Stream<ForwardEndpoint> untried(ForwardState state) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointLinks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointLinks.java
@@ -11,9 +11,10 @@
  * Whether this instance reaches the endpoints of each service, and any endpoint at all.
  *
  * <p>
- * If attempts at several endpoints fail one after the other and no byte is received from
- * any, the link of this instance is the likely cause and not the endpoints. The first
- * byte ends that. Not thread-safe; owned by the reducer.
+ * The link of this instance is the likely cause, and not the endpoints, if several of
+ * them in a row do not answer and no byte is received from any, or if several cannot be
+ * connected to and no connection to any is established. Established connections may
+ * survive while no new ones are possible. Not thread-safe; owned by the reducer.
  * </p>
  */
 final class EndpointLinks {
@@ -21,9 +22,21 @@
 	/**
 	 * Number of different endpoints without an answer from which a link counts as cut.
 	 */
-	private static final int CUT_ENDPOINTS = 2;
+	private static final int SILENT_ENDPOINTS = 2;
 
-	/** Interval at which requests are sent over a cut link to find out if it works. */
+	/**
+	 * Time without a byte from any endpoint from which endpoints that fail one after the
+	 * other count as silent; several refuse connections within a millisecond.
+	 */
+	private static final long MIN_SILENCE_MILLIS = 300;
+
+	/**
+	 * Number of different endpoints without a connection from which a link counts as cut;
+	 * more, since connections are established less often than bytes are received.
+	 */
+	private static final int UNCONNECTED_ENDPOINTS = 3;
+
+	/** Interval at which a connection over a cut link is tried. */
 	private static final long PROBE_INTERVAL_MILLIS = 1000;
 
 	/** Maximum time between connections that break for the same reason. */
@@ -45,12 +58,25 @@
 	/**
 	 * Records that bytes were received from an endpoint.
 	 * @param service service of the endpoint
-	 * @return whether the link of this instance or to the service counted as cut
+	 * @param nowMillis the current time
+	 * @return whether the link to the service counted as cut until now
+	 */
+	boolean recordAnswer(String service, long nowMillis) {
+		boolean wasCut = isCut(service);
+		this.overall.recordAnswer(nowMillis);
+		link(service).recordAnswer(nowMillis);
+		return wasCut && !isCut(service);
+	}
+
+	/**
+	 * Records that a connection to an endpoint was established.
+	 * @param service service of the endpoint
+	 * @return whether the link to the service counted as cut until now
 	 */
-	boolean recordAnswer(String service) {
+	boolean recordConnected(String service) {
 		boolean wasCut = isCut(service);
-		this.overall.recordAnswer();
-		link(service).recordAnswer();
+		this.overall.clear();
+		link(service).clear();
 		return wasCut;
 	}
 
@@ -64,8 +90,8 @@
 	 */
 	boolean recordSilence(String service, EndpointId endpoint, boolean connected, long nowMillis) {
 		boolean wasCut = isCut(service);
-		this.overall.recordSilence(endpoint, connected);
-		link(service).recordSilence(endpoint, connected);
+		this.overall.recordSilence(endpoint, connected, nowMillis);
+		link(service).recordSilence(endpoint, connected, nowMillis);
 		boolean cut = isCut(service) && !wasCut;
 		if (cut) {
 			link(service).nextProbeMillis = nowMillis + PROBE_INTERVAL_MILLIS;
@@ -91,20 +117,29 @@
 	}
 
 	/**
-	 * Returns whether no connection to any endpoint can be established, so that it is
-	 * useless to try others.
-	 * @return false if an answer was received since
+	 * Returns whether established connections to the endpoints of a service do not work
+	 * either.
+	 * @param service the service
+	 * @return true if several endpoints in a row did not answer on them
+	 */
+	boolean areConnectionsSilent(String service) {
+		return this.overall.areConnectionsSilent() || link(service).areConnectionsSilent();
+	}
+
+	/**
+	 * Returns whether it is useless to try other endpoints.
+	 * @return true if no endpoint answers and several could not be connected to
 	 */
 	boolean isUnconnected() {
-		return this.overall.unconnectedEndpoints.size() >= CUT_ENDPOINTS;
+		return this.overall.silent && this.overall.unconnectedEndpoints.size() >= SILENT_ENDPOINTS;
 	}
 
 	/**
-	 * Returns whether a request is to be sent over a cut link to find out if it works. At
-	 * most one request is in each interval.
+	 * Returns whether a connection over a cut link is to be tried. It is at most one in
+	 * each interval.
 	 * @param service the service
 	 * @param nowMillis the current time
-	 * @return true if a probe is due; it counts as sent
+	 * @return true if a probe is due; it counts as made
 	 */
 	boolean takeProbe(String service, long nowMillis) {
 		Link link = link(service);
@@ -132,7 +167,7 @@
 			return false;
 		}
 		this.brokenEndpoints.add(endpoint);
-		return this.brokenEndpoints.size() > CUT_ENDPOINTS;
+		return this.brokenEndpoints.size() > SILENT_ENDPOINTS;
 	}
 
 	private static final class Link {
@@ -140,25 +175,45 @@
 		/** Endpoints that failed since the last byte from any endpoint. */
 		private final Set<EndpointId> silentEndpoints = new HashSet<>();
 
-		/** Those of them that could not be connected to. */
+		/** Those of them that had a connection. */
+		private final Set<EndpointId> silentConnectedEndpoints = new HashSet<>();
+
+		/** Endpoints without a connection since the last established one. */
 		private final Set<EndpointId> unconnectedEndpoints = new HashSet<>();
 
 		private long nextProbeMillis;
 
-		void recordAnswer() {
+		private long lastAnswerMillis = Long.MIN_VALUE / 2;
+
+		private boolean silent;
+
+		void recordAnswer(long nowMillis) {
 			this.silentEndpoints.clear();
-			this.unconnectedEndpoints.clear();
+			this.silentConnectedEndpoints.clear();
+			this.lastAnswerMillis = nowMillis;
+			this.silent = false;
 		}
 
-		void recordSilence(EndpointId endpoint, boolean connected) {
+		void recordSilence(EndpointId endpoint, boolean connected, long nowMillis) {
 			this.silentEndpoints.add(endpoint);
-			if (!connected) {
-				this.unconnectedEndpoints.add(endpoint);
-			}
+			((connected) ? this.silentConnectedEndpoints : this.unconnectedEndpoints).add(endpoint);
+			this.silent = this.silentEndpoints.size() >= SILENT_ENDPOINTS
+					&& nowMillis - this.lastAnswerMillis >= MIN_SILENCE_MILLIS;
+		}
+
+		void clear() {
+			this.silentEndpoints.clear();
+			this.silentConnectedEndpoints.clear();
+			this.unconnectedEndpoints.clear();
+			this.silent = false;
+		}
+
+		boolean areConnectionsSilent() {
+			return this.silent && this.silentConnectedEndpoints.size() >= SILENT_ENDPOINTS;
 		}
 
 		boolean isCut() {
-			return this.silentEndpoints.size() >= CUT_ENDPOINTS;
+			return this.silent || this.unconnectedEndpoints.size() >= UNCONNECTED_ENDPOINTS;
 		}
 
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardRequest.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardRequest.java
@@ -23,12 +23,12 @@
  * same caller
  * @param promptParts hashes of the parts of the prompt that other requests may contain as
  * well, each once; empty if they are not known
- * @param relayedAttempts number of attempts that a peer which received the request from
- * its caller leaves to this instance; empty if this instance received it
+ * @param relayTerms terms of a peer that received the request from its caller; empty if
+ * this instance received it
  */
 public record ForwardRequest(String attemptId, String host, String path, Optional<String> key, long deadlineMillis,
 		long promptTokens, long maxOutputTokens, long fingerprint, List<Long> promptParts,
-		Optional<Integer> relayedAttempts) {
+		Optional<RelayTerms> relayTerms) {
 
 	/**
 	 * Creates the request.
@@ -40,7 +40,7 @@
 		Objects.requireNonNull(path, "path");
 		Objects.requireNonNull(key, "key");
 		promptParts = List.copyOf(promptParts);
-		Objects.requireNonNull(relayedAttempts, "relayedAttempts");
+		Objects.requireNonNull(relayTerms, "relayTerms");
 		if (deadlineMillis < 0 || promptTokens < 0 || maxOutputTokens < 0) {
 			throw new IllegalArgumentException("Deadline and token counts of a request must not be negative");
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -104,7 +104,8 @@
 	}
 
 	int maxAttempts() {
-		return Math.min(this.route.maxAttempts(), this.request.relayedAttempts().orElse(Integer.MAX_VALUE));
+		return Math.min(this.route.maxAttempts(),
+				this.request.relayTerms().map(RelayTerms::attemptsLeft).orElse(Integer.MAX_VALUE));
 	}
 
 	long timeLeftMillis(long nowMillis) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -34,7 +34,13 @@
 	private static final long MIN_RETRY_MILLIS = 60;
 
 	/** Number of connection failures after which a request is handed to a peer. */
-	private static final int RELAY_CONNECT_FAILURES = 2;
+	private static final int MAX_CONNECT_FAILURES_BEFORE_RELAY = 2;
+
+	/**
+	 * Maximum number of connection failures after which a request of a peer is sent
+	 * elsewhere; the peer itself can hand it to another instance.
+	 */
+	private static final int MAX_CONNECT_FAILURES_RELAYED = 1;
 
 	/** Maximum number of connection failures after which a request is sent elsewhere. */
 	private static final int MAX_CONNECT_FAILURES = 3;
@@ -158,7 +164,7 @@
 	void start(ForwardState state, ForwardingConfiguration current, long nowMillis, List<GatewayEffect> effects) {
 		this.configuration = current;
 		this.byRequestId.put(state.requestId, state);
-		if (state.request.relayedAttempts().isEmpty()) {
+		if (state.request.relayTerms().isEmpty()) {
 			retryBudget(state.service).recordRequest(nowMillis);
 		}
 		if (!this.crashEvidence.mayStart(state, nowMillis, effects)) {
@@ -208,23 +214,21 @@
 	}
 
 	/**
-	 * Hands a request to a peer or refuses it if the link to the service is cut. Now and
-	 * then, a new request is sent over the link instead to find out if it works again.
+	 * Hands a request to a peer or refuses it if the link to the service is cut.
 	 * @param state the request
 	 * @param nowMillis the current time
-	 * @param effects receives the effects
+	 * @param effects receives the effects, now and then with a probe of the link
 	 * @return false if the request is to be sent over the link
 	 */
 	private boolean dispatchAroundCut(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		boolean relayed = state.request.relayedAttempts().isPresent();
-		boolean mayProbe = !relayed && state.connectFailures == 0 && state.triedPeers.isEmpty();
-		if (mayProbe && this.links.takeProbe(state.service, nowMillis)) {
-			return false;
+		List<ForwardEndpoint> endpoints = this.candidates.available(state.service);
+		if (!endpoints.isEmpty() && this.links.takeProbe(state.service, nowMillis)) {
+			effects.add(new GatewayEffect.ProbeEndpoint(endpoints.get(this.random.nextInt(endpoints.size()))));
 		}
 		if (relay(state, nowMillis, effects)) {
 			return true;
 		}
-		if (relayed || this.links.isUnconnected()) {
+		if (state.request.relayTerms().isPresent() || this.links.isUnconnected()) {
 			giveUp(state, RefusalCause.NO_ENDPOINT, nowMillis, effects);
 			return true;
 		}
@@ -244,8 +248,9 @@
 		log(effects, "relayed", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "attempt", state.attemptId, "peer", peer.get(), "peers-tried",
 				state.triedPeers.size(), "sends", state.sends, "remaining-millis", state.timeLeftMillis(nowMillis));
-		effects.add(new GatewayEffect.Relay(state.requestId, state.attemptId, peer.get(),
-				state.timeLeftMillis(nowMillis), attemptsLeft, state.route.kind()));
+		effects
+			.add(new GatewayEffect.Relay(state.requestId, state.attemptId, peer.get(), state.timeLeftMillis(nowMillis),
+					new RelayTerms(attemptsLeft, this.configuration.version()), state.route.kind()));
 		return true;
 	}
 
@@ -404,7 +409,7 @@
 		if (state.relayPeer.isPresent()) {
 			return;
 		}
-		answerReceived(state.service, effects);
+		answerReceived(state.service, nowMillis, effects);
 		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
 		state.stallDeadlineMillis = nowMillis + stallTimeoutMillis(state.route);
 	}
@@ -446,7 +451,7 @@
 		this.reservations.release(state, nowMillis, effects);
 		boolean hasCandidates = !this.candidates.find(state, nowMillis).isEmpty();
 		boolean hasPeers = this.relays.choose(state).isPresent();
-		boolean connectsNowhere = state.connectFailures >= RELAY_CONNECT_FAILURES;
+		boolean connectsNowhere = state.connectFailures >= MAX_CONNECT_FAILURES_BEFORE_RELAY;
 		if ((hasCandidates || hasPeers) && mayRetry(state, outcome, nowMillis)) {
 			if (!(hasPeers && (connectsNowhere || !hasCandidates) && relay(state, nowMillis, effects))) {
 				dispatch(state, nowMillis, effects);
@@ -497,15 +502,31 @@
 	/**
 	 * Records that bytes were received from an endpoint.
 	 * @param service service of the endpoint
+	 * @param nowMillis the current time
 	 * @param effects receives the effects if the link was cut
 	 */
-	void answerReceived(String service, List<GatewayEffect> effects) {
-		if (this.links.recordAnswer(service)) {
-			log(effects, "endpoints-reached-again", "service", service);
-			effects.add(new GatewayEffect.PublishState());
+	void answerReceived(String service, long nowMillis, List<GatewayEffect> effects) {
+		if (this.links.recordAnswer(service, nowMillis)) {
+			linkRegained(service, "answer", effects);
 		}
 	}
 
+	/**
+	 * Records that a connection to an endpoint was established.
+	 * @param service service of the endpoint
+	 * @param effects receives the effects if the link was cut
+	 */
+	void connected(String service, List<GatewayEffect> effects) {
+		if (this.links.recordConnected(service)) {
+			linkRegained(service, "connection", effects);
+		}
+	}
+
+	private void linkRegained(String service, String source, List<GatewayEffect> effects) {
+		log(effects, "endpoints-reached-again", "service", service, "source", source);
+		effects.add(new GatewayEffect.PublishState());
+	}
+
 	/**
 	 * Records what the end of an attempt says about the link of this instance.
 	 * @param state the request
@@ -518,7 +539,7 @@
 			List<GatewayEffect> effects) {
 		EndpointId endpoint = state.placement.endpoint().id();
 		if (!event.outcome().isUnanswered()) {
-			answerReceived(state.service, effects);
+			answerReceived(state.service, nowMillis, effects);
 			return false;
 		}
 		endpointSilent(state, event.outcome() != AttemptOutcome.NOT_CONNECTED, nowMillis, effects);
@@ -528,9 +549,12 @@
 
 	private void endpointSilent(ForwardState state, boolean connected, long nowMillis, List<GatewayEffect> effects) {
 		if (this.links.recordSilence(state.service, state.placement.endpoint().id(), connected, nowMillis)) {
-			log(effects, "endpoints-unreachable", "service", state.service, "any-service", this.links.isCut());
-			this.candidates.available(state.service)
-				.forEach((endpoint) -> effects.add(new GatewayEffect.DiscardConnections(endpoint)));
+			log(effects, "endpoints-unreachable", "service", state.service, "any-service", this.links.isCut(),
+					"connected", connected);
+			if (this.links.areConnectionsSilent(state.service)) {
+				this.candidates.available(state.service)
+					.forEach((endpoint) -> effects.add(new GatewayEffect.DiscardConnections(endpoint.id())));
+			}
 			effects.add(new GatewayEffect.PublishState());
 		}
 	}
@@ -558,7 +582,8 @@
 			return false;
 		}
 		if (outcome == AttemptOutcome.NOT_CONNECTED) {
-			return state.connectFailures <= MAX_CONNECT_FAILURES;
+			boolean relayed = state.request.relayTerms().isPresent();
+			return state.connectFailures <= ((relayed) ? MAX_CONNECT_FAILURES_RELAYED : MAX_CONNECT_FAILURES);
 		}
 		return state.sends < state.maxAttempts() && retryBudget(state.service).tryAcquire(this.retryPart, nowMillis);
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -140,6 +140,10 @@
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
+		else if (event instanceof GatewayEvent.ConnectionEstablished established) {
+			this.endpoints.find(established.endpoint())
+				.ifPresent((endpoint) -> this.forwarder.connected(endpoint.service(), this.effects));
+		}
 		else if (event instanceof GatewayEvent.NoticesReceived received) {
 			noticesReceived(received, nowMillis);
 		}
@@ -167,6 +171,11 @@
 		if (this.configuration.isEmpty() || !this.endpoints.isKnown()) {
 			refusal = Optional.of(RefusalCause.NOT_READY);
 		}
+		else if (request.relayTerms()
+			.filter((terms) -> terms.configurationVersion() > configurationVersion())
+			.isPresent()) {
+			refusal = Optional.of(RefusalCause.NOT_READY);
+		}
 		else if (nowMillis - this.shutdownMillis > this.identity.drainGraceMillis()) {
 			refusal = Optional.of(RefusalCause.SHUTTING_DOWN);
 		}
@@ -226,7 +235,7 @@
 
 	private void noticesReceived(GatewayEvent.NoticesReceived event, long nowMillis) {
 		this.endpoints.find(event.endpoint())
-			.ifPresent((endpoint) -> this.forwarder.answerReceived(endpoint.service(), this.effects));
+			.ifPresent((endpoint) -> this.forwarder.answerReceived(endpoint.service(), nowMillis, this.effects));
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEffect.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEffect.java
@@ -34,13 +34,21 @@
 	 * @param attemptId identifier of the attempt
 	 * @param peer address of the peer
 	 * @param timeLeftMillis time left for the answer
-	 * @param attemptsLeft number of endpoints that the peer may send the request to
+	 * @param terms terms for the peer
 	 * @param kind whether the request may be repeated and how its answer is delivered
 	 */
-	record Relay(long requestId, long attemptId, String peer, long timeLeftMillis, int attemptsLeft,
+	record Relay(long requestId, long attemptId, String peer, long timeLeftMillis, RelayTerms terms,
 			RequestKind kind) implements GatewayEffect {
 	}
 
+	/**
+	 * Tries to establish a connection to an endpoint, without a request.
+	 *
+	 * @param endpoint the endpoint
+	 */
+	record ProbeEndpoint(ForwardEndpoint endpoint) implements GatewayEffect {
+	}
+
 	/**
 	 * An endpoint that prefills a part of a prompt.
 	 *
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -50,6 +50,14 @@
 	record AttemptEnded(long attemptId, AttemptOutcome outcome, int status) implements GatewayEvent {
 	}
 
+	/**
+	 * A connection to an endpoint was established.
+	 *
+	 * @param endpoint the endpoint
+	 */
+	record ConnectionEstablished(EndpointId endpoint) implements GatewayEvent {
+	}
+
 	/**
 	 * An endpoint reported its load in an answer.
 	 *
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
@@ -38,20 +38,22 @@
 	}
 
 	/**
-	 * Chooses a peer that the request was not handed to yet, one of the same availability
-	 * zone if there is any.
+	 * Chooses a peer that the request was not handed to yet: first one of the same
+	 * availability zone if there is any, then one of another zone, since the first zone
+	 * may be cut off as a whole.
 	 * @param state the request
 	 * @return address of the peer, empty if there is none
 	 */
 	Optional<String> choose(ForwardState state) {
-		if (state.request.relayedAttempts().isPresent() || state.triedPeers.size() >= MAX_PEERS) {
+		if (state.request.relayTerms().isPresent() || state.triedPeers.size() >= MAX_PEERS) {
 			return Optional.empty();
 		}
 		List<RelayPeer> untried = this.peers.stream()
 			.filter((peer) -> !state.triedPeers.contains(peer.address()))
 			.toList();
-		List<RelayPeer> near = untried.stream().filter(RelayPeer::sameZone).toList();
-		List<RelayPeer> choice = near.isEmpty() ? untried : near;
+		boolean near = state.triedPeers.isEmpty();
+		List<RelayPeer> preferred = untried.stream().filter((peer) -> peer.sameZone() == near).toList();
+		List<RelayPeer> choice = preferred.isEmpty() ? untried : preferred;
 		return choice.isEmpty() ? Optional.empty()
 				: Optional.of(choice.get(this.random.nextInt(choice.size())).address());
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -367,17 +367,14 @@
 	}
 
 	/**
-	 * Returns the live members that reach endpoints and have at least a certain
-	 * configuration.
-	 * @param configurationVersion version of the configuration
+	 * Returns the live members that reach endpoints.
 	 * @param nowMillis the current time
 	 * @return the members in order of their addresses
 	 */
-	public List<RelayPeer> relayPeers(long configurationVersion, long nowMillis) {
+	public List<RelayPeer> relayPeers(long nowMillis) {
 		return this.members.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().endpointsReachable()
-					&& entry.getValue().configurationVersion() >= configurationVersion
 					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS)
 			.map((entry) -> new RelayPeer(entry.getKey(), entry.getValue().zone().equals(this.zone)))
 			.sorted(Comparator.comparing(RelayPeer::address))
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointLinksTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointLinksTests.java
@@ -23,25 +23,60 @@
 		assertThat(this.links.isCut()).isTrue();
 		assertThat(this.links.isCut("other")).isTrue();
 		assertThat(this.links.isUnconnected()).isTrue();
-		assertThat(this.links.recordAnswer("s")).isTrue();
-		assertThat(this.links.recordAnswer("s")).isFalse();
+		assertThat(this.links.recordConnected("s")).isTrue();
+		assertThat(this.links.recordConnected("s")).isFalse();
 		assertThat(this.links.isCut("s")).isFalse();
 		assertThat(this.links.isUnconnected()).isFalse();
 	}
 
+	@Test
+	void anyByteEndsTheSilence() {
+		silence("s", "e1", true);
+		silence("s", "e2", true);
+		assertThat(this.links.recordAnswer("s", 500)).isTrue();
+		assertThat(this.links.recordAnswer("s", 500)).isFalse();
+		assertThat(this.links.isCut("s")).isFalse();
+	}
+
+	/**
+	 * Failure: instances whose established connections lived on while no new ones were
+	 * possible counted as reaching the endpoints.
+	 */
+	@Test
+	void bytesOnEstablishedConnectionsDoNotShowThatNewOnesArePossible() {
+		for (String endpoint : new String[] { "e1", "e2", "e3" }) {
+			silence("s", endpoint, false);
+			this.links.recordAnswer("s", 500);
+		}
+		assertThat(this.links.isCut("s")).isTrue();
+		assertThat(this.links.areConnectionsSilent("s")).isFalse();
+		assertThat(this.links.recordConnected("s")).isTrue();
+		assertThat(this.links.isCut("s")).isFalse();
+	}
+
 	@Test
 	void answerOfAnEndpointBetweenShowsThatTheEndpointsAreTheCause() {
 		silence("s", "e1", true);
-		this.links.recordAnswer("s");
+		this.links.recordAnswer("s", 500);
 		silence("s", "e2", true);
 		assertThat(this.links.isCut("s")).isFalse();
 	}
 
+	@Test
+	void endpointsThatRefuseConnectionsRightAfterAnAnswerAreNotSilent() {
+		this.links.recordAnswer("s", 900);
+		silence("s", "e1", false);
+		silence("s", "e2", false);
+		assertThat(this.links.isCut("s")).isFalse();
+		silence("s", "e3", false);
+		assertThat(this.links.isCut("s")).isTrue();
+	}
+
 	@Test
 	void onlyOneServiceIsCutIfAnotherOneAnswers() {
 		silence("s", "e1", false);
 		silence("s", "e2", false);
-		this.links.recordAnswer("other");
+		this.links.recordAnswer("other", 500);
 		assertThat(this.links.isCut("s")).isTrue();
 		assertThat(this.links.isCut("other")).isFalse();
 		assertThat(this.links.isCut()).isFalse();
@@ -56,7 +91,7 @@
 	}
 
 	@Test
-	void oneRequestASecondIsSentOverACutLink() {
+	void oneConnectionASecondIsTriedOverACutLink() {
 		silence("s", "e1", false);
 		silence("s", "e2", false);
 		assertThat(this.links.takeProbe("s", 1999)).isFalse();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/RequestHead.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/RequestHead.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.mulberrylift.core.forwarding.RelayTerms;
+
 /**
  * The parts of a caller's request head that the gateway uses.
  *
@@ -16,11 +18,11 @@
  * @param maxOutputTokens maximum number of answer tokens, 0 if not stated
  * @param promptParts identifiers of the parts of the prompt that other requests may
  * contain as well, each once; empty if not stated or malformed
- * @param relayedAttempts number of attempts that a peer which received the request from
- * its caller leaves to this instance; empty if this instance received it
+ * @param relayTerms terms of a peer that received the request from its caller; empty if
+ * this instance received it
  */
 public record RequestHead(String attemptId, String host, String path, Optional<String> apiKey, long deadlineMillis,
-		long promptTokens, long maxOutputTokens, List<String> promptParts, Optional<Integer> relayedAttempts) {
+		long promptTokens, long maxOutputTokens, List<String> promptParts, Optional<RelayTerms> relayTerms) {
 
 	public RequestHead {
 		Objects.requireNonNull(attemptId, "attemptId");
@@ -28,7 +30,7 @@
 		Objects.requireNonNull(path, "path");
 		Objects.requireNonNull(apiKey, "apiKey");
 		promptParts = List.copyOf(promptParts);
-		Objects.requireNonNull(relayedAttempts, "relayedAttempts");
+		Objects.requireNonNull(relayTerms, "relayTerms");
 	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -25,6 +25,12 @@
 	 */
 	void attemptEnded(long attemptId, AttemptOutcome outcome, int status);
 
+	/**
+	 * Called when a connection to an endpoint was established.
+	 * @param endpoint the endpoint
+	 */
+	void connectionEstablished(EndpointId endpoint);
+
 	/**
 	 * Called when an endpoint named another endpoint as the cause of its refusal.
 	 * @param name identifier or address of the named endpoint
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -188,7 +188,7 @@
 			EndpointAttempt done = this.attempt;
 			this.attempt = null;
 			if (this.reusable && this.requestWritten && this.channel.isActive()) {
-				this.pool.release(this, done);
+				this.pool.release(this, done.send().endpoint().id());
 			}
 			else {
 				this.channel.close();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
@@ -113,6 +114,27 @@
 	}
 
 	private void connect(ForwardEndpoint endpoint, Optional<InetSocketAddress> source, ActiveAttempt started) {
+		open(endpoint, source, (connection) -> {
+			EndpointAttempt attempt = started.attempt;
+			if (connection.isEmpty()) {
+				this.activeAttempts.remove(attempt.id());
+				attempt.end(AttemptOutcome.NOT_CONNECTED);
+			}
+			else if (!attempt.isEnded()) {
+				started.connection = connection.get();
+				connection.get().send(attempt);
+			}
+			else if (source.isPresent()) {
+				connection.get().close();
+			}
+			else {
+				release(connection.get(), endpoint.id());
+			}
+		});
+	}
+
+	private void open(ForwardEndpoint endpoint, Optional<InetSocketAddress> source,
+			Consumer<Optional<EndpointConnection>> done) {
 		this.openedConnections++;
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
 		EndpointConnection connection = new EndpointConnection(this, decoder);
@@ -124,21 +146,23 @@
 		})
 			.connect(new NetAddress(endpoint.host(), endpoint.port()).socketAddress(), source.orElse(null))
 			.addListener((future) -> {
-				EndpointAttempt attempt = started.attempt;
-				if (!future.isSuccess()) {
-					this.activeAttempts.remove(attempt.id());
-					attempt.end(AttemptOutcome.NOT_CONNECTED);
-				}
-				else if (attempt.isEnded()) {
-					release(connection, attempt);
-				}
-				else {
-					started.connection = connection;
-					connection.send(attempt);
+				if (future.isSuccess()) {
+					this.listener.connectionEstablished(endpoint.id());
 				}
+				done.accept((future.isSuccess()) ? Optional.of(connection) : Optional.empty());
 			});
 	}
 
+	/**
+	 * Tries to establish a connection to an endpoint, which is kept for attempts. The
+	 * listener is told if it succeeds.
+	 * @param endpoint the endpoint
+	 */
+	public void probe(ForwardEndpoint endpoint) {
+		open(endpoint, Optional.empty(),
+				(connection) -> connection.ifPresent((established) -> release(established, endpoint.id())));
+	}
+
 	/**
 	 * Ends an attempt without a report to the listener. The request is never sent if it
 	 * was not sent yet.
@@ -192,8 +216,8 @@
 		return this.openedConnections;
 	}
 
-	void release(EndpointConnection connection, EndpointAttempt done) {
-		Deque<EndpointConnection> connections = this.idleConnections.computeIfAbsent(done.send().endpoint().id(),
+	void release(EndpointConnection connection, EndpointId endpoint) {
+		Deque<EndpointConnection> connections = this.idleConnections.computeIfAbsent(endpoint,
 				(id) -> new ArrayDeque<>());
 		connection.setReading(true);
 		connection.markIdle(this.clockMillis.getAsLong());
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -252,7 +252,7 @@
 			this.gateway.setLiveInstances(this.membership.liveInstances(now));
 			this.gateway.setPartialView(this.membership.isPartial());
 			this.gateway.setFleet(this.membership.view(now), now);
-			this.gateway.setRelayPeers(this.membership.relayPeers(this.gateway.configurationVersion(), now));
+			this.gateway.setRelayPeers(this.membership.relayPeers(now));
 			run(new GatewayEvent.Tick());
 			this.gossip.tick(now);
 			this.platform.updatePeersAhead(
@@ -282,6 +282,9 @@
 		else if (effect instanceof GatewayEffect.Relay relay) {
 			relay(relay);
 		}
+		else if (effect instanceof GatewayEffect.ProbeEndpoint probe) {
+			this.endpointPool.probe(probe.endpoint());
+		}
 		else if (effect instanceof GatewayEffect.Deliver deliver) {
 			removeRequest(deliver.requestId()).ifPresent(ForwardedAnswer::deliver);
 		}
@@ -337,7 +340,7 @@
 				new GatewayEffect.Send(relay.requestId(), relay.attemptId(), peer, List.of(), relay.timeLeftMillis(), 0,
 						relay.kind(), Optional.empty()),
 				this.answersByRequest.get(relay.requestId()),
-				new RelayEndpointProtocol(this.endpointProtocol, relay.attemptsLeft()),
+				new RelayEndpointProtocol(this.endpointProtocol, relay.terms()),
 				Optional.of(this.settings.peersAddress().ephemeralSocketAddress()));
 	}
 
@@ -371,7 +374,7 @@
 			if (refuse.cause().status() == 401) {
 				headers.set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
 			}
-			if (answer.exchange().request().head().relayedAttempts().isPresent()) {
+			if (answer.exchange().request().head().relayTerms().isPresent()) {
 				RelayEndpointProtocol.markRefusal(headers, refuse.cause());
 			}
 			String type = refuse.cause().name().toLowerCase(Locale.ROOT).replace('_', '-');
@@ -392,7 +395,7 @@
 		run(new GatewayEvent.RequestArrived(exchange.id(),
 				new ForwardRequest(head.attemptId(), head.host(), head.path(), head.apiKey(), head.deadlineMillis(),
 						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request, workspace),
-						head.promptParts().stream().map(Fingerprint::ofPromptPart).toList(), head.relayedAttempts())));
+						head.promptParts().stream().map(Fingerprint::ofPromptPart).toList(), head.relayTerms())));
 	}
 
 	@Override
@@ -439,6 +442,11 @@
 		removeAttempt(attemptId);
 	}
 
+	@Override
+	public void connectionEstablished(EndpointId endpoint) {
+		run(new GatewayEvent.ConnectionEstablished(endpoint));
+	}
+
 	@Override
 	public void faultReported(String name) {
 		run(new GatewayEvent.EndpointFaultReported(name));
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayCallerProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayCallerProtocol.java
@@ -29,12 +29,12 @@
 	 */
 	@Override
 	public RequestHead readHead(HttpRequest request) throws BadRequestException {
-		RelayTerms terms = RelayTerms.parse(request.headers().get(RelayTerms.HEADER));
-		request.headers().remove(RelayTerms.HEADER);
+		RelayHeader relay = RelayHeader.parse(request.headers().get(RelayHeader.NAME));
+		request.headers().remove(RelayHeader.NAME);
 		RequestHead head = this.callers.readHead(request);
 		return new RequestHead(head.attemptId(), head.host(), head.path(), head.apiKey(),
-				Math.min(head.deadlineMillis(), terms.timeLeftMillis()), head.promptTokens(), head.maxOutputTokens(),
-				head.promptParts(), Optional.of(terms.attemptsLeft()));
+				Math.min(head.deadlineMillis(), relay.timeLeftMillis()), head.promptTokens(), head.maxOutputTokens(),
+				head.promptParts(), Optional.of(relay.terms()));
 	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
@@ -5,6 +5,7 @@
 
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.core.forwarding.RefusalCause;
+import io.mulberrylift.core.forwarding.RelayTerms;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.placement.ObservedLoad;
@@ -31,16 +32,16 @@
 
 	private final EndpointProtocol endpoints;
 
-	private final int attemptsLeft;
+	private final RelayTerms terms;
 
 	/**
 	 * Creates the protocol for one attempt.
 	 * @param endpoints decodes the answers of endpoints
-	 * @param attemptsLeft number of endpoints that the peer may send the request to
+	 * @param terms terms for the peer
 	 */
-	public RelayEndpointProtocol(EndpointProtocol endpoints, int attemptsLeft) {
+	public RelayEndpointProtocol(EndpointProtocol endpoints, RelayTerms terms) {
 		this.endpoints = Objects.requireNonNull(endpoints, "endpoints");
-		this.attemptsLeft = attemptsLeft;
+		this.terms = Objects.requireNonNull(terms, "terms");
 	}
 
 	/**
@@ -49,14 +50,13 @@
 	 * @param cause cause of the refusal
 	 */
 	public static void markRefusal(HttpHeaders headers, RefusalCause cause) {
-		headers.set(RelayTerms.REFUSAL_HEADER, cause.name());
+		headers.set(RelayHeader.REFUSAL_NAME, cause.name());
 	}
 
 	@Override
 	public HttpHeaders requestHeaders(BufferedRequest request, GatewayEffect.Send send, Optional<String> resumeAfter) {
 		HttpHeaders headers = relayHeaders(request, resumeAfter);
-		headers.set(RelayTerms.HEADER,
-				new RelayTerms(Math.max(1, send.timeLeftMillis()), this.attemptsLeft).headerValue());
+		headers.set(RelayHeader.NAME, new RelayHeader(Math.max(1, send.timeLeftMillis()), this.terms).value());
 		headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		return headers;
 	}
@@ -73,7 +73,7 @@
 
 	@Override
 	public AnswerClass classify(HttpResponse answer, BufferedRequest request) {
-		if (!answer.headers().contains(RelayTerms.REFUSAL_HEADER)) {
+		if (!answer.headers().contains(RelayHeader.REFUSAL_NAME)) {
 			return this.endpoints.classify(answer, request);
 		}
 		int status = answer.status().code();
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetLinkTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetLinkTests.java
@@ -64,6 +64,22 @@
 		}
 	}
 
+	@Test
+	void callersOfAWholeZoneAreServedIfOnlyNewConnectionsAreRefused() {
+		Set<Integer> zone = Set.of(0, 3, 6, 9, 12);
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(15, 3, 24, 72, seed);
+			fleet.run(START_MILLIS);
+			fleet.establishedShare = 0.15;
+			fleet.cutInstances = zone;
+			fleet.run(CONTACT_MILLIS);
+			long first = fleet.requestNumber();
+			fleet.run(9000);
+			assertThat(fleet.answeredShare(first, zone::contains)).as("seed %d", seed)
+				.isGreaterThanOrEqualTo(fleet.answeredShare(first, (index) -> !zone.contains(index)) * 2 / 3);
+		}
+	}
+
 	@Test
 	void callersAreServedInLargeFleetsIfHalfOfTheInstancesAreCut() {
 		SimulatedFleet fleet = new SimulatedFleet(75, 3, 69, 150, 5);
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -126,6 +126,9 @@
 	/** What happens to attempts of these instances. */
 	AttemptOutcome cutOutcome = AttemptOutcome.NOT_CONNECTED;
 
+	/** Share of the attempts of these instances that have an established connection. */
+	double establishedShare;
+
 	/** Time until that happens. */
 	long cutOutcomeMillis = CONNECT_TIMEOUT_MILLIS;
 
@@ -462,7 +465,7 @@
 			this.gateway.setLiveInstances(this.membership.liveInstances(now));
 			this.gateway.setPartialView(this.membership.isPartial());
 			this.gateway.setFleet(this.membership.view(now), now);
-			this.gateway.setRelayPeers(this.membership.relayPeers(1, now));
+			this.gateway.setRelayPeers(this.membership.relayPeers(now));
 			reduce(new GatewayEvent.Tick());
 			this.gossip.tick(now);
 			at(now + TICK_MILLIS, this::tick);
@@ -503,6 +506,9 @@
 				else if (effect instanceof GatewayEffect.Relay relay) {
 					at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> relay(relay));
 				}
+				else if (effect instanceof GatewayEffect.ProbeEndpoint probe) {
+					at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS, () -> connect(probe.endpoint().id()));
+				}
 				else if (effect instanceof GatewayEffect.PublishState) {
 					this.gossip.requestFullState();
 				}
@@ -530,6 +536,14 @@
 			}
 		}
 
+		private void connect(EndpointId endpoint) {
+			boolean runs = SimulatedFleet.this.runners.stream()
+				.anyMatch((each) -> each.endpoint.id().equals(endpoint) && !each.isEnded());
+			if (runs && !SimulatedFleet.this.cutInstances.contains(this.index)) {
+				reduce(new GatewayEvent.ConnectionEstablished(endpoint));
+			}
+		}
+
 		/**
 		 * Hands a request of this instance to a peer.
 		 */
@@ -545,7 +559,7 @@
 			ForwardRequest original = SimulatedFleet.this.requests.get(relay.requestId());
 			ForwardRequest handed = new ForwardRequest(original.attemptId(), original.host(), original.path(),
 					original.key(), relay.timeLeftMillis(), 0, 0, original.fingerprint(), original.promptParts(),
-					Optional.of(relay.attemptsLeft()));
+					Optional.of(relay.terms()));
 			SimulatedFleet.this.requests.put(id, handed);
 			peer.relayedRequests.put(id, (outcome) -> at(SimulatedFleet.this.nowMillis + NETWORK_MILLIS,
 					() -> end(relay.attemptId(), outcome, (outcome == AttemptOutcome.COMPLETED) ? 200 : 503)));
@@ -553,7 +567,8 @@
 		}
 
 		private void serve(GatewayEffect.Send send) {
-			if (SimulatedFleet.this.cutInstances.contains(this.index)) {
+			boolean cut = SimulatedFleet.this.cutInstances.contains(this.index);
+			if (cut && SimulatedFleet.this.random.nextDouble() >= SimulatedFleet.this.establishedShare) {
 				at(SimulatedFleet.this.nowMillis + SimulatedFleet.this.cutOutcomeMillis,
 						() -> end(send.attemptId(), SimulatedFleet.this.cutOutcome, 0));
 				return;
@@ -567,6 +582,9 @@
 				return;
 			}
 			SimulatedRunner runner = found.get();
+			if (!cut) {
+				reduce(new GatewayEvent.ConnectionEstablished(runner.endpoint.id()));
+			}
 			RequestLimitReport report = runner.arrive(this.address, SimulatedFleet.this.nowMillis);
 			runner.begin(send.attemptId() + this.address, () -> end(send.attemptId(), AttemptOutcome.BROKEN, 0));
 			boolean crashing = SimulatedFleet.this.isCrashing(send.requestId());
