--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -51,15 +51,6 @@
 		return healthy.isEmpty() ? all : healthy;
 	}
 
-	/**
-	 * Returns the endpoints of a service that accept new work.
-	 * @param service name of the service
-	 * @return the endpoints
-	 */
-	List<ForwardEndpoint> available(String service) {
-		return this.endpoints.available(service);
-	}
-
 	private Stream<ForwardEndpoint> untried(ForwardState state) {
 		return this.endpoints.available(state.service)
 			.stream()
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -69,6 +69,8 @@
 
 	private final RandomGenerator random;
 
+	private final EndpointTable endpoints;
+
 	private final EndpointCandidates candidates;
 
 	private final WorkTable work;
@@ -85,6 +87,8 @@
 
 	private final EndpointLinks links = new EndpointLinks();
 
+	private final LinkEvidence linkEvidence;
+
 	private final Relays relays;
 
 	private final Map<Long, ForwardState> byRequestId = new HashMap<>();
@@ -104,11 +108,13 @@
 			CrashEvidence crashEvidence, RequestLimits limits, EndpointBackOffs backOffs) {
 		this.identity = identity;
 		this.random = random;
+		this.endpoints = endpoints;
 		this.candidates = new EndpointCandidates(endpoints, work, limits, backOffs);
 		this.work = work;
 		this.crashEvidence = crashEvidence;
 		this.promptPlacement = new PromptPlacement(random);
 		this.relays = new Relays(random);
+		this.linkEvidence = new LinkEvidence(this.links, endpoints);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
 		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits, backOffs);
@@ -144,6 +150,10 @@
 		return !this.links.isCut();
 	}
 
+	LinkEvidence linkEvidence() {
+		return this.linkEvidence;
+	}
+
 	void setPartialView(boolean partial) {
 		this.promptPlacement.setOtherZonesUnknown(partial);
 	}
@@ -221,7 +231,7 @@
 	 * @return false if the request is to be sent over the link
 	 */
 	private boolean dispatchAroundCut(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		List<ForwardEndpoint> endpoints = this.candidates.available(state.service);
+		List<ForwardEndpoint> endpoints = this.endpoints.available(state.service);
 		if (!endpoints.isEmpty() && this.links.takeProbe(state.service, nowMillis)) {
 			effects.add(new GatewayEffect.ProbeEndpoint(endpoints.get(this.random.nextInt(endpoints.size()))));
 		}
@@ -409,7 +419,7 @@
 		if (state.relayPeer.isPresent()) {
 			return;
 		}
-		answerReceived(state.service, nowMillis, effects);
+		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
 		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
 		state.stallDeadlineMillis = nowMillis + stallTimeoutMillis(state.route);
 	}
@@ -433,7 +443,7 @@
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
 		recordOutcome(state, outcome, endpoint, nowMillis);
-		boolean linkBroken = recordLink(state, event, nowMillis, effects);
+		boolean linkBroken = this.linkEvidence.attemptEnded(state, event, nowMillis, effects);
 		if (!linkBroken) {
 			this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
 		}
@@ -499,66 +509,6 @@
 		}
 	}
 
-	/**
-	 * Records that bytes were received from an endpoint.
-	 * @param service service of the endpoint
-	 * @param nowMillis the current time
-	 * @param effects receives the effects if the link was cut
-	 */
-	void answerReceived(String service, long nowMillis, List<GatewayEffect> effects) {
-		if (this.links.recordAnswer(service, nowMillis)) {
-			linkRegained(service, "answer", effects);
-		}
-	}
-
-	/**
-	 * Records that a connection to an endpoint was established.
-	 * @param service service of the endpoint
-	 * @param effects receives the effects if the link was cut
-	 */
-	void connected(String service, List<GatewayEffect> effects) {
-		if (this.links.recordConnected(service)) {
-			linkRegained(service, "connection", effects);
-		}
-	}
-
-	private void linkRegained(String service, String source, List<GatewayEffect> effects) {
-		log(effects, "endpoints-reached-again", "service", service, "source", source);
-		effects.add(new GatewayEffect.PublishState());
-	}
-
-	/**
-	 * Records what the end of an attempt says about the link of this instance.
-	 * @param state the request
-	 * @param event end of the attempt
-	 * @param nowMillis the current time
-	 * @param effects receives the effects if the link is cut
-	 * @return whether the link is the likely cause of the end of a connection
-	 */
-	private boolean recordLink(ForwardState state, GatewayEvent.AttemptEnded event, long nowMillis,
-			List<GatewayEffect> effects) {
-		EndpointId endpoint = state.placement.endpoint().id();
-		if (!event.outcome().isUnanswered()) {
-			answerReceived(state.service, nowMillis, effects);
-			return false;
-		}
-		endpointSilent(state, event.outcome() != AttemptOutcome.NOT_CONNECTED, nowMillis, effects);
-		return event.outcome().mayHaveCrashedEndpoint()
-				&& this.links.recordBroken(endpoint, state.sentMillis, nowMillis);
-	}
-
-	private void endpointSilent(ForwardState state, boolean connected, long nowMillis, List<GatewayEffect> effects) {
-		if (this.links.recordSilence(state.service, state.placement.endpoint().id(), connected, nowMillis)) {
-			log(effects, "endpoints-unreachable", "service", state.service, "any-service", this.links.isCut(),
-					"connected", connected);
-			if (this.links.areConnectionsSilent(state.service)) {
-				this.candidates.available(state.service)
-					.forEach((endpoint) -> effects.add(new GatewayEffect.DiscardConnections(endpoint.id())));
-			}
-			effects.add(new GatewayEffect.PublishState());
-		}
-	}
-
 	private void recordOutcome(ForwardState state, AttemptOutcome outcome, EndpointId endpoint, long nowMillis) {
 		EndpointHealth health = this.work.health(endpoint);
 		if (outcome.isCompleted()) {
@@ -649,7 +599,7 @@
 			if (state.relayPeer.isEmpty()) {
 				this.work.health(state.placement.endpoint().id()).recordFailure();
 				if (!state.attemptStarted) {
-					endpointSilent(state, true, nowMillis, effects);
+					this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 				}
 			}
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
@@ -675,7 +625,7 @@
 			return;
 		}
 		state.stallDeadlineMillis = Long.MAX_VALUE;
-		endpointSilent(state, true, nowMillis, effects);
+		this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 		boolean movable = state.route.kind() == RequestKind.RESUMABLE_STREAM && state.reservations.isEmpty()
 				&& state.sends < state.maxAttempts();
 		Optional<Placement> placement = (movable) ? placement(state, nowMillis) : Optional.empty();
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -142,7 +142,7 @@
 		}
 		else if (event instanceof GatewayEvent.ConnectionEstablished established) {
 			this.endpoints.find(established.endpoint())
-				.ifPresent((endpoint) -> this.forwarder.connected(endpoint.service(), this.effects));
+				.ifPresent((endpoint) -> this.forwarder.linkEvidence().connected(endpoint.service(), this.effects));
 		}
 		else if (event instanceof GatewayEvent.NoticesReceived received) {
 			noticesReceived(received, nowMillis);
@@ -235,7 +235,8 @@
 
 	private void noticesReceived(GatewayEvent.NoticesReceived event, long nowMillis) {
 		this.endpoints.find(event.endpoint())
-			.ifPresent((endpoint) -> this.forwarder.answerReceived(endpoint.service(), nowMillis, this.effects));
+			.ifPresent((endpoint) -> this.forwarder.linkEvidence()
+				.answerReceived(endpoint.service(), nowMillis, this.effects));
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
