--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -460,10 +460,11 @@
 		this.work.remove(state.requestId);
 		this.reservations.release(state, nowMillis, effects);
 		boolean hasCandidates = !this.candidates.find(state, nowMillis).isEmpty();
-		boolean hasPeers = this.relays.choose(state).isPresent();
 		boolean connectsNowhere = state.connectFailures >= MAX_CONNECT_FAILURES_BEFORE_RELAY;
-		if ((hasCandidates || hasPeers) && mayRetry(state, outcome, nowMillis)) {
-			if (!(hasPeers && (connectsNowhere || !hasCandidates) && relay(state, nowMillis, effects))) {
+		boolean mayRelay = (connectsNowhere || this.links.isCut(state.service))
+				&& this.relays.choose(state).isPresent();
+		if ((hasCandidates || mayRelay) && mayRetry(state, outcome, nowMillis)) {
+			if (!(mayRelay && (connectsNowhere || !hasCandidates) && relay(state, nowMillis, effects))) {
 				dispatch(state, nowMillis, effects);
 			}
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -47,6 +47,9 @@
 
 	private final LongSupplier clockMillis;
 
+	/** Local address of connections. */
+	private final InetSocketAddress source;
+
 	private final AnswerBuffers buffers = new AnswerBuffers();
 
 	private final Map<EndpointId, Deque<EndpointConnection>> idleConnections = new HashMap<>();
@@ -61,13 +64,15 @@
 	 * @param protocol encodes requests to endpoints and decodes their answers
 	 * @param listener receives the events of attempts
 	 * @param clockMillis monotonic time in milliseconds
+	 * @param source local address of connections
 	 */
 	public EndpointPool(EventLoopGroup group, EndpointProtocol protocol, AttemptListener listener,
-			LongSupplier clockMillis) {
+			LongSupplier clockMillis, InetSocketAddress source) {
 		this.group = Objects.requireNonNull(group, "group");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.clockMillis = Objects.requireNonNull(clockMillis, "clockMillis");
+		this.source = Objects.requireNonNull(source, "source");
 	}
 
 	/**
@@ -76,7 +81,7 @@
 	 * @param answer receives the endpoint's answer
 	 */
 	public void send(GatewayEffect.Send send, ForwardedAnswer answer) {
-		send(send, answer, this.protocol, Optional.empty());
+		send(send, answer, this.protocol);
 	}
 
 	/**
@@ -84,10 +89,8 @@
 	 * @param send the endpoint and how the request is sent
 	 * @param answer receives the endpoint's answer
 	 * @param attemptProtocol encodes the request and decodes the answer
-	 * @param source local address of the connection, empty for any
 	 */
-	public void send(GatewayEffect.Send send, ForwardedAnswer answer, EndpointProtocol attemptProtocol,
-			Optional<InetSocketAddress> source) {
+	public void send(GatewayEffect.Send send, ForwardedAnswer answer, EndpointProtocol attemptProtocol) {
 		EndpointAttempt attempt = new EndpointAttempt(send, answer, attemptProtocol, this.listener, this.buffers);
 		ActiveAttempt started = new ActiveAttempt(attempt);
 		this.activeAttempts.put(attempt.id(), started);
@@ -97,7 +100,7 @@
 			pooled.send(attempt);
 			return;
 		}
-		connect(send.endpoint(), source, started);
+		connect(send.endpoint(), started);
 	}
 
 	private EndpointConnection pollIdle(EndpointId endpoint) {
@@ -113,8 +116,8 @@
 		return null;
 	}
 
-	private void connect(ForwardEndpoint endpoint, Optional<InetSocketAddress> source, ActiveAttempt started) {
-		open(endpoint, source, (connection) -> {
+	private void connect(ForwardEndpoint endpoint, ActiveAttempt started) {
+		open(endpoint, (connection) -> {
 			EndpointAttempt attempt = started.attempt;
 			if (connection.isEmpty()) {
 				this.activeAttempts.remove(attempt.id());
@@ -124,17 +127,13 @@
 				started.connection = connection.get();
 				connection.get().send(attempt);
 			}
-			else if (source.isPresent()) {
-				connection.get().close();
-			}
 			else {
 				release(connection.get(), endpoint.id());
 			}
 		});
 	}
 
-	private void open(ForwardEndpoint endpoint, Optional<InetSocketAddress> source,
-			Consumer<Optional<EndpointConnection>> done) {
+	private void open(ForwardEndpoint endpoint, Consumer<Optional<EndpointConnection>> done) {
 		this.openedConnections++;
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
 		EndpointConnection connection = new EndpointConnection(this, decoder);
@@ -144,7 +143,7 @@
 				channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
 			}
 		})
-			.connect(new NetAddress(endpoint.host(), endpoint.port()).socketAddress(), source.orElse(null))
+			.connect(new NetAddress(endpoint.host(), endpoint.port()).socketAddress(), this.source)
 			.addListener((future) -> {
 				if (future.isSuccess()) {
 					this.listener.connectionEstablished(endpoint.id());
@@ -159,8 +158,7 @@
 	 * @param endpoint the endpoint
 	 */
 	public void probe(ForwardEndpoint endpoint) {
-		open(endpoint, Optional.empty(),
-				(connection) -> connection.ifPresent((established) -> release(established, endpoint.id())));
+		open(endpoint, (connection) -> connection.ifPresent((established) -> release(established, endpoint.id())));
 	}
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -131,7 +131,8 @@
 		this.membership = new Membership(settings.peersAddress().toString(), settings.identity().zone(),
 				random.split());
 		this.membership.setSeeds(settings.seedAddresses());
-		this.endpointPool = new EndpointPool(this.group, endpointProtocol, this, GatewayLoop::nowMillis);
+		this.endpointPool = new EndpointPool(this.group, endpointProtocol, this, GatewayLoop::nowMillis,
+				settings.peersAddress().ephemeralSocketAddress());
 		this.memoryReservationClient = new MemoryReservationClient(this.group, endpointProtocol, log, this);
 	}
 
@@ -340,8 +341,7 @@
 				new GatewayEffect.Send(relay.requestId(), relay.attemptId(), peer, List.of(), relay.timeLeftMillis(), 0,
 						relay.kind(), Optional.empty()),
 				this.answersByRequest.get(relay.requestId()),
-				new RelayEndpointProtocol(this.endpointProtocol, relay.terms()),
-				Optional.of(this.settings.peersAddress().ephemeralSocketAddress()));
+				new RelayEndpointProtocol(this.endpointProtocol, relay.terms()));
 	}
 
 	private Optional<ForwardedAnswer> removeRequest(long requestId) {
