--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -547,7 +547,10 @@
 		log(effects, "caller-disconnected", "request", requestId, "millis", nowMillis - state.arrivalMillis,
 				"answer-started", state.answerStarted);
 		if (state.attemptId != 0 && state.route.kind() == RequestKind.NON_IDEMPOTENT) {
-			this.crashEvidence.attemptAbandoned(state);
+			// A peer records itself what the end of its attempt says about the endpoint.
+			if (state.relayPeer.isEmpty()) {
+				this.crashEvidence.attemptAbandoned(state);
+			}
 		}
 		else if (state.attemptId != 0) {
 			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRelayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRelayTests.java
@@ -110,6 +110,20 @@
 		assertThat(this.fixture.last(GatewayEffect.Refuse.class).cause()).isEqualTo(RefusalCause.NOT_READY);
 	}
 
+	/**
+	 * Failure: the end of an attempt of a peer, after the caller had left, was taken for
+	 * the loss of an endpoint that the request was never sent to.
+	 */
+	@Test
+	void endOfARelayAfterTheCallerDisconnectedSaysNothingAboutEndpoints() {
+		long request = this.fixture.arrive("/post/x", 0);
+		end(AttemptOutcome.NOT_CONNECTED);
+		end(AttemptOutcome.NOT_CONNECTED);
+		this.fixture.reduce(new GatewayEvent.CallerDisconnected(request));
+		endRelay(AttemptOutcome.BROKEN);
+		assertThat(this.fixture.logged("endpoint-lost")).isEmpty();
+	}
+
 	@Test
 	void cutLinkIsProbedOnceASecondAndUsedAgainAfterAConnection() {
 		for (int request = 0; request < 2; request++) {
