Order what the store says by epoch, and configurations by version

What callers saw: after the store has returned from an older copy, a new version of the configuration is not in force at any instance (401, 403 or 404 as the older version says) until the store's counter has passed its old value. Changes of runners are ignored just as long.

Cause: a number that is only ordered within one history of the store was compared across histories, in three places: StoreView took a configuration or an entry only with a higher revision; StoreWatch went on from the revision of its last call, which had another meaning or existed again; Membership called peers ahead whose revision belonged to the history before.

MembershipTests#membersWithAHigherRevisionOfAnEarlierEpochAreNotAhead does not compile without the epoch; the comparison that it replaces said 101 > 90.

Messages between instances: the epoch follows the fields of a full state as an optional field by number, only if it is not 0; format numbers are unchanged. A peer that names no epoch counts as epoch 0.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
@@ -15,7 +15,7 @@
  * @param limits limits of requests that endpoints named or ended recently
  * @param members a sample of the instances that it knows
  */
-public record FullState(String zone, long configurationVersion, long storeRevision, boolean endpointsReachable,
+public record FullState(String zone, long configurationVersion, StoreRevision storeRevision, boolean endpointsReachable,
 		List<AvoidedEndpoint> avoided, List<EndpointLimit> limits, List<KnownMember> members) {
 
 	/**
@@ -23,6 +23,7 @@
 	 */
 	public FullState {
 		Objects.requireNonNull(zone, "zone");
+		Objects.requireNonNull(storeRevision, "storeRevision");
 		avoided = List.copyOf(avoided);
 		limits = List.copyOf(limits);
 		members = List.copyOf(members);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -171,8 +171,8 @@
 			recordActivity(reported.address(), reported.zone(), nowMillis - reported.ageMillis());
 			boolean unknown = !reported.address().equals(this.self) && !this.members.containsKey(reported.address());
 			if (unknown && reported.ageMillis() < LIVENESS_TIMEOUT_MILLIS) {
-				this.members.put(reported.address(),
-						new Member(reported.zone(), 0, 0, nowMillis - reported.ageMillis(), 0, 0, false));
+				this.members.put(reported.address(), new Member(reported.zone(), 0, 0, nowMillis - reported.ageMillis(),
+						0, StoreRevision.NONE, false));
 			}
 		}
 		return true;
@@ -356,12 +356,12 @@
 	 * @param nowMillis the current time
 	 * @return their addresses, newest store revision first
 	 */
-	public List<String> aheadOf(long configurationVersion, long revision, long nowMillis) {
+	public List<String> aheadOf(long configurationVersion, StoreRevision revision, long nowMillis) {
 		return this.members.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().isAheadOf(configurationVersion, revision)
 					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS)
-			.sorted(Comparator.comparingLong((entry) -> -entry.getValue().storeRevision()))
+			.sorted(Comparator.comparing((entry) -> entry.getValue().storeRevision(), Comparator.reverseOrder()))
 			.map(Map.Entry::getKey)
 			.toList();
 	}
@@ -399,15 +399,15 @@
 	}
 
 	private record Member(String zone, long incarnation, long sequence, long lastReceivedMillis,
-			long configurationVersion, long storeRevision, boolean endpointsReachable) {
+			long configurationVersion, StoreRevision storeRevision, boolean endpointsReachable) {
 
 		Member refreshed(InstanceDigest digest, long nowMillis) {
 			return new Member(this.zone, digest.incarnation(), digest.sequence(), nowMillis, this.configurationVersion,
 					this.storeRevision, this.endpointsReachable);
 		}
 
-		boolean isAheadOf(long version, long revision) {
-			return this.configurationVersion > version || this.storeRevision > revision;
+		boolean isAheadOf(long version, StoreRevision revision) {
+			return this.configurationVersion > version || this.storeRevision.isAfter(revision);
 		}
 
 		boolean isSupersededBy(InstanceDigest digest, long nowMillis) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
@@ -9,6 +9,7 @@
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
@@ -173,8 +174,8 @@
 
 	private static InstanceDigest digest(long sequence, Optional<Double> limit, long ageMillis) {
 		EndpointLimit published = new EndpointLimit(WorkTable.hash(new EndpointId("p1")), limit, ageMillis);
-		return new InstanceDigest("peer", 1, sequence, Map.of(), List.of(), List.of(), List.of(),
-				Optional.of(new FullState("zone-a", 1, 1, true, List.of(), List.of(published), List.of())));
+		return new InstanceDigest("peer", 1, sequence, Map.of(), List.of(), List.of(), List.of(), Optional
+			.of(new FullState("zone-a", 1, StoreRevision.NONE, true, List.of(), List.of(published), List.of())));
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -15,7 +15,8 @@
 	private final Membership membership = new Membership("10.0.0.1:1", "zone-0", new SplittableRandom(1));
 
 	private static InstanceDigest digest(int host, long incarnation, long sequence, List<KnownMember> members) {
-		FullState state = new FullState("zone-" + host % 22, 5, 100 + host, true, List.of(), List.of(), members);
+		FullState state = new FullState("zone-" + host % 22, 5, new StoreRevision(0, 100 + host), true, List.of(),
+				List.of(), members);
 		return new InstanceDigest("10.0." + host / 250 + "." + (host % 250 + 2) + ":1", incarnation, sequence, Map.of(),
 				List.of(), List.of(), List.of(), Optional.of(state));
 	}
@@ -99,10 +100,24 @@
 	void membersWithANewerViewAreReturnedNewestFirst() {
 		this.membership.receive(digest(1, 1, 1, List.of()), 0);
 		this.membership.receive(digest(2, 1, 1, List.of()), 0);
-		assertThat(this.membership.aheadOf(5, 101, 0)).containsExactly("10.0.0.4:1");
-		assertThat(this.membership.aheadOf(4, 500, 0)).containsExactly("10.0.0.4:1", "10.0.0.3:1");
-		assertThat(this.membership.aheadOf(5, 102, 0)).isEmpty();
-		assertThat(this.membership.aheadOf(0, 0, Membership.LIVENESS_TIMEOUT_MILLIS + 1)).isEmpty();
+		assertThat(this.membership.aheadOf(5, new StoreRevision(0, 101), 0)).containsExactly("10.0.0.4:1");
+		assertThat(this.membership.aheadOf(4, new StoreRevision(0, 500), 0)).containsExactly("10.0.0.4:1",
+				"10.0.0.3:1");
+		assertThat(this.membership.aheadOf(5, new StoreRevision(0, 102), 0)).isEmpty();
+		assertThat(this.membership.aheadOf(0, StoreRevision.NONE, Membership.LIVENESS_TIMEOUT_MILLIS + 1)).isEmpty();
+	}
+
+	/**
+	 * Failure: after the store has returned from an older copy, instances that have not
+	 * read it since looked ahead, and all others read their older views (incident CONFIG
+	 * on tl-weighfleet).
+	 */
+	@Test
+	void membersWithAHigherRevisionOfAnEarlierEpochAreNotAhead() {
+		this.membership.receive(digest(1, 1, 1, List.of()), 0);
+		assertThat(this.membership.aheadOf(5, new StoreRevision(0, 90), 0)).containsExactly("10.0.0.3:1");
+		assertThat(this.membership.aheadOf(5, new StoreRevision(1, 90), 0)).isEmpty();
+		assertThat(this.membership.aheadOf(4, new StoreRevision(1, 90), 0)).containsExactly("10.0.0.3:1");
 	}
 
 	private FleetView viewWhen(long millis) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -6,7 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import io.mulberrylift.core.forwarding.Gateway;
 import io.mulberrylift.core.gossip.CrashObservation;
@@ -14,6 +14,7 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import io.mulberrylift.gateway.peer.DigestCodec;
@@ -110,7 +111,7 @@
 
 	private final DigestSender link;
 
-	private final LongSupplier storeRevision;
+	private final Supplier<StoreRevision> storeRevision;
 
 	/** Start time in seconds: short when encoded, and greater after each restart. */
 	private final long incarnation = (System.currentTimeMillis() / (long) MILLIS_PER_SECOND) & INCARNATION_BITS;
@@ -136,7 +137,7 @@
 	private long lastReplenishMillis;
 
 	GossipScheduler(GatewaySettings settings, Gateway gateway, Membership membership, DigestSender link,
-			LongSupplier storeRevision) {
+			Supplier<StoreRevision> storeRevision) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.gateway = Objects.requireNonNull(gateway, "gateway");
 		this.membership = Objects.requireNonNull(membership, "membership");
@@ -253,9 +254,8 @@
 
 	private FullState state(int maxLimits, List<KnownMember> sample, long nowMillis) {
 		return new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
-				this.storeRevision.getAsLong(), this.gateway.reachesEndpoints(),
-				this.gateway.avoidedEndpoints(nowMillis), this.gateway.pollPublishedLimits(maxLimits, nowMillis),
-				sample);
+				this.storeRevision.get(), this.gateway.reachesEndpoints(), this.gateway.avoidedEndpoints(nowMillis),
+				this.gateway.pollPublishedLimits(maxLimits, nowMillis), sample);
 	}
 
 	private void sendSummaries(long nowMillis) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/PlatformView.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/PlatformView.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.mulberrylift.core.gossip.StoreRevision;
+
 /**
  * The configuration and the endpoints of a deployment, as this instance has read them.
  *
@@ -20,9 +22,10 @@
 
 	/**
 	 * Returns the newest revision that the view reflects.
-	 * @return the revision, 0 until everything has been read once
+	 * @return the revision, {@link StoreRevision#NONE} until everything has been read
+	 * once
 	 */
-	long revision();
+	StoreRevision revision();
 
 	/**
 	 * Encodes the complete view for a peer that cannot read the platform itself.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -15,6 +15,7 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.RequestAttribute;
+import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.msgpack.core.MessageBufferPacker;
@@ -50,6 +51,9 @@
 
 	private static final long ENDED_LIMIT = -1;
 
+	/** Number of the optional field of a full state that contains the store's epoch. */
+	private static final int STORE_EPOCH_FIELD = 1;
+
 	/** Unit of times. */
 	private static final int TIME_UNIT_MILLIS = 4;
 
@@ -174,7 +178,8 @@
 	}
 
 	private static void pack(MessageBufferPacker packer, FullState state) throws IOException {
-		packer.packString(state.zone()).packLong(state.configurationVersion()).packLong(state.storeRevision());
+		packer.packString(state.zone()).packLong(state.configurationVersion());
+		packer.packLong(state.storeRevision().number());
 		packer.packBoolean(state.endpointsReachable());
 		packer.packArrayHeader(state.avoided().size());
 		for (AvoidedEndpoint avoided : state.avoided()) {
@@ -192,6 +197,18 @@
 		for (KnownMember member : state.members()) {
 			packer.packString(member.address()).packString(member.zone()).packLong(member.ageMillis());
 		}
+		packOptionalFields(packer, state);
+	}
+
+	/**
+	 * Encodes the fields by their numbers. Readers skip numbers that they do not know,
+	 * and builds without optional fields ignore all of them.
+	 */
+	private static void packOptionalFields(MessageBufferPacker packer, FullState state) throws IOException {
+		long storeEpoch = state.storeRevision().epoch();
+		if (storeEpoch != 0) {
+			packer.packMapHeader(1).packInt(STORE_EPOCH_FIELD).packLong(storeEpoch);
+		}
 	}
 
 	/**
@@ -275,7 +292,7 @@
 	private static FullState unpackState(MessageUnpacker unpacker) throws IOException {
 		String zone = unpacker.unpackString();
 		long configurationVersion = unpacker.unpackLong();
-		long storeRevision = unpacker.unpackLong();
+		long storeRevisionNumber = unpacker.unpackLong();
 		boolean endpointsReachable = unpacker.unpackBoolean();
 		List<AvoidedEndpoint> avoided = new ArrayList<>();
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
@@ -289,9 +306,23 @@
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			members.add(new KnownMember(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong()));
 		}
+		StoreRevision storeRevision = new StoreRevision(unpackStoreEpoch(unpacker), storeRevisionNumber);
 		return new FullState(zone, configurationVersion, storeRevision, endpointsReachable, avoided, limits, members);
 	}
 
+	private static long unpackStoreEpoch(MessageUnpacker unpacker) throws IOException {
+		long epoch = 0;
+		for (int remaining = (unpacker.hasNext()) ? unpacker.unpackMapHeader() : 0; remaining > 0; remaining--) {
+			if (unpacker.unpackInt() == STORE_EPOCH_FIELD) {
+				epoch = unpacker.unpackLong();
+			}
+			else {
+				unpacker.skipValue();
+			}
+		}
+		return epoch;
+	}
+
 	private static CrashObservation unpackCrash(MessageUnpacker unpacker) throws IOException {
 		RequestAttribute.Kind kind = RequestAttribute.Kind.values()[unpacker.unpackInt()];
 		RequestAttribute attribute = new RequestAttribute(kind, unpacker.unpackLong());
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
@@ -31,6 +31,7 @@
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.WorkTable;
@@ -110,7 +111,8 @@
 		Gateway gateway = gateway(identity);
 		Membership membership = new Membership(self.toString(), "zone-0", new SplittableRandom(2));
 		GatewaySettings settings = new GatewaySettings(identity, self, self, self, self, List.of(), RATE, 1000);
-		GossipScheduler rounds = new GossipScheduler(settings, gateway, membership, this::record, () -> 1);
+		GossipScheduler rounds = new GossipScheduler(settings, gateway, membership, this::record,
+				() -> new StoreRevision(0, 1));
 		Deque<Placed> open = new ArrayDeque<>();
 		long request = 0;
 		for (long now = 0; now < SECONDS * 1000; now += 20) {
@@ -142,7 +144,8 @@
 
 	private static void receiveFromPeers(Membership membership, int instances, int zones, long now) {
 		for (int index = 1; index < instances; index++) {
-			FullState state = new FullState("zone-" + index % zones, 1, 1, true, List.of(), List.of(), List.of());
+			FullState state = new FullState("zone-" + index % zones, 1, new StoreRevision(0, 1), true, List.of(),
+					List.of(), List.of());
 			membership.receive(new InstanceDigest("10.1." + index / 200 + "." + index % 200 + ":7340", 1, now + 1,
 					Map.of(), List.of(), List.of(), List.of(), Optional.of(state)), now);
 		}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -1,7 +1,9 @@
 package io.mulberrylift.gateway.peer;
 
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +16,7 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.RequestAttribute;
+import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.junit.jupiter.api.Test;
@@ -25,6 +28,11 @@
 
 	private static final String SENDER = "10.0.0.1:7340";
 
+	/** Recorded from commit 9ea6a2d. */
+	private static final String MESSAGE_WITHOUT_OPTIONAL_FIELDS = "0c05069103c2ce075bcd15ccc80fcd019c0092fbce04a2cb71"
+			+ "cd0163cd02e9649104909200d38000000000000000ff640107c000a67a6f6e652d6111cd1267c29105cd019092067dccd2f9ff01"
+			+ "91ad31302e302e302e323a37333430a67a6f6e652d621e";
+
 	private static RequestWork prefillWork() {
 		return new RequestWork(false, 355, 210_944, 0, 800, 2980, 400, 15, 123_456_789, List.of(-5, 77_777_777));
 	}
@@ -36,7 +44,8 @@
 
 	@Test
 	void fullStateSurvivesRoundTrip() throws IOException {
-		FullState state = new FullState("zone-a", 17, 4711, false, List.of(new AvoidedEndpoint(5, 400)),
+		FullState state = new FullState("zone-a", 17, new StoreRevision(3, 4711), false,
+				List.of(new AvoidedEndpoint(5, 400)),
 				List.of(new EndpointLimit(6, Optional.of(1.25), 840), new EndpointLimit(-7, Optional.empty(), 4)),
 				List.of(new KnownMember("10.0.0.2:7340", "zone-b", 30)));
 		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, prefillWork()), List.of(4L), List.of(),
@@ -46,6 +55,48 @@
 		assertThat(DigestCodec.decode(SENDER, DigestCodec.encode(digest, DigestCodec.MAX_BYTES))).isEqualTo(digest);
 	}
 
+	/**
+	 * Failure: a build that cannot read the messages of the build before divides the
+	 * fleet while instances are replaced one after the other.
+	 */
+	@Test
+	void messageOfTheBuildBeforeEpochsIsReadAndWrittenAsBefore() throws IOException {
+		byte[] recorded = HexFormat.of().parseHex(MESSAGE_WITHOUT_OPTIONAL_FIELDS);
+		InstanceDigest digest = DigestCodec.decode(SENDER, recorded);
+		FullState state = digest.fullState().orElseThrow();
+		assertThat(state.storeRevision()).isEqualTo(new StoreRevision(0, 4711));
+		assertThat(state.members()).containsExactly(new KnownMember("10.0.0.2:7340", "zone-b", 30));
+		assertThat(DigestCodec.encode(digest, DigestCodec.MAX_BYTES)).isEqualTo(recorded);
+	}
+
+	/**
+	 * Failure: as above; the build before epochs reads the fields that it knows by their
+	 * positions and ignores what follows.
+	 */
+	@Test
+	void optionalFieldsFollowTheFieldsOfTheBuildBefore() throws IOException {
+		byte[] recorded = HexFormat.of().parseHex(MESSAGE_WITHOUT_OPTIONAL_FIELDS);
+		InstanceDigest digest = DigestCodec.decode(SENDER, recorded);
+		FullState state = digest.fullState().orElseThrow();
+		FullState later = new FullState(state.zone(), state.configurationVersion(), new StoreRevision(2, 4711),
+				state.endpointsReachable(), state.avoided(), state.limits(), state.members());
+		byte[] message = DigestCodec.encode(new InstanceDigest(SENDER, digest.incarnation(), digest.sequence(),
+				digest.work(), digest.ended(), digest.summaries(), digest.crashes(), Optional.of(later)),
+				DigestCodec.MAX_BYTES);
+		assertThat(message).startsWith(recorded).hasSizeLessThanOrEqualTo(recorded.length + 3);
+	}
+
+	@Test
+	void optionalFieldsWithUnknownNumbersAreSkipped() throws IOException {
+		byte[] recorded = HexFormat.of().parseHex(MESSAGE_WITHOUT_OPTIONAL_FIELDS);
+		// A map of three fields: 9 is a list with a text, 1 is the epoch, 77 is a map.
+		byte[] fields = HexFormat.of().parseHex("83" + "0991a161" + "0107" + "4d8101c0");
+		byte[] message = Arrays.copyOf(recorded, recorded.length + fields.length);
+		System.arraycopy(fields, 0, message, recorded.length, fields.length);
+		assertThat(DigestCodec.decode(SENDER, message).fullState().orElseThrow().storeRevision())
+			.isEqualTo(new StoreRevision(7, 4711));
+	}
+
 	@Test
 	void summariesSurviveRoundTripInTheirUnits() throws IOException {
 		List<EndpointSummary> summaries = List.of(new EndpointSummary(65_535, 3, 0, 0, 0, 0),
