Compute the peers that may relay requests each half second, not at each tick

A peer that loses its endpoints is not asked for at most half a second longer than before; the view of the fleet beside it has had the same interval. FleetLinkTests and RelayLoopbackTests pass.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -100,6 +100,10 @@
 
 	private long viewMillis = Long.MIN_VALUE / 2;
 
+	private List<RelayPeer> relayPeers = List.of();
+
+	private long relayPeersMillis = Long.MIN_VALUE / 2;
+
 	/** Number of instances of this zone and of zones that were discovered. */
 	private int discovered;
 
@@ -369,16 +373,22 @@
 	/**
 	 * Returns the live members that reach endpoints.
 	 * @param nowMillis the current time
-	 * @return the members in order of their addresses
+	 * @return the members in order of their addresses, updated at intervals of
+	 * {@value #VIEW_INTERVAL_MILLIS} ms
 	 */
 	public List<RelayPeer> relayPeers(long nowMillis) {
-		return this.members.entrySet()
+		if (nowMillis - this.relayPeersMillis < VIEW_INTERVAL_MILLIS) {
+			return this.relayPeers;
+		}
+		this.relayPeersMillis = nowMillis;
+		this.relayPeers = this.members.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().endpointsReachable()
 					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS)
 			.map((entry) -> new RelayPeer(entry.getKey(), entry.getValue().zone().equals(this.zone)))
 			.sorted(Comparator.comparing(RelayPeer::address))
 			.toList();
+		return this.relayPeers;
 	}
 
 	/**
