--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -203,6 +203,9 @@
 	/**
 	 * Encodes the fields by their numbers. Readers skip numbers that they do not know,
 	 * and builds without optional fields ignore all of them.
+	 * @param packer the packer to write to
+	 * @param state the state
+	 * @throws IOException if the packer fails
 	 */
 	private static void packOptionalFields(MessageBufferPacker packer, FullState state) throws IOException {
 		long storeEpoch = state.storeRevision().epoch();
