--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/StoreRevision.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/StoreRevision.java
@@ -53,6 +53,19 @@
 		return (other.isAfter(this)) ? other : this;
 	}
 
+	// Generated methods of records link method handles at each start; these do not.
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof StoreRevision revision && this.epoch == revision.epoch
+				&& this.number == revision.number;
+	}
+
+	@Override
+	public int hashCode() {
+		return Long.hashCode(31 * this.epoch + this.number);
+	}
+
 	@Override
 	public String toString() {
 		return this.epoch + "/" + this.number;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/model/EndpointId.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/model/EndpointId.java
@@ -26,6 +26,18 @@
 		return this.value.compareTo(other.value);
 	}
 
+	// Generated methods of records link method handles at each start; these do not.
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof EndpointId id && this.value.equals(id.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return this.value.hashCode();
+	}
+
 	@Override
 	public String toString() {
 		return this.value;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/NetAddress.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/NetAddress.java
@@ -71,6 +71,18 @@
 		return new InetSocketAddress(socketAddress().getAddress(), 0);
 	}
 
+	// Generated methods of records link method handles at each start; these do not.
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof NetAddress address && this.port == address.port && this.host.equals(address.host);
+	}
+
+	@Override
+	public int hashCode() {
+		return 31 * this.host.hashCode() + this.port;
+	}
+
 	@Override
 	public String toString() {
 		return this.host + ":" + this.port;
