Let few instances of a zone read the store and the others follow them

Change: full states name how an instance learns of changes (following, reading, failing) and the age of the latest answer of the store that its view accounts for, in optional fields that builds since skip. In fleets of more than 16 members, the first three of a zone by rendezvous hash read; an unheard or unanswered one leaves its place to the next; beside a member of an earlier build, or when no answer was confirmed for 5 s, each reads for itself, the latter with longer delays. Views are read from peers by difference.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Periodic part of a digest: what an instance publishes to its peers in addition to its
@@ -10,13 +11,16 @@
  * @param zone availability zone of the instance
  * @param configurationVersion version of its newest configuration; 0 for none
  * @param storeRevision revision of the platform's store that it has read up to
+ * @param storeKnowledge how it learns of changes in the store, empty for a build that
+ * does not state it
  * @param endpointsReachable whether it reaches any endpoint, as far as it knows
  * @param avoided endpoints that it avoids because of faults that it observed itself
  * @param limits limits of requests that endpoints named or ended recently
  * @param members a sample of the instances that it knows
  */
-public record FullState(String zone, long configurationVersion, StoreRevision storeRevision, boolean endpointsReachable,
-		List<AvoidedEndpoint> avoided, List<EndpointLimit> limits, List<KnownMember> members) {
+public record FullState(String zone, long configurationVersion, StoreRevision storeRevision,
+		Optional<StoreKnowledge> storeKnowledge, boolean endpointsReachable, List<AvoidedEndpoint> avoided,
+		List<EndpointLimit> limits, List<KnownMember> members) {
 
 	/**
 	 * Creates the state.
@@ -24,6 +28,7 @@
 	public FullState {
 		Objects.requireNonNull(zone, "zone");
 		Objects.requireNonNull(storeRevision, "storeRevision");
+		Objects.requireNonNull(storeKnowledge, "storeKnowledge");
 		avoided = List.copyOf(avoided);
 		limits = List.copyOf(limits);
 		members = List.copyOf(members);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import io.mulberrylift.core.hash.Rendezvous;
 import io.mulberrylift.core.limit.FleetView;
 
 /**
@@ -76,6 +78,15 @@
 
 	private static final long SEED_INTERVAL_MILLIS = 1000;
 
+	/**
+	 * Time without a message after which a member no longer counts as a reader of the
+	 * store, in milliseconds; longer than the longest interval between full states.
+	 */
+	private static final long READER_TIMEOUT_MILLIS = 2600;
+
+	/** Subject of the rendezvous hash that orders the readers of a zone. */
+	private static final String READER_SUBJECT = "store";
+
 	private final String self;
 
 	private final String zone;
@@ -168,15 +179,17 @@
 		else {
 			this.uninformed.remove(digest.sender());
 		}
-		this.members.put(digest.sender(), new Member(state.zone(), digest.incarnation(), digest.sequence(), nowMillis,
-				state.configurationVersion(), state.storeRevision(), state.endpointsReachable()));
+		this.members.put(digest.sender(),
+				new Member(state.zone(), digest.incarnation(), digest.sequence(), nowMillis, nowMillis,
+						state.configurationVersion(), state.storeRevision(), state.storeKnowledge(),
+						state.endpointsReachable()));
 		recordActivity(digest.sender(), state.zone(), nowMillis);
 		for (KnownMember reported : state.members()) {
 			recordActivity(reported.address(), reported.zone(), nowMillis - reported.ageMillis());
 			boolean unknown = !reported.address().equals(this.self) && !this.members.containsKey(reported.address());
 			if (unknown && reported.ageMillis() < LIVENESS_TIMEOUT_MILLIS) {
 				this.members.put(reported.address(), new Member(reported.zone(), 0, 0, nowMillis - reported.ageMillis(),
-						0, StoreRevision.NONE, false));
+						Long.MIN_VALUE / 2, 0, StoreRevision.NONE, Optional.empty(), false));
 			}
 		}
 		return true;
@@ -352,19 +365,65 @@
 			.count();
 	}
 
+	/**
+	 * Returns what is known of the members that may read the platform's store for this
+	 * instance.
+	 * @param configurationVersion newest configuration of this instance
+	 * @param revision revision of the store that this instance has read
+	 * @param nowMillis the current time
+	 * @return the readers
+	 */
+	public StoreReaders storeReaders(long configurationVersion, StoreRevision revision, long nowMillis) {
+		long ownScore = Rendezvous.score(this.self, READER_SUBJECT);
+		boolean sharing = isPartial();
+		int ahead = 0;
+		long confirmedAgeMillis = StoreKnowledge.UNCONFIRMED_MILLIS;
+		for (Map.Entry<String, Member> entry : this.members.entrySet()) {
+			Member member = entry.getValue();
+			if (!member.hasState() || nowMillis - member.lastReceivedMillis() > READER_TIMEOUT_MILLIS) {
+				continue;
+			}
+			if (member.storeKnowledge().isEmpty()) {
+				sharing = false;
+				continue;
+			}
+			StoreKnowledge knowledge = member.storeKnowledge().get();
+			if (member.zone().equals(this.zone) && knowledge.role().takesPlace()
+					&& Rendezvous.score(entry.getKey(), READER_SUBJECT) > ownScore) {
+				ahead++;
+			}
+			if (!member.isAheadOf(configurationVersion, revision)) {
+				confirmedAgeMillis = Math.min(confirmedAgeMillis,
+						knowledge.confirmedAgeMillis() + nowMillis - member.stateMillis());
+			}
+		}
+		return new StoreReaders(sharing, ahead, confirmedAgeMillis);
+	}
+
 	/**
 	 * Returns the live members that have a newer configuration or a newer revision of the
-	 * platform's store.
+	 * platform's store: those of the own zone, or others if it has none.
 	 * @param configurationVersion newest configuration of this instance
 	 * @param revision revision of the store that this instance has read
 	 * @param nowMillis the current time
 	 * @return their addresses, newest store revision first
 	 */
 	public List<String> aheadOf(long configurationVersion, StoreRevision revision, long nowMillis) {
-		return this.members.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().isAheadOf(configurationVersion, revision)
-					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS)
+		List<Map.Entry<String, Member>> ahead = new ArrayList<>();
+		boolean ownZone = false;
+		for (Map.Entry<String, Member> entry : this.members.entrySet()) {
+			if (entry.getValue().isAheadOf(configurationVersion, revision)
+					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS) {
+				ahead.add(entry);
+				ownZone |= entry.getValue().zone().equals(this.zone);
+			}
+		}
+		if (ahead.isEmpty()) {
+			return List.of();
+		}
+		boolean onlyOwnZone = ownZone;
+		return ahead.stream()
+			.filter((entry) -> !onlyOwnZone || entry.getValue().zone().equals(this.zone))
 			.sorted(Comparator.comparing((entry) -> entry.getValue().storeRevision(), Comparator.reverseOrder()))
 			.map(Map.Entry::getKey)
 			.toList();
@@ -408,12 +467,21 @@
 		return this.members.size() > MAX_FULL_VIEW_MEMBERS;
 	}
 
-	private record Member(String zone, long incarnation, long sequence, long lastReceivedMillis,
-			long configurationVersion, StoreRevision storeRevision, boolean endpointsReachable) {
+	private record Member(String zone, long incarnation, long sequence, long lastReceivedMillis, long stateMillis,
+			long configurationVersion, StoreRevision storeRevision, Optional<StoreKnowledge> storeKnowledge,
+			boolean endpointsReachable) {
 
 		Member refreshed(InstanceDigest digest, long nowMillis) {
-			return new Member(this.zone, digest.incarnation(), digest.sequence(), nowMillis, this.configurationVersion,
-					this.storeRevision, this.endpointsReachable);
+			return new Member(this.zone, digest.incarnation(), digest.sequence(), nowMillis, this.stateMillis,
+					this.configurationVersion, this.storeRevision, this.storeKnowledge, this.endpointsReachable);
+		}
+
+		/**
+		 * Returns whether a full state of the member has been received.
+		 * @return false for a member that only others reported
+		 */
+		boolean hasState() {
+			return this.incarnation > 0;
 		}
 
 		boolean isAheadOf(long version, StoreRevision revision) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRequestLimitTests.java
@@ -174,8 +174,9 @@
 
 	private static InstanceDigest digest(long sequence, Optional<Double> limit, long ageMillis) {
 		EndpointLimit published = new EndpointLimit(WorkTable.hash(new EndpointId("p1")), limit, ageMillis);
-		return new InstanceDigest("peer", 1, sequence, Map.of(), List.of(), List.of(), List.of(), Optional
-			.of(new FullState("zone-a", 1, StoreRevision.NONE, true, List.of(), List.of(published), List.of())));
+		return new InstanceDigest("peer", 1, sequence, Map.of(), List.of(), List.of(), List.of(),
+				Optional.of(new FullState("zone-a", 1, StoreRevision.NONE, Optional.empty(), true, List.of(),
+						List.of(published), List.of())));
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -267,7 +267,8 @@
 			if (millis % 1000 == 0) {
 				RequestWork prefill = new RequestWork(false, 6000, 200_000, 0, 800, 3000, 6000, 40, hash,
 						List.of(1, 2));
-				FullState state = new FullState("zone-b", 1, StoreRevision.NONE, true, List.of(), List.of(), List.of());
+				FullState state = new FullState("zone-b", 1, StoreRevision.NONE, Optional.empty(), true, List.of(),
+						List.of(), List.of());
 				this.fixture.reduce(new GatewayEvent.DigestReceived(new InstanceDigest("10.0.0.9:1", 1, millis + 1,
 						Map.of(5L, prefill), List.of(), List.of(), List.of(), Optional.of(state))));
 			}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/gossip/MembershipTests.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.core.gossip;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,8 +16,8 @@
 	private final Membership membership = new Membership("10.0.0.1:1", "zone-0", new SplittableRandom(1));
 
 	private static InstanceDigest digest(int host, long incarnation, long sequence, List<KnownMember> members) {
-		FullState state = new FullState("zone-" + host % 22, 5, new StoreRevision(0, 100 + host), true, List.of(),
-				List.of(), members);
+		FullState state = new FullState("zone-" + host % 22, 5, new StoreRevision(0, 100 + host), Optional.empty(),
+				true, List.of(), List.of(), members);
 		return new InstanceDigest("10.0." + host / 250 + "." + (host % 250 + 2) + ":1", incarnation, sequence, Map.of(),
 				List.of(), List.of(), List.of(), Optional.of(state));
 	}
@@ -182,4 +183,65 @@
 		assertThat(this.membership.sampleFor("10.9.9.9:1", 0)).hasSize(3);
 	}
 
+	private static InstanceDigest readerDigest(int host, StoreRole role, long ageMillis, long revision) {
+		FullState state = new FullState("zone-0", 5, new StoreRevision(0, revision),
+				Optional.of(new StoreKnowledge(role, ageMillis)), true, List.of(), List.of(), List.of());
+		return new InstanceDigest("10.0.1." + host + ":1", 1, host, Map.of(), List.of(), List.of(), List.of(),
+				Optional.of(state));
+	}
+
+	@Test
+	void readersOfTheOwnZoneAreOrderedAlikeOnAllInstances() {
+		List<Integer> ahead = new ArrayList<>();
+		for (int self = 1; self <= 20; self++) {
+			Membership one = new Membership("10.0.1." + self + ":1", "zone-0", new SplittableRandom(1));
+			for (int host = 1; host <= 20; host++) {
+				one.receive(readerDigest(host, StoreRole.READING, 0, 7), 0);
+			}
+			ahead.add(one.storeReaders(5, new StoreRevision(0, 7), 0).instancesAhead());
+		}
+		assertThat(ahead).doesNotHaveDuplicates().allMatch((each) -> each < 20);
+	}
+
+	@Test
+	void failingReadersAndThoseThatAreNotHeardTakeNoPlace() {
+		StoreRevision revision = new StoreRevision(0, 7);
+		for (int host = 1; host <= 20; host++) {
+			this.membership.receive(readerDigest(host, StoreRole.READING, 0, 7), 0);
+		}
+		int before = this.membership.storeReaders(5, revision, 0).instancesAhead();
+		assertThat(before).isPositive();
+		assertThat(this.membership.storeReaders(5, revision, 2601).instancesAhead()).isZero();
+		for (int host = 1; host <= 20; host++) {
+			this.membership.receive(readerDigest(host + 20, StoreRole.FAILING, 0, 7), 0);
+		}
+		assertThat(this.membership.storeReaders(5, revision, 0).instancesAhead()).isEqualTo(before);
+	}
+
+	@Test
+	void answersToPeersWithANewerViewConfirmNothing() {
+		for (int host = 1; host <= 20; host++) {
+			this.membership.receive(readerDigest(host, StoreRole.READING, 300 + host, 7), 0);
+		}
+		assertThat(this.membership.storeReaders(5, new StoreRevision(0, 7), 100).confirmedAgeMillis()).isEqualTo(401);
+		assertThat(this.membership.storeReaders(5, new StoreRevision(0, 6), 100).confirmedAgeMillis())
+			.isEqualTo(StoreKnowledge.UNCONFIRMED_MILLIS);
+		assertThat(this.membership.storeReaders(4, new StoreRevision(0, 7), 100).confirmedAgeMillis())
+			.isEqualTo(StoreKnowledge.UNCONFIRMED_MILLIS);
+	}
+
+	/**
+	 * Failure: an instance relies on members of the build before, which do not say how
+	 * they read.
+	 */
+	@Test
+	void readersAreNotSharedBesideAnEarlierBuild() {
+		for (int host = 1; host <= 20; host++) {
+			this.membership.receive(readerDigest(host, StoreRole.READING, 0, 7), 0);
+		}
+		assertThat(this.membership.storeReaders(5, new StoreRevision(0, 7), 0).sharing()).isTrue();
+		this.membership.receive(digest(1, 1, 1, List.of()), 0);
+		assertThat(this.membership.storeReaders(5, new StoreRevision(0, 7), 0).sharing()).isFalse();
+	}
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/PageServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/PageServer.java
@@ -2,7 +2,7 @@
 
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -45,10 +45,10 @@
 	 * Starts to listen.
 	 * @param group the event loop
 	 * @param address local address to bind to
-	 * @param pages returns the page of a path, which comes without query
+	 * @param pages returns the page of a path and a query, which may be empty
 	 * @return the listening channel
 	 */
-	public static Channel listen(EventLoopGroup group, NetAddress address, Function<String, Page> pages) {
+	public static Channel listen(EventLoopGroup group, NetAddress address, BiFunction<String, String, Page> pages) {
 		Objects.requireNonNull(pages, "pages");
 		return new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
@@ -67,13 +67,13 @@
 
 	private static final class PageHandler extends SimpleChannelInboundHandler<HttpObject> {
 
-		private final Function<String, Page> pages;
+		private final BiFunction<String, String, Page> pages;
 
 		private HttpRequest request;
 
 		private long answeredRequests;
 
-		PageHandler(Function<String, Page> pages) {
+		PageHandler(BiFunction<String, String, Page> pages) {
 			this.pages = pages;
 		}
 
@@ -109,7 +109,8 @@
 			this.answeredRequests++;
 			String target = this.request.uri();
 			int query = target.indexOf('?');
-			Page page = this.pages.apply((query < 0) ? target : target.substring(0, query));
+			Page page = (query < 0) ? this.pages.apply(target, "")
+					: this.pages.apply(target.substring(0, query), target.substring(query + 1));
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(page.body()));
 			response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -23,6 +23,11 @@
 import io.mulberrylift.core.forwarding.GatewayIdentity;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.gossip.StoreKnowledge;
+import io.mulberrylift.core.gossip.StoreReaderChoice;
+import io.mulberrylift.core.gossip.StoreReaders;
+import io.mulberrylift.core.gossip.StoreReading;
+import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
@@ -69,6 +74,9 @@
 	 */
 	private static final long TICK_MILLIS = 20;
 
+	/** Interval at which the view of the fleet and of the platform is updated. */
+	private static final long VIEW_INTERVAL_MILLIS = 100;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final EventLoopGroup group = new NioEventLoopGroup(1);
@@ -111,6 +119,14 @@
 
 	private PeerLink peerLink;
 
+	private final StoreReaderChoice storeReaderChoice = new StoreReaderChoice();
+
+	private StoreReaders storeReaders = new StoreReaders(false, 0, StoreKnowledge.UNCONFIRMED_MILLIS);
+
+	private StoreReading storeReading = StoreReading.PRIMARY;
+
+	private long viewUpdateMillis = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates a loop that is not started yet.
 	 * @param settings settings of the process
@@ -158,7 +174,7 @@
 	public void start() {
 		this.peerLink = new PeerLink(this.group, this.settings.peersAddress(), this::digestReceived, this.log);
 		this.gossip = new GossipScheduler(this.settings, this.gateway, this.membership, this.peerLink,
-				this.platform::revision);
+				this.platform::revision, this::storeKnowledge);
 		PageServer.listen(this.group, this.settings.readyAddress(), this::page);
 		PageServer.listen(this.group, this.settings.peersAddress(), this::page);
 		PageServer.listen(this.group, this.settings.metricsAddress(), this::page);
@@ -233,6 +249,14 @@
 		this.gossip.requestFullState();
 	}
 
+	/**
+	 * Counts a call of the platform's store.
+	 * @param subject what the call reads
+	 */
+	public void countStoreCall(String subject) {
+		this.metrics.count("store_calls_" + subject);
+	}
+
 	private void digestReceived(InstanceDigest digest) {
 		if (!digest.crashes().isEmpty()) {
 			run(new GatewayEvent.CrashesReported(digest.sender(), digest.crashes()));
@@ -250,14 +274,12 @@
 	private void tick() {
 		try {
 			long now = nowMillis();
-			this.gateway.setLiveInstances(this.membership.liveInstances(now));
-			this.gateway.setPartialView(this.membership.isPartial());
-			this.gateway.setFleet(this.membership.view(now), now);
-			this.gateway.setRelayPeers(this.membership.relayPeers(now));
+			if (now - this.viewUpdateMillis >= VIEW_INTERVAL_MILLIS) {
+				this.viewUpdateMillis = now;
+				updateViews(now);
+			}
 			run(new GatewayEvent.Tick());
 			this.gossip.tick(now);
-			this.platform.updatePeersAhead(
-					this.membership.aheadOf(this.gateway.configurationVersion(), this.platform.revision(), now));
 			if (this.gateway.mayExit(now)) {
 				this.terminated.countDown();
 			}
@@ -267,6 +289,35 @@
 		}
 	}
 
+	private void updateViews(long now) {
+		this.gateway.setLiveInstances(this.membership.liveInstances(now));
+		this.gateway.setPartialView(this.membership.isPartial());
+		this.gateway.setFleet(this.membership.view(now), now);
+		this.gateway.setRelayPeers(this.membership.relayPeers(now));
+		updateStoreReading(now);
+		this.platform.updatePeersAhead(this.membership.aheadOf(this.gateway.configurationVersion(),
+				this.platform.revisionReadFromPeers(), now));
+	}
+
+	private void updateStoreReading(long now) {
+		this.storeReaders = this.membership.storeReaders(this.gateway.configurationVersion(), this.platform.revision(),
+				now);
+		StoreReading next = this.storeReaderChoice.update(this.storeReaders,
+				!this.platform.revision().equals(StoreRevision.NONE), now);
+		if (next != this.storeReading) {
+			this.log.write("store-reading", "before", this.storeReading, "outcome", next, "readers-ahead",
+					this.storeReaders.instancesAhead(), "confirmed-age-millis", this.storeReaders.confirmedAgeMillis(),
+					"sharing", this.storeReaders.sharing(), "revision", this.platform.revision());
+			this.storeReading = next;
+			this.platform.setReading(next);
+			this.gossip.requestFullState();
+		}
+	}
+
+	private StoreKnowledge storeKnowledge(long now) {
+		return this.platform.knowledge(now).confirmedBy(this.storeReaders.confirmedAgeMillis());
+	}
+
 	private void run(GatewayEvent event) {
 		for (GatewayEffect effect : this.gateway.reduce(event, nowMillis())) {
 			execute(effect);
@@ -467,7 +518,7 @@
 		run(new GatewayEvent.NoticesReceived(endpoint, attemptId, notices));
 	}
 
-	private Page page(String path) {
+	private Page page(String path, String query) {
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
 			case "/state" -> Page.text(200, this.gateway.describe(nowMillis()) + "\n");
@@ -475,7 +526,7 @@
 					+ this.endpointPool.openedConnections() + "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
 					+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
 					+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis()) + "\n");
-			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot());
+			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 
 import io.mulberrylift.core.forwarding.Gateway;
@@ -14,6 +15,7 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.gossip.StoreKnowledge;
 import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
@@ -113,6 +115,8 @@
 
 	private final Supplier<StoreRevision> storeRevision;
 
+	private final LongFunction<StoreKnowledge> storeKnowledge;
+
 	/** Start time in seconds: short when encoded, and greater after each restart. */
 	private final long incarnation = (System.currentTimeMillis() / (long) MILLIS_PER_SECOND) & INCARNATION_BITS;
 
@@ -137,12 +141,13 @@
 	private long lastReplenishMillis;
 
 	GossipScheduler(GatewaySettings settings, Gateway gateway, Membership membership, DigestSender link,
-			Supplier<StoreRevision> storeRevision) {
+			Supplier<StoreRevision> storeRevision, LongFunction<StoreKnowledge> storeKnowledge) {
 		this.settings = Objects.requireNonNull(settings, "settings");
 		this.gateway = Objects.requireNonNull(gateway, "gateway");
 		this.membership = Objects.requireNonNull(membership, "membership");
 		this.link = Objects.requireNonNull(link, "link");
 		this.storeRevision = Objects.requireNonNull(storeRevision, "storeRevision");
+		this.storeKnowledge = Objects.requireNonNull(storeKnowledge, "storeKnowledge");
 	}
 
 	/**
@@ -244,7 +249,7 @@
 		for (String target : targets) {
 			if (!tracked.contains(target)) {
 				FullState other = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
-						state.endpointsReachable(), state.avoided(), state.limits(),
+						state.storeKnowledge(), state.endpointsReachable(), state.avoided(), state.limits(),
 						this.membership.sampleFor(target, nowMillis));
 				send(List.of(target), digest(Map.of(), List.of(), selected, crashes, Optional.of(other)),
 						DigestCodec.MAX_BYTES);
@@ -254,7 +259,8 @@
 
 	private FullState state(int maxLimits, List<KnownMember> sample, long nowMillis) {
 		return new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
-				this.storeRevision.get(), this.gateway.reachesEndpoints(), this.gateway.avoidedEndpoints(nowMillis),
+				this.storeRevision.get(), Optional.of(this.storeKnowledge.apply(nowMillis)),
+				this.gateway.reachesEndpoints(), this.gateway.avoidedEndpoints(nowMillis),
 				this.gateway.pollPublishedLimits(maxLimits, nowMillis), sample);
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/PlatformView.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/PlatformView.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import io.mulberrylift.core.gossip.StoreKnowledge;
+import io.mulberrylift.core.gossip.StoreReading;
 import io.mulberrylift.core.gossip.StoreRevision;
 
 /**
@@ -21,21 +23,43 @@
 	void start(GatewayLoop loop);
 
 	/**
-	 * Returns the newest revision that the view reflects.
+	 * Returns the newest revision up to which the view reflects all changes of endpoints.
 	 * @return the revision, {@link StoreRevision#NONE} until everything has been read
 	 * once
 	 */
 	StoreRevision revision();
 
 	/**
-	 * Encodes the complete view for a peer that cannot read the platform itself.
+	 * Returns the newest revision that need not be read from peers.
+	 * @return the revision, at least {@link #revision()}
+	 */
+	StoreRevision revisionReadFromPeers();
+
+	/**
+	 * Returns how this instance learns of changes and how old the latest answer of the
+	 * platform is.
+	 * @param nowMillis the current time
+	 * @return the knowledge, without that of peers
+	 */
+	StoreKnowledge knowledge(long nowMillis);
+
+	/**
+	 * Sets whether this instance reads the platform itself. Until the first call it does.
+	 * @param reading whether it does
+	 */
+	void setReading(StoreReading reading);
+
+	/**
+	 * Encodes the view, or its changes, for a peer that does not read the platform
+	 * itself.
+	 * @param query what the peer has, the query of its call; empty for the complete view
 	 * @return the view, empty until everything has been read once
 	 */
-	byte[] snapshot();
+	byte[] snapshot(String query);
 
 	/**
 	 * Updates the list of peers that have a newer view.
-	 * @param peers their addresses, the newest view first, empty if there are none
+	 * @param peers their addresses, empty if there are none
 	 */
 	void updatePeersAhead(List<String> peers);
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -15,7 +15,9 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.RequestAttribute;
+import io.mulberrylift.core.gossip.StoreKnowledge;
 import io.mulberrylift.core.gossip.StoreRevision;
+import io.mulberrylift.core.gossip.StoreRole;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.msgpack.core.MessageBufferPacker;
@@ -54,6 +56,12 @@
 	/** Number of the optional field of a full state that contains the store's epoch. */
 	private static final int STORE_EPOCH_FIELD = 1;
 
+	/** Number of the optional field that contains how changes of the store are read. */
+	private static final int STORE_ROLE_FIELD = 2;
+
+	/** Number of the optional field that contains the age of the store's answer. */
+	private static final int STORE_CONFIRMED_AGE_FIELD = 3;
+
 	/** Unit of times. */
 	private static final int TIME_UNIT_MILLIS = 4;
 
@@ -209,8 +217,19 @@
 	 */
 	private static void packOptionalFields(MessageBufferPacker packer, FullState state) throws IOException {
 		long storeEpoch = state.storeRevision().epoch();
+		int fields = ((storeEpoch != 0) ? 1 : 0) + ((state.storeKnowledge().isPresent()) ? 2 : 0);
+		if (fields == 0) {
+			return;
+		}
+		packer.packMapHeader(fields);
 		if (storeEpoch != 0) {
-			packer.packMapHeader(1).packInt(STORE_EPOCH_FIELD).packLong(storeEpoch);
+			packer.packInt(STORE_EPOCH_FIELD).packLong(storeEpoch);
+		}
+		if (state.storeKnowledge().isPresent()) {
+			StoreKnowledge knowledge = state.storeKnowledge().get();
+			packer.packInt(STORE_ROLE_FIELD).packInt(knowledge.role().code());
+			packer.packInt(STORE_CONFIRMED_AGE_FIELD)
+				.packLong(ceilToUnits(knowledge.confirmedAgeMillis(), TIME_UNIT_MILLIS));
 		}
 	}
 
@@ -309,21 +328,9 @@
 		for (int remaining = size(unpacker); remaining > 0; remaining--) {
 			members.add(new KnownMember(unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackLong()));
 		}
-		StoreRevision storeRevision = new StoreRevision(unpackStoreEpoch(unpacker), storeRevisionNumber);
-		return new FullState(zone, configurationVersion, storeRevision, endpointsReachable, avoided, limits, members);
-	}
-
-	private static long unpackStoreEpoch(MessageUnpacker unpacker) throws IOException {
-		long epoch = 0;
-		for (int remaining = (unpacker.hasNext()) ? unpacker.unpackMapHeader() : 0; remaining > 0; remaining--) {
-			if (unpacker.unpackInt() == STORE_EPOCH_FIELD) {
-				epoch = unpacker.unpackLong();
-			}
-			else {
-				unpacker.skipValue();
-			}
-		}
-		return epoch;
+		OptionalFields optional = OptionalFields.unpack(unpacker);
+		return new FullState(zone, configurationVersion, new StoreRevision(optional.storeEpoch(), storeRevisionNumber),
+				optional.storeKnowledge(), endpointsReachable, avoided, limits, members);
 	}
 
 	private static CrashObservation unpackCrash(MessageUnpacker unpacker) throws IOException {
@@ -342,4 +349,37 @@
 		return new EndpointLimit(endpointHash, perSecond, unpacker.unpackLong() * TIME_UNIT_MILLIS);
 	}
 
+	/**
+	 * Fields that a build may leave out.
+	 *
+	 * @param storeEpoch epoch of the store, 0 if it is not stated
+	 * @param storeKnowledge how the store is read, empty if it is not stated or unknown
+	 */
+	private record OptionalFields(long storeEpoch, Optional<StoreKnowledge> storeKnowledge) {
+
+		static OptionalFields unpack(MessageUnpacker unpacker) throws IOException {
+			long epoch = 0;
+			Optional<StoreRole> role = Optional.empty();
+			long confirmedAgeMillis = StoreKnowledge.UNCONFIRMED_MILLIS;
+			for (int remaining = (unpacker.hasNext()) ? unpacker.unpackMapHeader() : 0; remaining > 0; remaining--) {
+				int field = unpacker.unpackInt();
+				if (field == STORE_EPOCH_FIELD) {
+					epoch = unpacker.unpackLong();
+				}
+				else if (field == STORE_ROLE_FIELD) {
+					role = StoreRole.ofCode(unpacker.unpackInt());
+				}
+				else if (field == STORE_CONFIRMED_AGE_FIELD) {
+					confirmedAgeMillis = unpacker.unpackLong() * TIME_UNIT_MILLIS;
+				}
+				else {
+					unpacker.skipValue();
+				}
+			}
+			long ageMillis = confirmedAgeMillis;
+			return new OptionalFields(epoch, role.map((each) -> new StoreKnowledge(each, ageMillis)));
+		}
+
+	}
+
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/PeerLink.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/PeerLink.java
@@ -1,7 +1,10 @@
 package io.mulberrylift.gateway.peer;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.function.Consumer;
 
@@ -31,8 +34,13 @@
 	/** Size of the IP and UDP headers of a datagram. */
 	public static final int DATAGRAM_OVERHEAD_BYTES = 28;
 
+	/** Number of peers whose socket addresses are kept. */
+	private static final int MAX_SOCKET_ADDRESSES = 2048;
+
 	private final Channel channel;
 
+	private final Map<String, InetSocketAddress> socketAddresses = new HashMap<>();
+
 	private long sentBytes;
 
 	/**
@@ -55,8 +63,7 @@
 	public int send(InstanceDigest digest, List<String> targets, int maxBytes) {
 		byte[] message = DigestCodec.encode(digest, maxBytes);
 		for (String target : targets) {
-			this.channel
-				.write(new DatagramPacket(Unpooled.wrappedBuffer(message), NetAddress.parse(target).socketAddress()));
+			this.channel.write(new DatagramPacket(Unpooled.wrappedBuffer(message), socketAddress(target)));
 		}
 		this.channel.flush();
 		int bytes = targets.size() * (message.length + DATAGRAM_OVERHEAD_BYTES);
@@ -64,6 +71,13 @@
 		return bytes;
 	}
 
+	private InetSocketAddress socketAddress(String target) {
+		if (this.socketAddresses.size() > MAX_SOCKET_ADDRESSES) {
+			this.socketAddresses.clear();
+		}
+		return this.socketAddresses.computeIfAbsent(target, (address) -> NetAddress.parse(address).socketAddress());
+	}
+
 	/**
 	 * Returns the total number of bytes sent, including datagram headers.
 	 * @return the number of bytes
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipSchedulerTests.java
@@ -31,7 +31,9 @@
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.gossip.StoreKnowledge;
 import io.mulberrylift.core.gossip.StoreRevision;
+import io.mulberrylift.core.gossip.StoreRole;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.WorkTable;
@@ -112,7 +114,7 @@
 		Membership membership = new Membership(self.toString(), "zone-0", new SplittableRandom(2));
 		GatewaySettings settings = new GatewaySettings(identity, self, self, self, self, List.of(), RATE, 1000);
 		GossipScheduler rounds = new GossipScheduler(settings, gateway, membership, this::record,
-				() -> new StoreRevision(0, 1));
+				() -> new StoreRevision(0, 1), (now) -> new StoreKnowledge(StoreRole.READING, 1000));
 		Deque<Placed> open = new ArrayDeque<>();
 		long request = 0;
 		for (long now = 0; now < SECONDS * 1000; now += 20) {
@@ -144,8 +146,8 @@
 
 	private static void receiveFromPeers(Membership membership, int instances, int zones, long now) {
 		for (int index = 1; index < instances; index++) {
-			FullState state = new FullState("zone-" + index % zones, 1, new StoreRevision(0, 1), true, List.of(),
-					List.of(), List.of());
+			FullState state = new FullState("zone-" + index % zones, 1, new StoreRevision(0, 1), Optional.empty(), true,
+					List.of(), List.of(), List.of());
 			membership.receive(new InstanceDigest("10.1." + index / 200 + "." + index % 200 + ":7340", 1, now + 1,
 					Map.of(), List.of(), List.of(), List.of(), Optional.of(state)), now);
 		}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -36,7 +36,9 @@
 import io.mulberrylift.core.forwarding.WeightedService;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
+import io.mulberrylift.core.gossip.StoreKnowledge;
 import io.mulberrylift.core.gossip.StoreRevision;
+import io.mulberrylift.core.gossip.StoreRole;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.limit.RequestLimitReport;
 import io.mulberrylift.core.model.EndpointId;
@@ -415,7 +417,8 @@
 			this.membership.setSeeds(seeds);
 			this.gossip = new GossipScheduler(
 					new GatewaySettings(identity, self, self, self, self, seeds, MAX_PEER_BYTES_PER_SECOND, 1000),
-					this.gateway, this.membership, this::send, () -> new StoreRevision(0, 1));
+					this.gateway, this.membership, this::send, () -> new StoreRevision(0, 1),
+					(now) -> new StoreKnowledge(StoreRole.READING, 1000));
 			Route route = new Route("r", "h", "/", List.of(new WeightedService("s", 1)), RequestKind.IDEMPOTENT, 60_000,
 					300, 0, 2, 1, true);
 			reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(1, new RouteTable(List.of(route)),
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -16,7 +16,9 @@
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
 import io.mulberrylift.core.gossip.RequestAttribute;
+import io.mulberrylift.core.gossip.StoreKnowledge;
 import io.mulberrylift.core.gossip.StoreRevision;
+import io.mulberrylift.core.gossip.StoreRole;
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import org.junit.jupiter.api.Test;
@@ -44,8 +46,8 @@
 
 	@Test
 	void fullStateSurvivesRoundTrip() throws IOException {
-		FullState state = new FullState("zone-a", 17, new StoreRevision(3, 4711), false,
-				List.of(new AvoidedEndpoint(5, 400)),
+		FullState state = new FullState("zone-a", 17, new StoreRevision(3, 4711),
+				Optional.of(new StoreKnowledge(StoreRole.READING, 1200)), false, List.of(new AvoidedEndpoint(5, 400)),
 				List.of(new EndpointLimit(6, Optional.of(1.25), 840), new EndpointLimit(-7, Optional.empty(), 4)),
 				List.of(new KnownMember("10.0.0.2:7340", "zone-b", 30)));
 		InstanceDigest digest = new InstanceDigest(SENDER, 5, 6, Map.of(3L, prefillWork()), List.of(4L), List.of(),
@@ -79,7 +81,7 @@
 		InstanceDigest digest = DigestCodec.decode(SENDER, recorded);
 		FullState state = digest.fullState().orElseThrow();
 		FullState later = new FullState(state.zone(), state.configurationVersion(), new StoreRevision(2, 4711),
-				state.endpointsReachable(), state.avoided(), state.limits(), state.members());
+				state.storeKnowledge(), state.endpointsReachable(), state.avoided(), state.limits(), state.members());
 		byte[] message = DigestCodec.encode(new InstanceDigest(SENDER, digest.incarnation(), digest.sequence(),
 				digest.work(), digest.ended(), digest.summaries(), digest.crashes(), Optional.of(later)),
 				DigestCodec.MAX_BYTES);
