Close the connections of callers before a stopping process ends

Cause: a stop ended the process as soon as nothing was in progress after the grace; nothing closed the listening socket or open connections, and the process went on accepting requests for some 35 ms until it halted, which reset them (214 of 216 callers on real processes, nine instances stopped in turn). Answers that close a connection close its sending side first, so that unread bytes do not reset it. Ruled out: the page server, which answers each request as soon as it is read.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
@@ -10,9 +10,10 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -55,6 +56,19 @@
 	 */
 	private static final long MAX_BODY_TIMEOUT_MILLIS = 30_000;
 
+	/**
+	 * Time to wait for the caller to close a connection whose sending side was closed.
+	 * Closing it at once would reset it if bytes have not been read, and the caller might
+	 * lose the answer.
+	 */
+	private static final long LINGER_MILLIS = 300;
+
+	/**
+	 * Time to wait for a request on a connection when the instance stops, if there was
+	 * none on it or part of one has been received.
+	 */
+	private static final long LAST_REQUEST_MILLIS = 600;
+
 	private final CallerProtocol protocol;
 
 	private final CallerListener listener;
@@ -83,6 +97,10 @@
 
 	private boolean closed;
 
+	private boolean answered;
+
+	private boolean stopping;
+
 	CallerConnection(CallerProtocol protocol, CallerListener listener, CallerResponseEncoder encoder,
 			LongSupplier ids) {
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
@@ -229,7 +247,51 @@
 		response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-		this.context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+		this.context.writeAndFlush(response).addListener((sent) -> closeOutput());
+	}
+
+	/**
+	 * Closes the sending side, and the connection when the caller has closed it as well
+	 * or after {@value #LINGER_MILLIS} ms.
+	 */
+	private void closeOutput() {
+		Channel channel = this.context.channel();
+		if (channel instanceof SocketChannel socket && channel.isActive()) {
+			channel.config().setAutoRead(true);
+			socket.shutdownOutput();
+			this.context.executor().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		else {
+			channel.close();
+		}
+	}
+
+	/**
+	 * Closes the connection since the instance stops: now if it is idle, otherwise after
+	 * the answer. A request that has begun or that a new connection is for is received
+	 * and answered first.
+	 */
+	void stop() {
+		if (this.stopping || this.closed) {
+			return;
+		}
+		this.stopping = true;
+		boolean idle = this.exchange == null && this.requestHead == null && !this.headStarted
+				&& this.queuedMessages.isEmpty();
+		if (idle && this.answered) {
+			closeIdle();
+		}
+		else {
+			this.context.executor().schedule(this::closeIdle, LAST_REQUEST_MILLIS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private void closeIdle() {
+		if (!this.closed && this.exchange == null) {
+			this.closed = true;
+			cancelTimer();
+			closeOutput();
+		}
 	}
 
 	boolean isWritable() {
@@ -280,10 +342,11 @@
 
 	private void endExchange(boolean close) {
 		this.exchange = null;
+		this.answered = true;
 		if (close) {
 			this.closed = true;
 			cancelTimer();
-			this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((sent) -> closeOutput());
 			return;
 		}
 		startIdleTimer();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
@@ -1,7 +1,10 @@
 package io.mulberrylift.gateway.caller;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 
@@ -36,6 +39,11 @@
 
 	private final LongSupplier exchangeIds;
 
+	/** Open connections; confined to the event loop. */
+	private final Set<CallerConnection> connections = new HashSet<>();
+
+	private Channel listening;
+
 	/**
 	 * Creates a server that does not listen yet.
 	 * @param group the event loop
@@ -67,7 +75,7 @@
 	 * @return the listening channel
 	 */
 	public Channel listen(NetAddress address, Predicate<String> admits) {
-		return new ServerBootstrap().group(this.group)
+		this.listening = new ServerBootstrap().group(this.group)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -79,23 +87,48 @@
 						accepted.close();
 						return;
 					}
-					configurePipeline(accepted.pipeline(), CallerServer.this.protocol, CallerServer.this.listener,
-							CallerServer.this.exchangeIds);
+					CallerConnection connection = configurePipeline(accepted.pipeline(), CallerServer.this.protocol,
+							CallerServer.this.listener, CallerServer.this.exchangeIds);
+					CallerServer.this.connections.add(connection);
+					accepted.closeFuture().addListener((closed) -> CallerServer.this.connections.remove(connection));
 				}
 			})
 			.bind(address.socketAddress())
 			.syncUninterruptibly()
 			.channel();
+		return this.listening;
+	}
+
+	/**
+	 * Stops to accept connections, closes idle ones and lets the others end with their
+	 * answers. To be called on the event loop.
+	 * @throws IllegalStateException if the server does not listen yet
+	 */
+	public void stop() {
+		if (this.listening == null) {
+			throw new IllegalStateException("The server does not listen; call listen first");
+		}
+		this.listening.close();
+		List.copyOf(this.connections).forEach(CallerConnection::stop);
+	}
+
+	/**
+	 * Returns the number of open connections. To be called on the event loop.
+	 * @return the number, including those whose sending side is closed
+	 */
+	public int openConnections() {
+		return this.connections.size();
 	}
 
-	static void configurePipeline(ChannelPipeline pipeline, CallerProtocol protocol, CallerListener listener,
-			LongSupplier ids) {
+	static CallerConnection configurePipeline(ChannelPipeline pipeline, CallerProtocol protocol,
+			CallerListener listener, LongSupplier ids) {
 		CallerResponseEncoder encoder = new CallerResponseEncoder();
 		CallerConnection connection = new CallerConnection(protocol, listener, encoder, ids);
 		pipeline.addLast(new ReadActivityHandler(connection));
 		pipeline.addLast(new StrictRequestDecoder(listener.limits().maxHeaderBytes()));
 		pipeline.addLast(encoder);
 		pipeline.addLast(connection);
+		return connection;
 	}
 
 	private static final class ReadActivityHandler extends ChannelInboundHandlerAdapter {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -74,6 +74,11 @@
 	 */
 	private static final long TICK_MILLIS = 20;
 
+	/**
+	 * Maximum time to close the connections of callers when the process ends.
+	 */
+	private static final long MAX_CLOSING_MILLIS = 1200;
+
 	/** Interval at which the view of the fleet and of the platform is updated. */
 	private static final long VIEW_INTERVAL_MILLIS = 100;
 
@@ -119,6 +124,10 @@
 
 	private PeerLink peerLink;
 
+	private List<CallerServer> callerServers = List.of();
+
+	private long closingMillis = Long.MAX_VALUE;
+
 	private final StoreReaderChoice storeReaderChoice = new StoreReaderChoice();
 
 	private StoreReaders storeReaders = new StoreReaders(false, 0, StoreKnowledge.UNCONFIRMED_MILLIS);
@@ -178,11 +187,13 @@
 		PageServer.listen(this.group, this.settings.readyAddress(), this::page);
 		PageServer.listen(this.group, this.settings.peersAddress(), this::page);
 		PageServer.listen(this.group, this.settings.metricsAddress(), this::page);
-		new CallerServer(this.group, this.callerProtocol, this, this.exchangeIds::incrementAndGet)
-			.listen(this.settings.callersAddress());
-		new CallerServer(this.group, new RelayCallerProtocol(this.callerProtocol), this,
-				this.exchangeIds::incrementAndGet)
-			.listen(this.settings.relayAddress(), this::admitsRelay);
+		CallerServer callers = new CallerServer(this.group, this.callerProtocol, this,
+				this.exchangeIds::incrementAndGet);
+		callers.listen(this.settings.callersAddress());
+		CallerServer relays = new CallerServer(this.group, new RelayCallerProtocol(this.callerProtocol), this,
+				this.exchangeIds::incrementAndGet);
+		relays.listen(this.settings.relayAddress(), this::admitsRelay);
+		this.callerServers = List.of(callers, relays);
 		this.group.execute(() -> this.platform.start(this));
 		this.group.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
 		this.log.write("started", "callers", this.settings.callersAddress(), "peers", this.settings.peersAddress(),
@@ -281,7 +292,7 @@
 			run(new GatewayEvent.Tick());
 			this.gossip.tick(now);
 			if (this.gateway.mayExit(now)) {
-				this.terminated.countDown();
+				closeConnections(now);
 			}
 		}
 		catch (RuntimeException ex) {
@@ -289,6 +300,26 @@
 		}
 	}
 
+	/**
+	 * Ends an orderly shutdown: closes the connections of callers before the process
+	 * ends, so that no request is written to a connection that nobody reads.
+	 * @param now the current time
+	 */
+	private void closeConnections(long now) {
+		if (this.closingMillis == Long.MAX_VALUE) {
+			this.closingMillis = now;
+			this.log.write("closing-connections", "open", openCallerConnections());
+			this.callerServers.forEach(CallerServer::stop);
+		}
+		if (openCallerConnections() == 0 || now - this.closingMillis >= MAX_CLOSING_MILLIS) {
+			this.terminated.countDown();
+		}
+	}
+
+	private int openCallerConnections() {
+		return this.callerServers.stream().mapToInt(CallerServer::openConnections).sum();
+	}
+
 	private void updateViews(long now) {
 		this.gateway.setLiveInstances(this.membership.liveInstances(now));
 		this.gateway.setPartialView(this.membership.isPartial());
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedStoreFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedStoreFleet.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
