--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -400,6 +400,21 @@
 		return new StoreReaders(sharing, ahead, confirmedAgeMillis);
 	}
 
+	/**
+	 * Returns the version of the newest configuration of a live member.
+	 * @param nowMillis the current time
+	 * @return the version, 0 if no member has one
+	 */
+	public long newestConfigurationVersion(long nowMillis) {
+		long newest = 0;
+		for (Member member : this.members.values()) {
+			if (nowMillis - member.lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS) {
+				newest = Math.max(newest, member.configurationVersion());
+			}
+		}
+		return newest;
+	}
+
 	/**
 	 * Returns the live members that have a newer configuration or a newer revision of the
 	 * platform's store: those of the own zone, or others if it has none.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -326,6 +326,7 @@
 		this.gateway.setFleet(this.membership.view(now), now);
 		this.gateway.setRelayPeers(this.membership.relayPeers(now));
 		updateStoreReading(now);
+		this.platform.updateNewestConfiguration(this.membership.newestConfigurationVersion(now));
 		this.platform.updatePeersAhead(this.membership.aheadOf(this.gateway.configurationVersion(),
 				this.platform.revisionReadFromPeers(), now));
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/PlatformView.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/PlatformView.java
@@ -57,6 +57,12 @@
 	 */
 	byte[] snapshot(String query);
 
+	/**
+	 * Updates the version of the newest configuration that a peer has.
+	 * @param version the version, 0 if no peer has one
+	 */
+	void updateNewestConfiguration(long version);
+
 	/**
 	 * Updates the list of peers that have a newer view.
 	 * @param peers their addresses, empty if there are none
