Move streams of silent peers, and streams that stop at a busy endpoint, before their callers leave

Change: a relayed request that may be repeated goes to another peer after three quarters of the time after which callers leave without a chunk; a stream of a busy endpoint is moved after the same time and the longest iteration of its engine, if the new endpoint can be in time. Tests: GatewayRelayTests and GatewayTests, one test each failed before; slow streams and requests that must not run twice are left alone.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -60,6 +60,15 @@
 	/** Maximum age of such a chunk as a share of the stall timeout. */
 	private static final double ACTIVITY_AGE_SHARE = 0.6;
 
+	/** Part of the time after which callers leave that a stalled stream waits. */
+	private static final double STALL_SHARE = 0.45;
+
+	/**
+	 * The same if the endpoint is busy with other requests, or a peer, which moves the
+	 * stream itself unless it is suspended, has the request.
+	 */
+	private static final double LAST_STALL_SHARE = 0.75;
+
 	/**
 	 * Time between two checks of a stalled stream of a busy endpoint, in milliseconds.
 	 */
@@ -253,7 +262,7 @@
 		beginAttempt(state, nowMillis);
 		state.relayPeer = peer;
 		state.triedPeers.add(peer.get());
-		state.stallDeadlineMillis = Long.MAX_VALUE;
+		state.stallDeadlineMillis = nowMillis + lastStallTimeoutMillis(state.route);
 		int attemptsLeft = Math.max(1, state.maxAttempts() - state.sends);
 		log(effects, "relayed", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "attempt", state.attemptId, "peer", peer.get(), "peers-tried",
@@ -392,9 +401,20 @@
 	 * @return the time in milliseconds
 	 */
 	private static long stallTimeoutMillis(Route route) {
-		long callerTimeoutMillis = Math.max(2000,
-				Math.max(4 * route.firstByteTargetMillis(), 8 * route.gapTargetMillis()));
-		return (long) (0.45 * callerTimeoutMillis);
+		return (long) (STALL_SHARE * callerTimeoutMillis(route));
+	}
+
+	private static long lastStallTimeoutMillis(Route route) {
+		return (long) (LAST_STALL_SHARE * callerTimeoutMillis(route));
+	}
+
+	/**
+	 * Returns the time without a chunk after which callers leave.
+	 * @param route the route
+	 * @return the time in milliseconds
+	 */
+	private static long callerTimeoutMillis(Route route) {
+		return Math.max(2000, Math.max(4 * route.firstByteTargetMillis(), 8 * route.gapTargetMillis()));
 	}
 
 	private static long firstChunkTimeoutMillis(ForwardState state, Placement placement) {
@@ -417,6 +437,7 @@
 		}
 		state.lastChunkMillis = nowMillis;
 		if (state.relayPeer.isPresent()) {
+			state.stallDeadlineMillis = nowMillis + lastStallTimeoutMillis(state.route);
 			return;
 		}
 		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
@@ -619,21 +640,32 @@
 	 * @param effects receives the effects
 	 */
 	private void handleStall(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		if (state.relayPeer.isPresent()) {
+			handleRelayStall(state, nowMillis, effects);
+			return;
+		}
 		EndpointHealth health = this.work.health(state.placement.endpoint().id());
 		long maxActivityAgeMillis = Math.min(MAX_ACTIVITY_AGE_MILLIS,
 				(long) (ACTIVITY_AGE_SHARE * stallTimeoutMillis(state.route)));
-		if (health.isActive(nowMillis, maxActivityAgeMillis + maxIterationMillis(state))) {
+		long maxIterationMillis = maxIterationMillis(state);
+		boolean active = health.isActive(nowMillis, maxActivityAgeMillis + maxIterationMillis);
+		if (active && !isLastStall(state, maxIterationMillis, nowMillis)) {
 			// The engine is busy with other requests, and another engine would have to
 			// prefill the prompt again.
 			state.stallDeadlineMillis = nowMillis + RECHECK_MILLIS;
 			return;
 		}
 		state.stallDeadlineMillis = Long.MAX_VALUE;
-		this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
+		if (!active) {
+			this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
+		}
 		boolean movable = state.route.kind() == RequestKind.RESUMABLE_STREAM && state.reservations.isEmpty()
 				&& state.sends < state.maxAttempts();
 		Optional<Placement> placement = (movable) ? placement(state, nowMillis) : Optional.empty();
 		boolean aroundCut = movable && this.links.isCut(state.service) && this.relays.choose(state).isPresent();
+		if (active && placement.isPresent() && isTooLate(state, placement.get(), nowMillis)) {
+			return;
+		}
 		if ((placement.isEmpty() && !aroundCut) || !mayRetry(state, AttemptOutcome.SILENT, nowMillis)) {
 			health.recordFailure();
 			return;
@@ -642,7 +674,12 @@
 				state.placement.endpoint().id(), "idle-millis", nowMillis - state.lastChunkMillis);
 		effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
 		this.byAttemptId.remove(state.attemptId);
-		health.recordFault(nowMillis);
+		if (active) {
+			health.recordFailure();
+		}
+		else {
+			health.recordFault(nowMillis);
+		}
 		state.mayHaveRun = true;
 		this.work.remove(state.requestId);
 		if (!aroundCut || !relay(state, nowMillis, effects)) {
@@ -650,6 +687,42 @@
 		}
 	}
 
+	/**
+	 * Returns whether a stream of a busy endpoint has been idle for so long that it is to
+	 * be moved before its caller leaves.
+	 * @param state the request
+	 * @param maxIterationMillis time for which its engine may send nothing
+	 * @param nowMillis the current time
+	 * @return true if it has begun and no iteration of its engine explains the stall
+	 */
+	private static boolean isLastStall(ForwardState state, long maxIterationMillis, long nowMillis) {
+		return state.attemptStarted
+				&& nowMillis - state.lastChunkMillis >= lastStallTimeoutMillis(state.route) + maxIterationMillis;
+	}
+
+	private static boolean isTooLate(ForwardState state, Placement placement, long nowMillis) {
+		double idleMillis = nowMillis - state.lastChunkMillis + placement.expectedFirstTokenMillis();
+		return idleMillis > callerTimeoutMillis(state.route);
+	}
+
+	/**
+	 * Hands a request whose peer does not answer to another peer. One that must not be
+	 * repeated continues to wait.
+	 * @param state the request
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 */
+	private void handleRelayStall(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		state.stallDeadlineMillis = Long.MAX_VALUE;
+		if (!state.route.kind().isRepeatable() || this.relays.choose(state).isEmpty()) {
+			return;
+		}
+		long attempt = state.attemptId;
+		effects.add(new GatewayEffect.CancelAttempt(attempt));
+		this.byAttemptId.remove(attempt);
+		relayEnded(state, new GatewayEvent.AttemptEnded(attempt, AttemptOutcome.SILENT, 0), nowMillis, effects);
+	}
+
 	private long maxIterationMillis(ForwardState state) {
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		EndpointWork endpoint = this.work.view(List.of(state.placement.endpoint())).get(0);
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRelayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayRelayTests.java
@@ -146,4 +146,52 @@
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(1);
 	}
 
+	private void relayStream() {
+		this.fixture.arrive("/stream/x", 5000);
+		end(AttemptOutcome.NOT_CONNECTED);
+		end(AttemptOutcome.NOT_CONNECTED);
+	}
+
+	/**
+	 * Failure: a stream that a peer had was lost at its deadline, since the peer was
+	 * suspended for 4.4 s (soak, seed 11).
+	 */
+	@Test
+	void streamOfASilentPeerIsHandedToAnotherPeerBeforeItsCallerDisconnects() {
+		relayStream();
+		GatewayEffect.Relay first = this.fixture.last(GatewayEffect.Relay.class);
+		this.fixture.reduce(new GatewayEvent.AnswerChunk(first.attemptId()));
+		this.fixture.advance(1400);
+		assertThat(this.fixture.all(GatewayEffect.Relay.class)).hasSize(1);
+		this.fixture.advance(200);
+		assertThat(this.fixture.last(GatewayEffect.CancelAttempt.class).attemptId()).isEqualTo(first.attemptId());
+		assertThat(this.fixture.last(GatewayEffect.Relay.class).peer()).isEqualTo(FAR.address());
+		this.fixture.end(first.attemptId(), AttemptOutcome.COMPLETED);
+		assertThat(this.fixture.all(GatewayEffect.Deliver.class)).isEmpty();
+		endRelay(AttemptOutcome.COMPLETED);
+		assertThat(this.fixture.all(GatewayEffect.Deliver.class)).hasSize(1);
+	}
+
+	@Test
+	void slowStreamOfAPeerIsNotCut() {
+		relayStream();
+		GatewayEffect.Relay first = this.fixture.last(GatewayEffect.Relay.class);
+		for (int chunk = 0; chunk < 5; chunk++) {
+			this.fixture.advance(1400);
+			this.fixture.reduce(new GatewayEvent.AnswerChunk(first.attemptId()));
+		}
+		assertThat(this.fixture.all(GatewayEffect.Relay.class)).hasSize(1);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+	}
+
+	@Test
+	void requestThatMustNotRunTwiceWaitsForItsSilentPeer() {
+		this.fixture.arrive("/once-stream/x", 5000);
+		end(AttemptOutcome.NOT_CONNECTED);
+		end(AttemptOutcome.NOT_CONNECTED);
+		this.fixture.advance(3000);
+		assertThat(this.fixture.all(GatewayEffect.Relay.class)).hasSize(1);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+	}
+
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -251,6 +251,34 @@
 		assertThat(waiting).isNotEqualTo(decoding);
 	}
 
+	/**
+	 * Failure: no more of a stream came from an engine that went on with other requests,
+	 * and it expired at its deadline (soak, seed 12).
+	 */
+	@Test
+	void streamThatStopsAtABusyEngineIsMovedBeforeItsCallerDisconnects() {
+		this.fixture.started();
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(List.of(GatewayFixture.endpoint("e1", "engines", false))));
+		this.fixture.arrive("/stream/x", 3000);
+		long stopped = this.fixture.last(GatewayEffect.Send.class).attemptId();
+		this.fixture.arrive("/stream/x", 3000);
+		long decoding = this.fixture.last(GatewayEffect.Send.class).attemptId();
+		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
+		this.fixture.reduce(new GatewayEvent.AnswerChunk(stopped));
+		for (int count = 0; count < 70; count++) {
+			this.fixture.reduce(new GatewayEvent.AnswerChunk(decoding));
+			this.fixture.advance(20);
+		}
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+		for (int count = 0; count < 25; count++) {
+			this.fixture.reduce(new GatewayEvent.AnswerChunk(decoding));
+			this.fixture.advance(20);
+		}
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class))
+			.containsExactly(new GatewayEffect.CancelAttempt(stopped));
+		assertThat(this.fixture.last(GatewayEffect.Send.class).endpoint().id().value()).isNotEqualTo("e1");
+	}
+
 	/**
 	 * Load: an engine prefills a prompt of 600,000 tokens while it also decodes. An
 	 * iteration takes seconds, during which the engine sends nothing although it is
