--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
@@ -29,7 +29,8 @@
  * <p>
  * Not thread-safe; confined to the event loop. Each call ends within its timeout and
  * reports exactly one result. A failed call closes the connection, so that a late answer
- * is not taken for the answer to a later call.
+ * is not taken for the answer to a later call, and so do bytes received while no call is
+ * in progress.
  * </p>
  */
 public final class SequentialHttpClient {
@@ -134,15 +135,20 @@
 	}
 
 	private void complete(CallResult result) {
+		Consumer<CallResult> done = takeCallback();
+		if (done != null) {
+			done.accept(result);
+		}
+	}
+
+	private Consumer<CallResult> takeCallback() {
 		Consumer<CallResult> done = this.pendingCallback;
 		this.pendingCallback = null;
 		if (this.timeout != null) {
 			this.timeout.cancel(false);
 			this.timeout = null;
 		}
-		if (done != null) {
-			done.accept(result);
-		}
+		return done;
 	}
 
 	private final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -151,7 +157,7 @@
 		protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
 			if (context.channel() != SequentialHttpClient.this.channel
 					|| SequentialHttpClient.this.pendingCallback == null) {
-				context.close();
+				forget(context.channel());
 				return;
 			}
 			if (response.decoderResult().isFailure()) {
@@ -163,7 +169,18 @@
 				SequentialHttpClient.this.channel = null;
 				context.close();
 			}
-			complete(new CallResult(response.status().code(), response.headers(), body, ""));
+			CallResult result = new CallResult(response.status().code(), response.headers(), body, "");
+			Consumer<CallResult> done = takeCallback();
+			// The next call must not take a second copy of this answer in the same read
+			// for its own.
+			context.executor().execute(() -> done.accept(result));
+		}
+
+		private void forget(Channel closing) {
+			if (closing == SequentialHttpClient.this.channel) {
+				SequentialHttpClient.this.channel = null;
+			}
+			closing.close();
 		}
 
 		@Override
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -295,11 +295,17 @@
 				closeConnections(now);
 			}
 		}
-		catch (RuntimeException ex) {
-			this.log.write("tick-failed", "problem", String.valueOf(ex));
+		catch (RuntimeException | Error ex) {
+			// The executor would not run the task again.
+			unexpected("tick-failed", "", ex);
 		}
 	}
 
+	private void unexpected(String event, String subject, Throwable problem) {
+		this.metrics.count("unexpected_errors");
+		this.log.write(event, "subject", subject, "problem", String.valueOf(problem));
+	}
+
 	/**
 	 * Ends an orderly shutdown: closes the connections of callers before the process
 	 * ends, so that no request is written to a connection that nobody reads.
@@ -352,7 +358,13 @@
 
 	private void run(GatewayEvent event) {
 		for (GatewayEffect effect : this.gateway.reduce(event, nowMillis())) {
-			execute(effect);
+			try {
+				execute(effect);
+			}
+			catch (RuntimeException | Error ex) {
+				// The other effects concern other requests.
+				unexpected("effect-failed", effect.getClass().getSimpleName(), ex);
+			}
 		}
 	}
 
--- /dev/null
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
@@ -0,0 +1,142 @@
+package io.mulberrylift.gateway.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests for {@link SequentialHttpClient} on real sockets.
+ */
+@Timeout(60)
+class SequentialHttpClientTests {
+
+	private static final long TIMEOUT_MILLIS = 20_000;
+
+	private final EventLoopGroup group = new NioEventLoopGroup(1);
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private ServerSocket server;
+
+	/** Copies of the answer to each request that are written at once. */
+	private volatile int copies = 1;
+
+	private SequentialHttpClient client;
+
+	@BeforeEach
+	void start() throws IOException {
+		this.server = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
+		Thread acceptor = new Thread(this::accept);
+		acceptor.setDaemon(true);
+		acceptor.start();
+		this.client = new SequentialHttpClient(this.group, new NetAddress("127.0.0.1", this.server.getLocalPort()),
+				65536);
+	}
+
+	@AfterEach
+	void stop() throws IOException {
+		this.server.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private void accept() {
+		try {
+			while (true) {
+				Socket socket = this.server.accept();
+				this.connections.incrementAndGet();
+				Thread handler = new Thread(() -> serve(socket));
+				handler.setDaemon(true);
+				handler.start();
+			}
+		}
+		catch (IOException ex) {
+			// The test has ended.
+		}
+	}
+
+	private void serve(Socket socket) {
+		try (socket) {
+			InputStream input = socket.getInputStream();
+			StringBuilder head = new StringBuilder();
+			int read = input.read();
+			while (read >= 0) {
+				head.append((char) read);
+				if (head.toString().endsWith("\r\n\r\n")) {
+					head.setLength(0);
+					String body = "answer " + this.requests.incrementAndGet();
+					String answer = "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
+					socket.getOutputStream().write(answer.repeat(this.copies).getBytes(StandardCharsets.US_ASCII));
+				}
+				read = input.read();
+			}
+		}
+		catch (IOException ex) {
+			// The client has closed the connection.
+		}
+	}
+
+	/** Makes each call in the result of the one before. */
+	private List<String> call(int count) throws Exception {
+		CompletableFuture<List<String>> bodies = new CompletableFuture<>();
+		this.group.execute(() -> callNext(count, List.of(), bodies));
+		return bodies.get(30, TimeUnit.SECONDS);
+	}
+
+	private void callNext(int count, List<String> before, CompletableFuture<List<String>> bodies) {
+		if (before.size() == count) {
+			bodies.complete(before);
+			return;
+		}
+		this.client.call(HttpMethod.GET, "/", new byte[0], TIMEOUT_MILLIS, (result) -> {
+			List<String> after = new ArrayList<>(before);
+			after.add(new String(result.body(), StandardCharsets.US_ASCII));
+			callNext(count, after, bodies);
+		});
+	}
+
+	@Test
+	void callsUseOneConnection() throws Exception {
+		assertThat(call(3)).containsExactly("answer 1", "answer 2", "answer 3");
+		assertThat(this.connections).hasValue(1);
+	}
+
+	/**
+	 * Failure: the second copy of an answer, in one read with the first one, was taken
+	 * for the answer to the next call, and each later call got the answer to the one
+	 * before.
+	 */
+	@Test
+	void secondCopyOfAnAnswerIsNotTheAnswerToTheNextCall() throws Exception {
+		this.copies = 2;
+		assertThat(call(3)).containsExactly("answer 1", "answer 2", "answer 3");
+	}
+
+	@Test
+	void callToAClosedPortFails() throws Exception {
+		this.server.close();
+		CompletableFuture<CallResult> result = new CompletableFuture<>();
+		this.group.execute(() -> this.client.call(HttpMethod.GET, "/", new byte[0], TIMEOUT_MILLIS, result::complete));
+		assertThat(result.get(30, TimeUnit.SECONDS).isAnswered()).isFalse();
+	}
+
+}
