Tick five times less often while no request is in progress

Change: the timer fires each 100 ms while nothing is in progress and the process does not stop; the first request brings it back to 20 ms.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -54,6 +54,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.Future;
 
 /**
  * Owns the event loop and the reducer: reports I/O to the reducer as events and executes
@@ -74,6 +75,9 @@
 	 */
 	private static final long TICK_MILLIS = 20;
 
+	/** The same while no request is in progress and the process does not stop. */
+	private static final long IDLE_TICK_MILLIS = 100;
+
 	/**
 	 * Maximum time to close the connections of callers when the process ends.
 	 */
@@ -126,6 +130,10 @@
 
 	private List<CallerServer> callerServers = List.of();
 
+	private Future<?> nextTick;
+
+	private boolean idleTick;
+
 	private long closingMillis = Long.MAX_VALUE;
 
 	private final StoreReaderChoice storeReaderChoice = new StoreReaderChoice();
@@ -195,7 +203,7 @@
 		relays.listen(this.settings.relayAddress(), this::admitsRelay);
 		this.callerServers = List.of(callers, relays);
 		this.group.execute(() -> this.platform.start(this));
-		this.group.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		this.group.execute(this::scheduleTick);
 		this.log.write("started", "callers", this.settings.callersAddress(), "peers", this.settings.peersAddress(),
 				"zone", this.settings.identity().zone());
 	}
@@ -215,6 +223,7 @@
 	public void shutDown() {
 		this.group.execute(() -> {
 			run(new GatewayEvent.ShutdownRequested());
+			endIdleness();
 			this.group.schedule(this.terminated::countDown, this.settings.shutdownTimeoutMillis(),
 					TimeUnit.MILLISECONDS);
 		});
@@ -282,6 +291,20 @@
 		run(new GatewayEvent.ReservationAnswered(requestId, endpoint, granted));
 	}
 
+	private void scheduleTick() {
+		boolean idle = this.gateway.inProgress() == 0 && !this.gateway.isShuttingDown();
+		this.idleTick = idle;
+		this.nextTick = this.group.schedule(this::tick, (idle) ? IDLE_TICK_MILLIS : TICK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/** Makes the next tick come as soon as for requests in progress. */
+	private void endIdleness() {
+		if (this.idleTick) {
+			this.nextTick.cancel(false);
+			scheduleTick();
+		}
+	}
+
 	private void tick() {
 		try {
 			long now = nowMillis();
@@ -296,9 +319,12 @@
 			}
 		}
 		catch (RuntimeException | Error ex) {
-			// The executor would not run the task again.
+			// An error must not end the timer.
 			unexpected("tick-failed", "", ex);
 		}
+		finally {
+			scheduleTick();
+		}
 	}
 
 	private void unexpected(String event, String subject, Throwable problem) {
@@ -491,6 +517,7 @@
 				new ForwardRequest(head.attemptId(), head.host(), head.path(), head.apiKey(), head.deadlineMillis(),
 						head.promptTokens(), head.maxOutputTokens(), Fingerprint.of(request, workspace),
 						head.promptParts().stream().map(Fingerprint::ofPromptPart).toList(), head.relayTerms())));
+		endIdleness();
 	}
 
 	@Override
