--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/logging/DirectLogProvider.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/logging/DirectLogProvider.java
@@ -22,6 +22,8 @@
 	/** System property that names the provider of SLF4J. */
 	public static final String PROPERTY = "slf4j.provider";
 
+	private static final String VERBOSITY_PROPERTY = "slf4j.internal.verbosity";
+
 	private static final String SLF4J_API_VERSION = "2.0.99";
 
 	private final LoggerContext context = new LoggerContext();
@@ -36,6 +38,8 @@
 	public static void select() {
 		if (System.getProperty(PROPERTY) == null) {
 			System.setProperty(PROPERTY, DirectLogProvider.class.getName());
+			// Otherwise SLF4J writes a line about the property.
+			System.setProperty(VERBOSITY_PROPERTY, "WARN");
 		}
 	}
 
