--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -60,15 +60,6 @@
 	/** Maximum age of such a chunk as a share of the stall timeout. */
 	private static final double ACTIVITY_AGE_SHARE = 0.6;
 
-	/** Part of the time after which callers leave that a stalled stream waits. */
-	private static final double STALL_SHARE = 0.45;
-
-	/**
-	 * The same if the endpoint is busy with other requests, or a peer, which moves the
-	 * stream itself unless it is suspended, has the request.
-	 */
-	private static final double LAST_STALL_SHARE = 0.75;
-
 	/**
 	 * Time between two checks of a stalled stream of a busy endpoint, in milliseconds.
 	 */
@@ -262,7 +253,7 @@
 		beginAttempt(state, nowMillis);
 		state.relayPeer = peer;
 		state.triedPeers.add(peer.get());
-		state.stallDeadlineMillis = nowMillis + lastStallTimeoutMillis(state.route);
+		state.stallDeadlineMillis = nowMillis + StallTimeouts.lastMillis(state.route);
 		int attemptsLeft = Math.max(1, state.maxAttempts() - state.sends);
 		log(effects, "relayed", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "attempt", state.attemptId, "peer", peer.get(), "peers-tried",
@@ -394,31 +385,8 @@
 		return SendRank.of(state.route.firstByteTargetMillis()).value();
 	}
 
-	/**
-	 * Returns the time without a chunk after which another endpoint is tried. It is well
-	 * below the time after which callers disconnect.
-	 * @param route the route
-	 * @return the time in milliseconds
-	 */
-	private static long stallTimeoutMillis(Route route) {
-		return (long) (STALL_SHARE * callerTimeoutMillis(route));
-	}
-
-	private static long lastStallTimeoutMillis(Route route) {
-		return (long) (LAST_STALL_SHARE * callerTimeoutMillis(route));
-	}
-
-	/**
-	 * Returns the time without a chunk after which callers leave.
-	 * @param route the route
-	 * @return the time in milliseconds
-	 */
-	private static long callerTimeoutMillis(Route route) {
-		return Math.max(2000, Math.max(4 * route.firstByteTargetMillis(), 8 * route.gapTargetMillis()));
-	}
-
 	private static long firstChunkTimeoutMillis(ForwardState state, Placement placement) {
-		return Math.max(stallTimeoutMillis(state.route), (long) (1.5 * placement.expectedFirstTokenMillis()) + 500);
+		return Math.max(StallTimeouts.millis(state.route), (long) (1.5 * placement.expectedFirstTokenMillis()) + 500);
 	}
 
 	void chunkReceived(long attemptId, long nowMillis, List<GatewayEffect> effects) {
@@ -437,12 +405,12 @@
 		}
 		state.lastChunkMillis = nowMillis;
 		if (state.relayPeer.isPresent()) {
-			state.stallDeadlineMillis = nowMillis + lastStallTimeoutMillis(state.route);
+			state.stallDeadlineMillis = nowMillis + StallTimeouts.lastMillis(state.route);
 			return;
 		}
 		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
 		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
-		state.stallDeadlineMillis = nowMillis + stallTimeoutMillis(state.route);
+		state.stallDeadlineMillis = nowMillis + StallTimeouts.millis(state.route);
 	}
 
 	void attemptEnded(GatewayEvent.AttemptEnded event, long nowMillis, List<GatewayEffect> effects) {
@@ -646,7 +614,7 @@
 		}
 		EndpointHealth health = this.work.health(state.placement.endpoint().id());
 		long maxActivityAgeMillis = Math.min(MAX_ACTIVITY_AGE_MILLIS,
-				(long) (ACTIVITY_AGE_SHARE * stallTimeoutMillis(state.route)));
+				(long) (ACTIVITY_AGE_SHARE * StallTimeouts.millis(state.route)));
 		long maxIterationMillis = maxIterationMillis(state);
 		boolean active = health.isActive(nowMillis, maxActivityAgeMillis + maxIterationMillis);
 		if (active && !isLastStall(state, maxIterationMillis, nowMillis)) {
@@ -697,12 +665,12 @@
 	 */
 	private static boolean isLastStall(ForwardState state, long maxIterationMillis, long nowMillis) {
 		return state.attemptStarted
-				&& nowMillis - state.lastChunkMillis >= lastStallTimeoutMillis(state.route) + maxIterationMillis;
+				&& nowMillis - state.lastChunkMillis >= StallTimeouts.lastMillis(state.route) + maxIterationMillis;
 	}
 
 	private static boolean isTooLate(ForwardState state, Placement placement, long nowMillis) {
 		double idleMillis = nowMillis - state.lastChunkMillis + placement.expectedFirstTokenMillis();
-		return idleMillis > callerTimeoutMillis(state.route);
+		return idleMillis > StallTimeouts.callerMillis(state.route);
 	}
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -23,11 +23,6 @@
 import io.mulberrylift.core.forwarding.GatewayIdentity;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
-import io.mulberrylift.core.gossip.StoreKnowledge;
-import io.mulberrylift.core.gossip.StoreReaderChoice;
-import io.mulberrylift.core.gossip.StoreReaders;
-import io.mulberrylift.core.gossip.StoreReading;
-import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.ObservedLoad;
@@ -136,11 +131,7 @@
 
 	private long closingMillis = Long.MAX_VALUE;
 
-	private final StoreReaderChoice storeReaderChoice = new StoreReaderChoice();
-
-	private StoreReaders storeReaders = new StoreReaders(false, 0, StoreKnowledge.UNCONFIRMED_MILLIS);
-
-	private StoreReading storeReading = StoreReading.PRIMARY;
+	private final StoreReadingUpdater storeReading;
 
 	private long viewUpdateMillis = Long.MIN_VALUE / 2;
 
@@ -164,6 +155,7 @@
 		this.membership = new Membership(settings.peersAddress().toString(), settings.identity().zone(),
 				random.split());
 		this.membership.setSeeds(settings.seedAddresses());
+		this.storeReading = new StoreReadingUpdater(this.membership, platform, log);
 		this.endpointPool = new EndpointPool(this.group, endpointProtocol, this, GatewayLoop::nowMillis,
 				settings.peersAddress().ephemeralSocketAddress());
 		this.memoryReservationClient = new MemoryReservationClient(this.group, endpointProtocol, log, this);
@@ -191,7 +183,7 @@
 	public void start() {
 		this.peerLink = new PeerLink(this.group, this.settings.peersAddress(), this::digestReceived, this.log);
 		this.gossip = new GossipScheduler(this.settings, this.gateway, this.membership, this.peerLink,
-				this.platform::revision, this::storeKnowledge);
+				this.platform::revision, this.storeReading::knowledge);
 		PageServer.listen(this.group, this.settings.readyAddress(), this::page);
 		PageServer.listen(this.group, this.settings.peersAddress(), this::page);
 		PageServer.listen(this.group, this.settings.metricsAddress(), this::page);
@@ -357,31 +349,14 @@
 		this.gateway.setPartialView(this.membership.isPartial());
 		this.gateway.setFleet(this.membership.view(now), now);
 		this.gateway.setRelayPeers(this.membership.relayPeers(now));
-		updateStoreReading(now);
+		if (this.storeReading.update(this.gateway.configurationVersion(), now)) {
+			this.gossip.requestFullState();
+		}
 		this.platform.updateNewestConfiguration(this.membership.newestConfigurationVersion(now));
 		this.platform.updatePeersAhead(this.membership.aheadOf(this.gateway.configurationVersion(),
 				this.platform.revisionReadFromPeers(), now));
 	}
 
-	private void updateStoreReading(long now) {
-		this.storeReaders = this.membership.storeReaders(this.gateway.configurationVersion(), this.platform.revision(),
-				now);
-		StoreReading next = this.storeReaderChoice.update(this.storeReaders,
-				!this.platform.revision().equals(StoreRevision.NONE), now);
-		if (next != this.storeReading) {
-			this.log.write("store-reading", "before", this.storeReading, "outcome", next, "readers-ahead",
-					this.storeReaders.instancesAhead(), "confirmed-age-millis", this.storeReaders.confirmedAgeMillis(),
-					"sharing", this.storeReaders.sharing(), "revision", this.platform.revision());
-			this.storeReading = next;
-			this.platform.setReading(next);
-			this.gossip.requestFullState();
-		}
-	}
-
-	private StoreKnowledge storeKnowledge(long now) {
-		return this.platform.knowledge(now).confirmedBy(this.storeReaders.confirmedAgeMillis());
-	}
-
 	private void run(GatewayEvent event) {
 		for (GatewayEffect effect : this.gateway.reduce(event, nowMillis())) {
 			try {
