Compute the work of endpoints once for each placement and without a look-up for each peer

Change: one table for a placement, summaries added by peer, loops instead of streams. The choices are the same.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -205,7 +205,8 @@
 			return;
 		}
 		PromptDemand demand = demand(state, nowMillis);
-		Optional<Placement> placement = placement(state, nowMillis);
+		Optional<Placement> placement = this.promptPlacement.place(demand, available, model.get(), this.identity.zone(),
+				nowMillis);
 		if (placement.isPresent()) {
 			admitUnlessTooCostly(state, demand, placement.get(), nowMillis, effects);
 			return;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointWork.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointWork.java
@@ -32,7 +32,11 @@
 	 * @return the number of items that are not helper prefills
 	 */
 	public int slotsInUse() {
-		return (int) this.items.stream().filter((item) -> item.phase() != WorkPhase.HELPER_PREFILL).count();
+		int count = 0;
+		for (WorkItem item : this.items) {
+			count += (item.phase() != WorkPhase.HELPER_PREFILL) ? 1 : 0;
+		}
+		return count;
 	}
 
 	/**
@@ -48,7 +52,11 @@
 	 * @return the number of items in the decode phase
 	 */
 	public int decodingRequests() {
-		return (int) this.items.stream().filter((item) -> item.phase() == WorkPhase.DECODE).count();
+		int count = 0;
+		for (WorkItem item : this.items) {
+			count += (item.phase() == WorkPhase.DECODE) ? 1 : 0;
+		}
+		return count;
 	}
 
 	/**
@@ -56,7 +64,11 @@
 	 * @return the sum in tokens
 	 */
 	public long memoryTokens() {
-		return this.items.stream().mapToLong(WorkItem::memoryTokens).sum();
+		long tokens = 0;
+		for (WorkItem item : this.items) {
+			tokens += item.memoryTokens();
+		}
+		return tokens;
 	}
 
 	/**
@@ -65,7 +77,11 @@
 	 * @return the time in milliseconds
 	 */
 	public double prefillBacklogMillis(long nowMillis) {
-		return this.items.stream().mapToDouble((item) -> item.remainingPrefillMillis(nowMillis)).sum();
+		double millis = 0;
+		for (WorkItem item : this.items) {
+			millis += item.remainingPrefillMillis(nowMillis);
+		}
+		return millis;
 	}
 
 	/**
@@ -75,12 +91,16 @@
 	 * @return the time in milliseconds
 	 */
 	public double iterationPrefillMillis(EngineCostModel model, long nowMillis) {
-		double longest = this.items.stream()
-			.filter((item) -> item.remainingPrefillMillis(nowMillis) > 0)
-			.mapToDouble((item) -> model.iterationPrefillMillis(item.totalPrefillMillis()))
-			.max()
-			.orElse(0);
-		return Math.min(longest, prefillBacklogMillis(nowMillis));
+		double longest = 0;
+		double backlogMillis = 0;
+		for (WorkItem item : this.items) {
+			double remainingMillis = item.remainingPrefillMillis(nowMillis);
+			backlogMillis += remainingMillis;
+			if (remainingMillis > 0) {
+				longest = Math.max(longest, model.iterationPrefillMillis(item.totalPrefillMillis()));
+			}
+		}
+		return Math.min(longest, backlogMillis);
 	}
 
 	/**
@@ -91,11 +111,11 @@
 	 * @return the time in milliseconds
 	 */
 	public double maxIterationMillis(EngineCostModel model) {
-		double prefill = this.items.stream()
-			.mapToDouble(
-					(item) -> Math.min(item.prefillMillis(), model.iterationPrefillMillis(item.totalPrefillMillis())))
-			.max()
-			.orElse(0);
+		double prefill = 0;
+		for (WorkItem item : this.items) {
+			prefill = Math.max(prefill,
+					Math.min(item.prefillMillis(), model.iterationPrefillMillis(item.totalPrefillMillis())));
+		}
 		return iterationDecodeMillis(model, 0) + prefill;
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
@@ -247,15 +247,18 @@
 		if (this.peerSummaries.isEmpty()) {
 			return;
 		}
-		byEndpoint.forEach((hash, items) -> {
-			int key = EndpointSummary.key(hash);
-			for (Map<Integer, ReceivedSummary> summaries : this.peerSummaries.values()) {
-				ReceivedSummary received = summaries.get(key);
-				if (received != null) {
-					items.addAll(received.summary().items(hash, received.receivedMillis()));
+		Map<Integer, List<Integer>> hashesByKey = new HashMap<>();
+		byEndpoint.keySet()
+			.forEach((hash) -> hashesByKey.computeIfAbsent(EndpointSummary.key(hash), (key) -> new ArrayList<>(1))
+				.add(hash));
+		// Peers have work at few of the endpoints of a large fleet.
+		for (Map<Integer, ReceivedSummary> summaries : this.peerSummaries.values()) {
+			summaries.forEach((key, received) -> {
+				for (int hash : hashesByKey.getOrDefault(key, List.of())) {
+					byEndpoint.get(hash).addAll(received.summary().items(hash, received.receivedMillis()));
 				}
-			}
-		});
+			});
+		}
 	}
 
 	private record ReceivedSummary(EndpointSummary summary, long receivedMillis) {
