Close listening sockets a tick before idle connections of a stopping process

Cause: the operating system closes a listening socket only when the event loop selects next; a caller whose idle connection was closed in the same step could connect once more and was reset. Change: connections are closed from the next tick on, also those accepted in the last moment.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
@@ -100,15 +100,22 @@
 	}
 
 	/**
-	 * Stops to accept connections, closes idle ones and lets the others end with their
-	 * answers. To be called on the event loop.
+	 * Stops to accept connections. To be called on the event loop; the operating system
+	 * closes the listening socket when the loop selects next.
 	 * @throws IllegalStateException if the server does not listen yet
 	 */
-	public void stop() {
+	public void stopAccepting() {
 		if (this.listening == null) {
 			throw new IllegalStateException("The server does not listen; call listen first");
 		}
 		this.listening.close();
+	}
+
+	/**
+	 * Closes idle connections and lets the others end with their answers. To be called on
+	 * the event loop, repeatedly.
+	 */
+	public void closeConnections() {
 		List.copyOf(this.connections).forEach(CallerConnection::stop);
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -333,8 +333,12 @@
 		if (this.closingMillis == Long.MAX_VALUE) {
 			this.closingMillis = now;
 			this.log.write("closing-connections", "open", openCallerConnections());
-			this.callerServers.forEach(CallerServer::stop);
+			this.callerServers.forEach(CallerServer::stopAccepting);
+			// A caller whose connection is closed may connect again at once: the
+			// listening sockets are closed by the next tick.
+			return;
 		}
+		this.callerServers.forEach(CallerServer::closeConnections);
 		if (openCallerConnections() == 0 || now - this.closingMillis >= MAX_CLOSING_MILLIS) {
 			this.terminated.countDown();
 		}
