--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/logging/DirectLogProvider.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/logging/DirectLogProvider.java
@@ -9,8 +9,8 @@
 import org.slf4j.spi.SLF4JServiceProvider;
 
 /**
- * Binds SLF4J to a Logback context without the search for a configuration, which takes a
- * tenth of the processor time of a start. {@link EventLog#configure} adds the appender.
+ * Binds SLF4J to a Logback context without the search for a configuration, which adds to
+ * the processor time of each start. {@link EventLog#configure} adds the appender.
  *
  * <p>
  * Thread-safe. Used by processes that name this class in the system property
