Prepare records and messages for evacuations, cold endpoints, demand, costs and regions

Change: routes and workspaces state regions and priorities, services what their cold endpoints accept, endpoints their start, the settings the bounds of cold endpoints and evacuations and the regions of zones. Full states carry figures of the fleet in optional fields 4 to 7, which the build before skips. Nothing decides by them yet. Tests: DigestCodecTests reads a recorded message with and without the fields; settings and decoders as before.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardEndpoint.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardEndpoint.java
@@ -20,9 +20,11 @@
  * @param slots number of requests that it runs concurrently
  * @param leaving whether it is about to be removed and must not receive new work
  * @param warmUpLeftMillis remaining time of its warm-up, during which it is slow
+ * @param startedEpochMillis start of the process in milliseconds since 1970 by its own
+ * clock, 0 if it is not known
  */
 public record ForwardEndpoint(EndpointId id, String service, String host, int port, String zone, int slots,
-		boolean leaving, long warmUpLeftMillis) {
+		boolean leaving, long warmUpLeftMillis, long startedEpochMillis) {
 
 	/**
 	 * Creates the endpoint.
@@ -41,6 +43,22 @@
 		}
 	}
 
+	/**
+	 * Creates an endpoint whose start is not known.
+	 * @param id identity of the process
+	 * @param service name of its service
+	 * @param host address of the process
+	 * @param port port of the process
+	 * @param zone availability zone
+	 * @param slots number of requests that it runs concurrently
+	 * @param leaving whether it must not receive new work
+	 * @param warmUpLeftMillis remaining time of its warm-up
+	 */
+	public ForwardEndpoint(EndpointId id, String service, String host, int port, String zone, int slots,
+			boolean leaving, long warmUpLeftMillis) {
+		this(id, service, host, port, zone, slots, leaving, warmUpLeftMillis, 0);
+	}
+
 	/**
 	 * Returns the address as used in messages and headers.
 	 * @return the host and the port, separated by a colon
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardingConfiguration.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardingConfiguration.java
@@ -19,9 +19,11 @@
  * @param keysRequired whether requests need an API key, except on routes with public
  * access
  * @param limits limits of callers' connections
+ * @param workspaceTerms terms by workspace; workspaces without an entry have none
  */
 public record ForwardingConfiguration(long version, RouteTable routes, Map<String, ForwardedService> services,
-		Map<String, String> workspacesByKey, boolean keysRequired, ClientLimits limits) {
+		Map<String, String> workspacesByKey, boolean keysRequired, ClientLimits limits,
+		Map<String, WorkspaceTerms> workspaceTerms) {
 
 	/**
 	 * Creates the configuration.
@@ -31,6 +33,30 @@
 		Objects.requireNonNull(limits, "limits");
 		services = Map.copyOf(services);
 		workspacesByKey = Map.copyOf(workspacesByKey);
+		workspaceTerms = Map.copyOf(workspaceTerms);
+	}
+
+	/**
+	 * Creates a configuration without terms of workspaces.
+	 * @param version version number
+	 * @param routes the routes
+	 * @param services services by name
+	 * @param workspacesByKey workspace of each API key
+	 * @param keysRequired whether requests need an API key
+	 * @param limits limits of callers' connections
+	 */
+	public ForwardingConfiguration(long version, RouteTable routes, Map<String, ForwardedService> services,
+			Map<String, String> workspacesByKey, boolean keysRequired, ClientLimits limits) {
+		this(version, routes, services, workspacesByKey, keysRequired, limits, Map.of());
+	}
+
+	/**
+	 * Returns the terms of a workspace.
+	 * @param workspace the workspace, empty for requests without one
+	 * @return its terms, {@link WorkspaceTerms#NONE} if it has none
+	 */
+	public WorkspaceTerms terms(Optional<String> workspace) {
+		return workspace.map(this.workspaceTerms::get).orElse(WorkspaceTerms.NONE);
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -13,6 +13,7 @@
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
+import io.mulberrylift.core.gossip.FleetFigures;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.RelayPeer;
 import io.mulberrylift.core.limit.BackOffReport;
@@ -481,6 +482,15 @@
 		return this.limits.pollPublished(maxCount, nowMillis);
 	}
 
+	/**
+	 * Returns what this instance tells its peers beyond its own work.
+	 * @param nowMillis the current time
+	 * @return the figures, small enough for a full state
+	 */
+	public FleetFigures fleetFigures(long nowMillis) {
+		return FleetFigures.NONE;
+	}
+
 	/**
 	 * Returns the limits that endpoints name.
 	 * @return requests per second by endpoint
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Route.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Route.java
@@ -22,10 +22,12 @@
  * @param maxAttempts maximum number of attempts of a request
  * @param priority priority of the requests, 0 is the highest
  * @param publicAccess whether requests need no API key
+ * @param allowedRegions regions that the requests may be in, empty if they may be
+ * anywhere
  */
 public record Route(String name, String host, String pathPrefix, List<WeightedService> services, RequestKind kind,
 		long timeoutMillis, long firstByteTargetMillis, long gapTargetMillis, int maxAttempts, int priority,
-		boolean publicAccess) {
+		boolean publicAccess, List<String> allowedRegions) {
 
 	/**
 	 * Creates the route.
@@ -36,6 +38,7 @@
 		Objects.requireNonNull(host, "host");
 		Objects.requireNonNull(kind, "kind");
 		services = List.copyOf(services);
+		allowedRegions = List.copyOf(allowedRegions);
 		if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
 			throw new IllegalArgumentException("pathPrefix must start and end with a slash");
 		}
@@ -47,6 +50,27 @@
 		}
 	}
 
+	/**
+	 * Creates a route whose requests may be in any region.
+	 * @param name name of the route
+	 * @param host host of the requests, in lower case
+	 * @param pathPrefix prefix of the path
+	 * @param services services among which the requests are distributed
+	 * @param kind whether requests may be repeated and how answers are delivered
+	 * @param timeoutMillis maximum time until the final answer
+	 * @param firstByteTargetMillis target for the time to the first byte
+	 * @param gapTargetMillis target for the maximum time between two stream events
+	 * @param maxAttempts maximum number of attempts of a request
+	 * @param priority priority of the requests
+	 * @param publicAccess whether requests need no API key
+	 */
+	public Route(String name, String host, String pathPrefix, List<WeightedService> services, RequestKind kind,
+			long timeoutMillis, long firstByteTargetMillis, long gapTargetMillis, int maxAttempts, int priority,
+			boolean publicAccess) {
+		this(name, host, pathPrefix, services, kind, timeoutMillis, firstByteTargetMillis, gapTargetMillis, maxAttempts,
+				priority, publicAccess, List.of());
+	}
+
 	/**
 	 * Chooses a service at random by weight.
 	 * @param draw random number from 0 (inclusive) to 1 (exclusive)
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/FullState.java
@@ -17,10 +17,11 @@
  * @param avoided endpoints that it avoids because of faults that it observed itself
  * @param limits limits of requests that endpoints named or ended recently
  * @param members a sample of the instances that it knows
+ * @param figures what it knows beyond its own work, in optional fields
  */
 public record FullState(String zone, long configurationVersion, StoreRevision storeRevision,
 		Optional<StoreKnowledge> storeKnowledge, boolean endpointsReachable, List<AvoidedEndpoint> avoided,
-		List<EndpointLimit> limits, List<KnownMember> members) {
+		List<EndpointLimit> limits, List<KnownMember> members, FleetFigures figures) {
 
 	/**
 	 * Creates the state.
@@ -32,6 +33,25 @@
 		avoided = List.copyOf(avoided);
 		limits = List.copyOf(limits);
 		members = List.copyOf(members);
+		Objects.requireNonNull(figures, "figures");
+	}
+
+	/**
+	 * Creates a state without figures.
+	 * @param zone availability zone of the instance
+	 * @param configurationVersion version of its newest configuration
+	 * @param storeRevision revision of the platform's store that it has read up to
+	 * @param storeKnowledge how it learns of changes in the store
+	 * @param endpointsReachable whether it reaches any endpoint
+	 * @param avoided endpoints that it avoids
+	 * @param limits limits of requests that endpoints named or ended recently
+	 * @param members a sample of the instances that it knows
+	 */
+	public FullState(String zone, long configurationVersion, StoreRevision storeRevision,
+			Optional<StoreKnowledge> storeKnowledge, boolean endpointsReachable, List<AvoidedEndpoint> avoided,
+			List<EndpointLimit> limits, List<KnownMember> members) {
+		this(zone, configurationVersion, storeRevision, storeKnowledge, endpointsReachable, avoided, limits, members,
+				FleetFigures.NONE);
 	}
 
 }
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -240,7 +240,7 @@
 		GatewayIdentity limits = reloaded.identity();
 		GatewayIdentity self = this.settings.identity();
 		run(new GatewayEvent.LimitsRead(new GatewayIdentity(self.name(), self.zone(), limits.retryBounds(),
-				limits.drainGraceMillis(), limits.memoryFreeMillis())));
+				limits.drainGraceMillis(), limits.memoryFreeMillis(), limits.terms())));
 	}
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -250,7 +250,7 @@
 			if (!tracked.contains(target)) {
 				FullState other = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
 						state.storeKnowledge(), state.endpointsReachable(), state.avoided(), state.limits(),
-						this.membership.sampleFor(target, nowMillis));
+						this.membership.sampleFor(target, nowMillis), state.figures());
 				send(List.of(target), digest(Map.of(), List.of(), selected, crashes, Optional.of(other)),
 						DigestCodec.MAX_BYTES);
 			}
@@ -261,7 +261,7 @@
 		return new FullState(this.settings.identity().zone(), this.gateway.configurationVersion(),
 				this.storeRevision.get(), Optional.of(this.storeKnowledge.apply(nowMillis)),
 				this.gateway.reachesEndpoints(), this.gateway.avoidedEndpoints(nowMillis),
-				this.gateway.pollPublishedLimits(maxLimits, nowMillis), sample);
+				this.gateway.pollPublishedLimits(maxLimits, nowMillis), sample, this.gateway.fleetFigures(nowMillis));
 	}
 
 	private void sendSummaries(long nowMillis) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/peer/DigestCodec.java
@@ -11,6 +11,7 @@
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
+import io.mulberrylift.core.gossip.FleetFigures;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
@@ -217,7 +218,8 @@
 	 */
 	private static void packOptionalFields(MessageBufferPacker packer, FullState state) throws IOException {
 		long storeEpoch = state.storeRevision().epoch();
-		int fields = ((storeEpoch != 0) ? 1 : 0) + ((state.storeKnowledge().isPresent()) ? 2 : 0);
+		int fields = ((storeEpoch != 0) ? 1 : 0) + ((state.storeKnowledge().isPresent()) ? 2 : 0)
+				+ FleetFiguresCodec.fields(state.figures());
 		if (fields == 0) {
 			return;
 		}
@@ -231,6 +233,7 @@
 			packer.packInt(STORE_CONFIRMED_AGE_FIELD)
 				.packLong(ceilToUnits(knowledge.confirmedAgeMillis(), TIME_UNIT_MILLIS));
 		}
+		FleetFiguresCodec.pack(packer, state.figures());
 	}
 
 	/**
@@ -330,7 +333,7 @@
 		}
 		OptionalFields optional = OptionalFields.unpack(unpacker);
 		return new FullState(zone, configurationVersion, new StoreRevision(optional.storeEpoch(), storeRevisionNumber),
-				optional.storeKnowledge(), endpointsReachable, avoided, limits, members);
+				optional.storeKnowledge(), endpointsReachable, avoided, limits, members, optional.figures());
 	}
 
 	private static CrashObservation unpackCrash(MessageUnpacker unpacker) throws IOException {
@@ -354,13 +357,15 @@
 	 *
 	 * @param storeEpoch epoch of the store, 0 if it is not stated
 	 * @param storeKnowledge how the store is read, empty if it is not stated or unknown
+	 * @param figures figures of the fleet
 	 */
-	private record OptionalFields(long storeEpoch, Optional<StoreKnowledge> storeKnowledge) {
+	private record OptionalFields(long storeEpoch, Optional<StoreKnowledge> storeKnowledge, FleetFigures figures) {
 
 		static OptionalFields unpack(MessageUnpacker unpacker) throws IOException {
 			long epoch = 0;
 			Optional<StoreRole> role = Optional.empty();
 			long confirmedAgeMillis = StoreKnowledge.UNCONFIRMED_MILLIS;
+			FleetFiguresCodec figures = new FleetFiguresCodec();
 			for (int remaining = (unpacker.hasNext()) ? unpacker.unpackMapHeader() : 0; remaining > 0; remaining--) {
 				int field = unpacker.unpackInt();
 				if (field == STORE_EPOCH_FIELD) {
@@ -372,12 +377,13 @@
 				else if (field == STORE_CONFIRMED_AGE_FIELD) {
 					confirmedAgeMillis = unpacker.unpackLong() * TIME_UNIT_MILLIS;
 				}
-				else {
+				else if (!figures.unpack(field, unpacker)) {
 					unpacker.skipValue();
 				}
 			}
 			long ageMillis = confirmedAgeMillis;
-			return new OptionalFields(epoch, role.map((each) -> new StoreKnowledge(each, ageMillis)));
+			return new OptionalFields(epoch, role.map((each) -> new StoreKnowledge(each, ageMillis)),
+					figures.decoded());
 		}
 
 	}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/peer/DigestCodecTests.java
@@ -10,8 +10,13 @@
 import java.util.Random;
 
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
+import io.mulberrylift.core.gossip.ColdEndpoint;
+import io.mulberrylift.core.gossip.CostFigure;
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.DemandFigure;
 import io.mulberrylift.core.gossip.EndpointLimit;
+import io.mulberrylift.core.gossip.EvacuationKnowledge;
+import io.mulberrylift.core.gossip.FleetFigures;
 import io.mulberrylift.core.gossip.FullState;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.KnownMember;
@@ -99,6 +104,39 @@
 			.isEqualTo(new StoreRevision(7, 4711));
 	}
 
+	@Test
+	void figuresSurviveRoundTripAndFollowTheFieldsOfTheBuildBefore() throws IOException {
+		byte[] recorded = HexFormat.of().parseHex(MESSAGE_WITHOUT_OPTIONAL_FIELDS);
+		InstanceDigest digest = DigestCodec.decode(SENDER, recorded);
+		FullState state = digest.fullState().orElseThrow();
+		FleetFigures figures = new FleetFigures(
+				Optional.of(new EvacuationKnowledge(new StoreRevision(1, 77), List.of("zone-a", "zone-b"))),
+				List.of(new ColdEndpoint(-5, 1200)), List.of(new DemandFigure(6, 1, 4000, 300)),
+				List.of(new CostFigure(-7, 2, 99, 12)));
+		FullState later = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
+				state.storeKnowledge(), state.endpointsReachable(), state.avoided(), state.limits(), state.members(),
+				figures);
+		byte[] message = DigestCodec.encode(new InstanceDigest(SENDER, digest.incarnation(), digest.sequence(),
+				digest.work(), digest.ended(), digest.summaries(), digest.crashes(), Optional.of(later)),
+				DigestCodec.MAX_BYTES);
+		assertThat(message).startsWith(recorded);
+		assertThat(DigestCodec.decode(SENDER, message).fullState()).contains(later);
+	}
+
+	@Test
+	void figureWithTooFewValuesIsRejectedAndOneWithMoreIsRead() throws IOException {
+		byte[] recorded = HexFormat.of().parseHex(MESSAGE_WITHOUT_OPTIONAL_FIELDS);
+		byte[] more = HexFormat.of().parseHex("81" + "05" + "91" + "93" + "07" + "64" + "c0");
+		byte[] message = Arrays.copyOf(recorded, recorded.length + more.length);
+		System.arraycopy(more, 0, message, recorded.length, more.length);
+		assertThat(DigestCodec.decode(SENDER, message).fullState().orElseThrow().figures().coldEndpoints())
+			.containsExactly(new ColdEndpoint(7, 400));
+		byte[] fewer = HexFormat.of().parseHex("81" + "05" + "91" + "91" + "07");
+		byte[] malformed = Arrays.copyOf(recorded, recorded.length + fewer.length);
+		System.arraycopy(fewer, 0, malformed, recorded.length, fewer.length);
+		assertThatThrownBy(() -> DigestCodec.decode(SENDER, malformed)).isInstanceOf(IOException.class);
+	}
+
 	@Test
 	void summariesSurviveRoundTripInTheirUnits() throws IOException {
 		List<EndpointSummary> summaries = List.of(new EndpointSummary(65_535, 3, 0, 0, 0, 0),
