Keep new work out of evacuated zones

Cause: nothing read the operator's requests to evacuate a zone, so requests went to its endpoints for the whole evacuation. The evacuated zones are known as a whole, as of a revision of the store, replaced only by a later one, told to peers in full states and kept while the store is away.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
@@ -5,15 +5,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.WorkTable;
+import io.mulberrylift.core.zone.ZoneEvacuations;
 
 /**
  * Table of the listed endpoints by identity and service. Endpoints accept new work unless
- * they are listed as leaving or reported it themselves.
+ * they are listed as leaving or reported it themselves, or their availability zone is
+ * evacuated.
  *
  * <p>
  * Not thread-safe; owned by the reducer.
@@ -36,8 +39,18 @@
 	/** When endpoints last reported themselves that they are leaving. */
 	private final Map<EndpointId, Long> reportedLeavingMillis = new HashMap<>();
 
+	private final ZoneEvacuations evacuations;
+
 	private boolean known;
 
+	EndpointTable() {
+		this(new ZoneEvacuations());
+	}
+
+	EndpointTable(ZoneEvacuations evacuations) {
+		this.evacuations = Objects.requireNonNull(evacuations, "evacuations");
+	}
+
 	/**
 	 * Replaces the table's contents.
 	 * @param endpoints all listed endpoints
@@ -120,7 +133,11 @@
 	}
 
 	private boolean isAvailable(ForwardEndpoint endpoint) {
-		return !endpoint.leaving() && !this.reportedLeavingMillis.containsKey(endpoint.id());
+		return !endpoint.leaving() && !this.reportedLeavingMillis.containsKey(endpoint.id()) && !isEvacuated(endpoint);
+	}
+
+	boolean isEvacuated(ForwardEndpoint endpoint) {
+		return this.evacuations.isEvacuated(endpoint.zone());
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.mulberrylift.core.gossip.RelayPeer;
 import io.mulberrylift.core.limit.EndpointBackOffs;
@@ -171,6 +172,10 @@
 		return this.byRequestId.size();
 	}
 
+	Stream<ForwardState> requests() {
+		return this.byRequestId.values().stream();
+	}
+
 	void start(ForwardState state, ForwardingConfiguration current, long nowMillis, List<GatewayEffect> effects) {
 		this.configuration = current;
 		this.byRequestId.put(state.requestId, state);
@@ -554,16 +559,17 @@
 			return;
 		}
 		MemoryReservations.Progress progress = this.reservations.recordAnswer(state, event.granted());
-		if (progress == MemoryReservations.Progress.GRANTED) {
+		boolean evacuated = EvacuationControl.mustLeave(state, this.endpoints);
+		if (progress == MemoryReservations.Progress.GRANTED && !evacuated) {
 			admit(state, state.placement, nowMillis, effects);
 		}
-		else if (progress == MemoryReservations.Progress.REFUSED) {
+		else if (progress == MemoryReservations.Progress.REFUSED || evacuated) {
 			log(effects, "memory-refused", "request", state.requestId, "endpoint", event.endpoint(), "answered",
-					event.granted().isPresent(), "engines", state.placement.parts(), "tokens-per-engine",
+					event.granted().isPresent(), "evacuated", evacuated, "engines", state.placement.parts(), "tokens-per-engine",
 					state.reservedTokensPerEngine, "millis", nowMillis - state.reservationSentMillis);
 			this.work.remove(state.requestId);
 			this.reservations.release(state, nowMillis, effects);
-			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
+			giveUp(state, (evacuated) ? RefusalCause.NOT_RUN : RefusalCause.OVERLOADED, nowMillis, effects);
 		}
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -13,6 +13,7 @@
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
+import io.mulberrylift.core.gossip.EvacuationKnowledge;
 import io.mulberrylift.core.gossip.FleetFigures;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.RelayPeer;
@@ -25,6 +26,7 @@
 import io.mulberrylift.core.placement.EndpointSummary;
 import io.mulberrylift.core.placement.RequestWork;
 import io.mulberrylift.core.placement.WorkTable;
+import io.mulberrylift.core.zone.ZoneEvacuations;
 
 /**
  * State machine of a forwarding instance: processes one event at a time and returns the
@@ -52,7 +54,9 @@
 
 	private final RandomGenerator random;
 
-	private final EndpointTable endpoints = new EndpointTable();
+	private final ZoneEvacuations zones = new ZoneEvacuations();
+
+	private final EndpointTable endpoints = new EndpointTable(this.zones);
 
 	private final WorkTable work = new WorkTable();
 
@@ -66,6 +70,8 @@
 
 	private final Forwarder forwarder;
 
+	private final EvacuationControl evacuations;
+
 	private List<GatewayEffect> effects = new ArrayList<>();
 
 	private Optional<ForwardingConfiguration> configuration = Optional.empty();
@@ -90,6 +96,7 @@
 		this.limits = new RequestLimits(alone, random);
 		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.crashEvidence, this.limits,
 				this.backOffs);
+		this.evacuations = new EvacuationControl(this.zones, this.forwarder);
 	}
 
 	/**
@@ -130,6 +137,9 @@
 		else if (event instanceof GatewayEvent.EndpointsRead read) {
 			endpointsRead(read.endpoints());
 		}
+		else if (event instanceof GatewayEvent.EvacuationsRead read) {
+			evacuationsRead(read.knowledge(), EvacuationControl.STORE, nowMillis);
+		}
 		else if (event instanceof GatewayEvent.DigestReceived received) {
 			digestReceived(received.digest(), nowMillis);
 		}
@@ -281,6 +291,10 @@
 				change.before().orElse(UNLIMITED_PER_SECOND), "source", source, "age-millis", ageMillis);
 	}
 
+	private void evacuationsRead(EvacuationKnowledge knowledge, String source, long nowMillis) {
+		this.evacuations.apply(knowledge, source, this.identity.terms(), nowMillis, this.effects);
+	}
+
 	private void digestReceived(InstanceDigest digest, long nowMillis) {
 		Map<Long, RequestWork> shifted = new HashMap<>();
 		this.work.applyPeerSummaries(digest.sender(), digest.summaries(), nowMillis);
@@ -290,6 +304,11 @@
 			return;
 		}
 		this.work.replacePeerWork(digest.sender(), shifted, nowMillis);
+		digest.fullState()
+			.get()
+			.figures()
+			.evacuations()
+			.ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
@@ -308,6 +327,7 @@
 		this.backOffs.expire(nowMillis);
 		this.endpoints.expire(nowMillis);
 		this.forwarder.tick(nowMillis, this.effects);
+		this.evacuations.tick(nowMillis, this.effects);
 	}
 
 	/**
@@ -488,7 +508,15 @@
 	 * @return the figures, small enough for a full state
 	 */
 	public FleetFigures fleetFigures(long nowMillis) {
-		return FleetFigures.NONE;
+		return new FleetFigures(this.evacuations.published(), List.of(), List.of(), List.of());
+	}
+
+	/**
+	 * Returns the evacuated availability zones, for operators.
+	 * @return number of requests still in progress there by zone
+	 */
+	public Map<String, Integer> evacuatedZones() {
+		return this.evacuations.requestsByZone();
 	}
 
 	/**
@@ -524,6 +552,7 @@
 		state.put("avoided", avoidedEndpoints(nowMillis).toString());
 		state.put("limits", this.limits.all().toString());
 		state.put("back-offs", this.backOffs.all(nowMillis).toString());
+		state.put("evacuated", evacuatedZones().toString());
 		state.put("suspects", this.suspects.suspectCount());
 		state.put("isolated", isolatedAttributes(nowMillis));
 		state.put("loads", this.work.recentLoads(nowMillis).toString());
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.EvacuationKnowledge;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
@@ -146,6 +147,15 @@
 
 	}
 
+	/**
+	 * The requests of operators to evacuate availability zones were read from the
+	 * platform.
+	 *
+	 * @param knowledge the evacuated zones
+	 */
+	record EvacuationsRead(EvacuationKnowledge knowledge) implements GatewayEvent {
+	}
+
 	/** Periodic event for time-dependent work. */
 	record Tick() implements GatewayEvent {
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -21,6 +21,7 @@
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.core.forwarding.GatewayEvent;
 import io.mulberrylift.core.forwarding.GatewayIdentity;
+import io.mulberrylift.core.gossip.EvacuationKnowledge;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
 import io.mulberrylift.core.limit.EndpointNotices;
@@ -261,6 +262,14 @@
 		this.gossip.requestFullState();
 	}
 
+	/**
+	 * Applies the requests of operators to evacuate availability zones.
+	 * @param knowledge the evacuated zones as of a revision of the platform's store
+	 */
+	public void applyEvacuations(EvacuationKnowledge knowledge) {
+		run(new GatewayEvent.EvacuationsRead(knowledge));
+	}
+
 	/**
 	 * Counts a call of the platform's store.
 	 * @param subject what the call reads
@@ -568,6 +577,12 @@
 		run(new GatewayEvent.NoticesReceived(endpoint, attemptId, notices));
 	}
 
+	private String evacuationMetrics() {
+		Map<String, Integer> evacuated = this.gateway.evacuatedZones();
+		return "mulberrylift_evacuated_zones " + evacuated.size() + "\nmulberrylift_requests_in_evacuated_zones "
+				+ evacuated.values().stream().mapToInt(Integer::intValue).sum() + "\n";
+	}
+
 	private Page page(String path, String query) {
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
@@ -575,7 +590,8 @@
 			case "/metrics" -> Page.text(200, this.metrics.text() + "mulberrylift_connections_opened "
 					+ this.endpointPool.openedConnections() + "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
 					+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
-					+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis()) + "\n");
+					+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis()) + "\n"
+					+ evacuationMetrics());
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -20,6 +20,7 @@
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.ClientLimits;
+import io.mulberrylift.core.forwarding.ColdStart;
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.forwarding.ForwardRequest;
 import io.mulberrylift.core.forwarding.ForwardedService;
@@ -28,12 +29,14 @@
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.core.forwarding.GatewayEvent;
 import io.mulberrylift.core.forwarding.GatewayIdentity;
+import io.mulberrylift.core.forwarding.GatewayTerms;
 import io.mulberrylift.core.forwarding.RefusalCause;
 import io.mulberrylift.core.forwarding.RequestKind;
 import io.mulberrylift.core.forwarding.RetryBounds;
 import io.mulberrylift.core.forwarding.Route;
 import io.mulberrylift.core.forwarding.RouteTable;
 import io.mulberrylift.core.forwarding.WeightedService;
+import io.mulberrylift.core.gossip.EvacuationKnowledge;
 import io.mulberrylift.core.gossip.InstanceDigest;
 import io.mulberrylift.core.gossip.Membership;
 import io.mulberrylift.core.gossip.StoreKnowledge;
@@ -89,6 +92,11 @@
 
 	private final int zones;
 
+	private final GatewayTerms terms;
+
+	/** What endpoints accept while they are cold. */
+	private final Optional<ColdStart> coldStart;
+
 	private final double requestsPerSecond;
 
 	/** Whether messages from one zone reach another one. */
@@ -169,6 +177,13 @@
 	final List<GatewayEffect.Refuse> refused = new ArrayList<>();
 
 	SimulatedFleet(int instances, int zones, int runners, double requestsPerSecond, long seed) {
+		this(instances, zones, runners, requestsPerSecond, seed, GatewayTerms.NONE, Optional.empty());
+	}
+
+	SimulatedFleet(int instances, int zones, int runners, double requestsPerSecond, long seed, GatewayTerms terms,
+			Optional<ColdStart> coldStart) {
+		this.terms = terms;
+		this.coldStart = coldStart;
 		this.zones = zones;
 		this.requestsPerSecond = requestsPerSecond;
 		this.random = new SplittableRandom(seed);
@@ -335,6 +350,26 @@
 		this.connected = reaches;
 	}
 
+	/**
+	 * Lets an instance read the evacuated zones from the store.
+	 */
+	void readEvacuations(int instance, long revision, String... evacuated) {
+		this.instances.get(address(instance).toString())
+			.reduce(new GatewayEvent.EvacuationsRead(
+					new EvacuationKnowledge(new StoreRevision(0, revision), List.of(evacuated))));
+	}
+
+	/**
+	 * Returns the number of instances that know certain zones to be evacuated, and no
+	 * others.
+	 */
+	long instancesThatKnowEvacuated(String... evacuated) {
+		return this.instances.values()
+			.stream()
+			.filter((instance) -> instance.gateway.evacuatedZones().keySet().equals(Set.of(evacuated)))
+			.count();
+	}
+
 	long nowMillis() {
 		return this.nowMillis;
 	}
@@ -410,7 +445,8 @@
 			NetAddress self = address(index);
 			this.address = self.toString();
 			this.zone = zone(index);
-			GatewayIdentity identity = new GatewayIdentity(this.address, this.zone, RETRY_BOUNDS, 0, 4000);
+			GatewayIdentity identity = new GatewayIdentity(this.address, this.zone, RETRY_BOUNDS, 0, 4000,
+					SimulatedFleet.this.terms);
 			this.gateway = new Gateway(identity, SimulatedFleet.this.random.split());
 			this.membership = new Membership(this.address, this.zone, SimulatedFleet.this.random.split());
 			List<String> seeds = IntStream.range(0, 3).mapToObj((seed) -> address(seed).toString()).toList();
@@ -422,7 +458,7 @@
 			Route route = new Route("r", "h", "/", List.of(new WeightedService("s", 1)), RequestKind.IDEMPOTENT, 60_000,
 					300, 0, 2, 1, true);
 			reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(1, new RouteTable(List.of(route)),
-					Map.of("s", new ForwardedService("s", 100, Optional.empty())), Map.of(), false,
+					Map.of("s", new ForwardedService("s", 100, Optional.empty(), SimulatedFleet.this.coldStart)), Map.of(), false,
 					ClientLimits.DEFAULT)));
 			readEndpoints();
 		}
