Keep the rate of cold endpoints with all instances together

Cause: a cold endpoint accepts few requests per second and crashes at many more; only its remaining time was added to predictions, so an idle endpoint that came back got requests from all instances at once. Change: where the terms state bounds and a service what its cold endpoints accept, an endpoint is cold from a start seen during traffic, while its entry or an answer says so, after its zone returns from an evacuation, and when a peer says so. Meanwhile a limit implied by its state is divided among the instances as named limits are. Long prompts leave cold endpoints to short answers while there are others.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -18,6 +18,9 @@
  */
 final class EndpointCandidates {
 
+	/** Largest inter-token gap target of a short answer. */
+	private static final long SHORT_GAP_MILLIS = 300;
+
 	private final EndpointTable endpoints;
 
 	private final WorkTable work;
@@ -48,7 +51,21 @@
 			.toList();
 		List<EndpointWork> all = this.work.view(available);
 		List<EndpointWork> healthy = all.stream().filter((each) -> !each.health().isAvoided(nowMillis)).toList();
-		return healthy.isEmpty() ? all : healthy;
+		return warmForLongPrompts(state, healthy.isEmpty() ? all : healthy);
+	}
+
+	/**
+	 * Leaves the few requests that cold endpoints accept to short answers, as long as
+	 * there are other endpoints for long prompts.
+	 */
+	private List<EndpointWork> warmForLongPrompts(ForwardState state, List<EndpointWork> found) {
+		if (!state.isPrompt() || state.route.gapTargetMillis() <= SHORT_GAP_MILLIS) {
+			return found;
+		}
+		List<EndpointWork> warm = found.stream()
+			.filter((each) -> !this.limits.isImplied(each.endpoint().id()))
+			.toList();
+		return warm.isEmpty() ? found : warm;
 	}
 
 	private Stream<ForwardEndpoint> untried(ForwardState state) {
@@ -58,12 +75,15 @@
 	}
 
 	/**
-	 * Returns the candidates that name no limit.
+	 * Returns the candidates that have no limit.
 	 * @param candidates the candidates
 	 * @return those without a limit
 	 */
 	List<EndpointWork> withoutLimit(List<EndpointWork> candidates) {
-		return candidates.stream().filter((each) -> this.limits.limit(each.endpoint().id()).isEmpty()).toList();
+		return candidates.stream()
+			.filter((each) -> this.limits.limit(each.endpoint().id()).isEmpty()
+					&& !this.limits.isImplied(each.endpoint().id()))
+			.toList();
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.core.forwarding;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -124,6 +125,10 @@
 			.findFirst();
 	}
 
+	Collection<ForwardEndpoint> listed() {
+		return this.byId.values();
+	}
+
 	Set<EndpointId> ids() {
 		return Set.copyOf(this.byId.keySet());
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -72,6 +72,8 @@
 
 	private final EvacuationControl evacuations;
 
+	private final ColdEndpoints cold;
+
 	private List<GatewayEffect> effects = new ArrayList<>();
 
 	private Optional<ForwardingConfiguration> configuration = Optional.empty();
@@ -97,6 +99,7 @@
 		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.crashEvidence, this.limits,
 				this.backOffs);
 		this.evacuations = new EvacuationControl(this.zones, this.forwarder);
+		this.cold = new ColdEndpoints(identity.terms(), this.endpoints, this.limits);
 	}
 
 	/**
@@ -132,10 +135,10 @@
 
 	private void applyUpdate(GatewayEvent event, long nowMillis) {
 		if (event instanceof GatewayEvent.ConfigurationRead read) {
-			configurationRead(read.configuration());
+			configurationRead(read.configuration(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.EndpointsRead read) {
-			endpointsRead(read.endpoints());
+			endpointsRead(read.endpoints(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.EvacuationsRead read) {
 			evacuationsRead(read.knowledge(), EvacuationControl.STORE, nowMillis);
@@ -166,6 +169,7 @@
 		else if (event instanceof GatewayEvent.LimitsRead read) {
 			this.identity = read.identity();
 			this.forwarder.setIdentity(read.identity());
+			this.cold.setTerms(read.identity().terms(), nowMillis);
 			log("limits", "retry-ratio", read.identity().retryBounds().ratio(), "retry-extra",
 					read.identity().retryBounds().extra(), "drain-grace", read.identity().drainGraceMillis(),
 					"memory-free", read.identity().memoryFreeMillis());
@@ -177,6 +181,7 @@
 	}
 
 	private void arrived(GatewayEvent.RequestArrived event, long nowMillis) {
+		this.cold.trafficSeen();
 		Optional<RefusalCause> refusal = Optional.empty();
 		ForwardRequest request = event.request();
 		if (this.configuration.isEmpty() || !this.endpoints.isKnown()) {
@@ -217,7 +222,7 @@
 		this.effects.add(new GatewayEffect.Refuse(event.requestId(), cause, RetryAfter.millis(cause, this.random)));
 	}
 
-	private void configurationRead(ForwardingConfiguration read) {
+	private void configurationRead(ForwardingConfiguration read, long nowMillis) {
 		if (read.version() <= configurationVersion()) {
 			return;
 		}
@@ -225,14 +230,16 @@
 				read.routes().size(), "keys", read.workspacesByKey().size());
 		this.configuration = Optional.of(read);
 		this.forwarder.setConfiguration(read);
+		this.cold.setConfiguration(read, nowMillis);
 	}
 
-	private void endpointsRead(List<ForwardEndpoint> listed) {
+	private void endpointsRead(List<ForwardEndpoint> listed, long nowMillis) {
 		boolean first = !this.endpoints.isKnown();
 		List<EndpointId> leaving = this.endpoints.replace(listed);
 		this.work.retainHealth(this.endpoints.ids());
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
+		this.cold.endpointsRead(listed, first, nowMillis, this.effects);
 		leaving.forEach((id) -> endpointLeaving(id, "list"));
 		if (first) {
 			log("endpoints", "listed", listed.size());
@@ -250,6 +257,10 @@
 				.answerReceived(endpoint.service(), nowMillis, this.effects));
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
+		event.notices()
+			.coldMillis()
+			.ifPresent((left) -> this.cold.reported(event.endpoint(), left,
+					this.forwarder.sentMillis(event.attemptId()), nowMillis, this.effects));
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
 			endpointLeaving(event.endpoint(), "answer");
 		}
@@ -292,7 +303,10 @@
 	}
 
 	private void evacuationsRead(EvacuationKnowledge knowledge, String source, long nowMillis) {
-		this.evacuations.apply(knowledge, source, this.identity.terms(), nowMillis, this.effects);
+		this.evacuations.apply(knowledge, source, this.identity.terms(), nowMillis, this.effects)
+			.ended()
+			.keySet()
+			.forEach((zone) -> this.cold.zoneReturned(zone, nowMillis, this.effects));
 	}
 
 	private void digestReceived(InstanceDigest digest, long nowMillis) {
@@ -304,11 +318,9 @@
 			return;
 		}
 		this.work.replacePeerWork(digest.sender(), shifted, nowMillis);
-		digest.fullState()
-			.get()
-			.figures()
-			.evacuations()
-			.ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
+		FleetFigures figures = digest.fullState().get().figures();
+		figures.evacuations().ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
+		figures.coldEndpoints().forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
@@ -328,6 +340,7 @@
 		this.endpoints.expire(nowMillis);
 		this.forwarder.tick(nowMillis, this.effects);
 		this.evacuations.tick(nowMillis, this.effects);
+		this.cold.expire(nowMillis);
 	}
 
 	/**
@@ -508,7 +521,15 @@
 	 * @return the figures, small enough for a full state
 	 */
 	public FleetFigures fleetFigures(long nowMillis) {
-		return new FleetFigures(this.evacuations.published(), List.of(), List.of(), List.of());
+		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis), List.of(), List.of());
+	}
+
+	/**
+	 * Returns the number of cold endpoints whose requests are limited.
+	 * @return the number
+	 */
+	public int coldEndpoints() {
+		return this.cold.count();
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/FleetView.java
@@ -39,6 +39,13 @@
 	/** Shares in addition to one for each request per second. */
 	private static final int EXTRA_SHARES = 2;
 
+	private static final String PHASE_OF = "phase of ";
+
+	/** Leaves as many bits of a score as a double can hold. */
+	private static final int PHASE_SHIFT = 11;
+
+	private static final double PHASE_UNIT = 0x1.0p-53;
+
 	/**
 	 * Creates the view.
 	 * @throws IllegalArgumentException if this instance or its zone is missing
@@ -95,6 +102,17 @@
 		return (rank < holders) ? portion(zoneShares, holders, rank) : 0;
 	}
 
+	/**
+	 * Returns a number that differs evenly among instances, so that they do not act at
+	 * the same time.
+	 * @param subject name of what they act on
+	 * @return at least 0 and less than 1
+	 */
+	double phase(String subject) {
+		// The score by the subject alone is high for all instances that hold a share.
+		return (Rendezvous.score(this.self, PHASE_OF + subject) >>> PHASE_SHIFT) * PHASE_UNIT;
+	}
+
 	/**
 	 * Returns whether this is the one instance of the fleet that a subject is assigned
 	 * to.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
@@ -25,7 +25,7 @@
  * its request was sent after the last report was received, and so is every report of a
  * peer. An instance without a share sends a request only after a random time without any
  * report, so that the end of a limit is noticed even if the holders of its shares are
- * gone.
+ * gone. Limits that follow from the state of an endpoint hold besides.
  * </p>
  */
 public final class RequestLimits {
@@ -62,6 +62,8 @@
 	/** Last malformed value by endpoint. */
 	private final Map<EndpointId, String> malformedValues = new HashMap<>();
 
+	private final ImpliedLimits implied;
+
 	private FleetView fleet;
 
 	/**
@@ -72,6 +74,7 @@
 	public RequestLimits(FleetView fleet, RandomGenerator random) {
 		this.fleet = Objects.requireNonNull(fleet, "fleet");
 		this.random = Objects.requireNonNull(random, "random");
+		this.implied = new ImpliedLimits(fleet);
 	}
 
 	/**
@@ -83,9 +86,39 @@
 		if (!current.equals(this.fleet)) {
 			this.fleet = current;
 			this.limits.forEach((endpoint, named) -> updateShare(endpoint, named, nowMillis));
+			this.implied.setFleet(current, nowMillis);
 		}
 	}
 
+	/**
+	 * Limits the requests to an endpoint by its state, in addition to what its answers
+	 * name. All instances together send at most one request per share in any second.
+	 * @param endpoint the endpoint
+	 * @param zone availability zone of the endpoint
+	 * @param perSecond rate of the entire fleet
+	 * @param nowMillis the current time
+	 */
+	public void imply(EndpointId endpoint, String zone, double perSecond, long nowMillis) {
+		this.implied.begin(endpoint, zone, perSecond, nowMillis);
+	}
+
+	/**
+	 * Ends a limit that followed from the state of an endpoint.
+	 * @param endpoint the endpoint
+	 */
+	public void endImplied(EndpointId endpoint) {
+		this.implied.end(endpoint);
+	}
+
+	/**
+	 * Returns whether a limit follows from the state of an endpoint.
+	 * @param endpoint the endpoint
+	 * @return true until it ends
+	 */
+	public boolean isImplied(EndpointId endpoint) {
+		return this.implied.isLimited(endpoint);
+	}
+
 	/**
 	 * Applies what an answer says about the limit of its endpoint.
 	 * @param endpoint the endpoint
@@ -174,11 +207,12 @@
 	 * Returns whether this instance may send a request to an endpoint now.
 	 * @param endpoint the endpoint
 	 * @param nowMillis the current time
-	 * @return true if the endpoint names no limit or this instance's share has room
+	 * @return true if there is no limit or this instance's share has room
 	 */
 	public boolean mayUse(EndpointId endpoint, long nowMillis) {
 		NamedLimit named = this.limits.get(endpoint);
-		return named == null || named.limit.isEmpty() || named.pacer.isDue(nowMillis) || nowMillis >= named.trialMillis;
+		return this.implied.mayUse(endpoint, nowMillis) && (named == null || named.limit.isEmpty()
+				|| named.pacer.isDue(nowMillis) || nowMillis >= named.trialMillis);
 	}
 
 	/**
@@ -187,6 +221,7 @@
 	 * @param nowMillis the current time
 	 */
 	public void recordRequest(EndpointId endpoint, long nowMillis) {
+		this.implied.recordRequest(endpoint, nowMillis);
 		NamedLimit named = this.limits.get(endpoint);
 		if (named != null) {
 			named.pacer.record(nowMillis);
@@ -195,20 +230,21 @@
 	}
 
 	/**
-	 * Returns the time until an endpoint that names a limit accepts a request: one of
-	 * this instance if it holds a share, otherwise one of any instance.
+	 * Returns the time until an endpoint with a limit accepts a request: one of this
+	 * instance if it holds a share, otherwise one of any instance.
 	 * @param endpoint the endpoint
 	 * @param nowMillis the current time
-	 * @return the time in milliseconds, 0 for an endpoint that names no limit
+	 * @return the time in milliseconds, 0 for an endpoint without a limit
 	 */
 	public long acceptsInMillis(EndpointId endpoint, long nowMillis) {
+		long impliedMillis = this.implied.acceptsInMillis(endpoint, nowMillis);
 		NamedLimit named = this.limits.get(endpoint);
 		if (named == null || named.limit.isEmpty()) {
-			return 0;
+			return impliedMillis;
 		}
 		long ownMillis = named.pacer.dueInMillis(nowMillis);
-		return (ownMillis < Long.MAX_VALUE) ? ownMillis
-				: (long) (MILLIS_PER_SECOND / Math.max(MIN_PER_SECOND, named.limit.get()));
+		return Math.max(impliedMillis, (ownMillis < Long.MAX_VALUE) ? ownMillis
+				: (long) (MILLIS_PER_SECOND / Math.max(MIN_PER_SECOND, named.limit.get())));
 	}
 
 	/**
@@ -266,6 +302,7 @@
 	 */
 	public void retain(Collection<EndpointId> listed) {
 		this.limits.keySet().retainAll(listed);
+		this.implied.retain(listed);
 		this.malformedValues.keySet().retainAll(listed);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestPacer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestPacer.java
@@ -17,7 +17,7 @@
 
 	private double perSecond;
 
-	private int capacity;
+	private double capacity;
 
 	private double tokens;
 
@@ -29,7 +29,7 @@
 	 * @param maxTokens maximum number of tokens kept during a pause
 	 * @param nowMillis the current time
 	 */
-	void setRate(double rate, int maxTokens, long nowMillis) {
+	void setRate(double rate, double maxTokens, long nowMillis) {
 		update(nowMillis);
 		if (this.perSecond == 0) {
 			this.tokens = 0;
@@ -38,6 +38,14 @@
 		this.capacity = maxTokens;
 	}
 
+	/**
+	 * Sets the tokens at hand.
+	 * @param count number of tokens, also a part of one
+	 */
+	void setTokens(double count) {
+		this.tokens = Math.min(this.capacity, count);
+	}
+
 	boolean isDue(long nowMillis) {
 		update(nowMillis);
 		return this.tokens >= 1 - TOLERANCE;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -577,10 +577,11 @@
 		run(new GatewayEvent.NoticesReceived(endpoint, attemptId, notices));
 	}
 
-	private String evacuationMetrics() {
+	private String zoneMetrics() {
 		Map<String, Integer> evacuated = this.gateway.evacuatedZones();
 		return "mulberrylift_evacuated_zones " + evacuated.size() + "\nmulberrylift_requests_in_evacuated_zones "
-				+ evacuated.values().stream().mapToInt(Integer::intValue).sum() + "\n";
+				+ evacuated.values().stream().mapToInt(Integer::intValue).sum() + "\nmulberrylift_cold_endpoints "
+				+ this.gateway.coldEndpoints() + "\n";
 	}
 
 	private Page page(String path, String query) {
@@ -591,7 +592,7 @@
 					+ this.endpointPool.openedConnections() + "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
 					+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
 					+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis()) + "\n"
-					+ evacuationMetrics());
+					+ zoneMetrics());
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -283,12 +283,27 @@
 		at(this.nowMillis + RESTART_MILLIS, () -> {
 			ForwardEndpoint previous = runner.endpoint;
 			ForwardEndpoint next = (this.runnersKeepIdentities) ? previous
-					: endpoint("runner-" + this.startedRunners++, previous.port(), previous.zone());
+					: cold(endpoint("runner-" + this.startedRunners++, previous.port(), previous.zone()));
 			this.runners.set(this.runners.indexOf(runner), new SimulatedRunner(next));
 			at(this.nowMillis + LIST_MILLIS, () -> this.instances.values().forEach(Instance::readEndpoints));
 		});
 	}
 
+	/**
+	 * Lets a runner become cold again, of which instances learn within a time.
+	 */
+	void chill(int index, long spreadMillis) {
+		SimulatedRunner runner = this.runners.get(index);
+		runner.endpoint = cold(runner.endpoint);
+		this.instances.values()
+			.forEach((instance) -> at(this.nowMillis + this.random.nextLong(spreadMillis), instance::readEndpoints));
+	}
+
+	private ForwardEndpoint cold(ForwardEndpoint endpoint) {
+		return new ForwardEndpoint(endpoint.id(), endpoint.service(), endpoint.host(), endpoint.port(),
+				endpoint.zone(), endpoint.slots(), false, this.coldStart.map(ColdStart::durationMillis).orElse(0L));
+	}
+
 	private long nextFingerprint() {
 		return (this.fingerprintRandom.nextDouble() < this.popularShare) ? this.popularFingerprint
 				: this.fingerprintRandom.nextLong();
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedRunner.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedRunner.java
@@ -25,7 +25,7 @@
 	/** Time after which an instance must keep a limit that it was told. */
 	private static final long TOLD_MILLIS = 500;
 
-	final ForwardEndpoint endpoint;
+	ForwardEndpoint endpoint;
 
 	private final List<Arrival> arrivals = new ArrayList<>();
 
@@ -142,6 +142,34 @@
 		return this.arrivals.stream().filter((arrival) -> arrival.millis() >= millis).count();
 	}
 
+	/**
+	 * Returns the number of requests that arrived in a period.
+	 */
+	long arrivedBetween(long fromMillis, long toMillis) {
+		return this.arrivals.stream()
+			.filter((arrival) -> arrival.millis() >= fromMillis && arrival.millis() < toMillis)
+			.count();
+	}
+
+	/**
+	 * Returns the maximum number of requests that arrived in any one second of a period.
+	 */
+	long maxInOneSecond(long fromMillis, long toMillis) {
+		List<Long> times = this.arrivals.stream()
+			.map(Arrival::millis)
+			.filter((millis) -> millis >= fromMillis && millis < toMillis)
+			.toList();
+		int max = 0;
+		int first = 0;
+		for (int last = 0; last < times.size(); last++) {
+			while (times.get(last) - times.get(first) > 1000) {
+				first++;
+			}
+			max = Math.max(max, last - first + 1);
+		}
+		return max;
+	}
+
 	private record Arrival(String instance, long millis) {
 	}
 
