Tell streams whose engine only reads from those whose engine is dead

Change: StallDetector judges. Shortly before silence would count as death the engine is probed by a connection; it is dead if it shows nothing then, at the same time as before. If it lives, the stream stays until no known reading explains the silence and its caller is about to leave. A peer that is heard of keeps its streams.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -51,20 +51,6 @@
 	 */
 	private static final double ADMISSION_SHARE = 0.8;
 
-	/**
-	 * Maximum age at which a chunk of any answer shows that an endpoint is working, in
-	 * milliseconds; longer than the longest engine iterations.
-	 */
-	private static final long MAX_ACTIVITY_AGE_MILLIS = 2000;
-
-	/** Maximum age of such a chunk as a share of the stall timeout. */
-	private static final double ACTIVITY_AGE_SHARE = 0.6;
-
-	/**
-	 * Time between two checks of a stalled stream of a busy endpoint, in milliseconds.
-	 */
-	private static final long RECHECK_MILLIS = 200;
-
 	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
@@ -142,6 +128,10 @@
 		return this.relays.peers();
 	}
 
+	void peerHeard(String address, long nowMillis) {
+		this.relays.recordHeard(address, nowMillis);
+	}
+
 	/**
 	 * Returns whether this instance reaches any endpoint, as far as it knows.
 	 * @return false if several endpoints in a row did not answer
@@ -338,7 +328,7 @@
 		beginAttempt(state, nowMillis);
 		state.placement = placement;
 		state.sends++;
-		state.stallDeadlineMillis = nowMillis + firstChunkTimeoutMillis(state, placement);
+		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
 		state.triedEndpoints.add(placement.endpoint().id());
 		recordWork(state, demand(state, nowMillis), nowMillis);
 		this.limits.recordRequest(placement.endpoint().id(), nowMillis);
@@ -386,8 +376,8 @@
 		return SendRank.of(state.route.firstByteTargetMillis()).value();
 	}
 
-	private static long firstChunkTimeoutMillis(ForwardState state, Placement placement) {
-		return Math.max(StallTimeouts.millis(state.route), (long) (1.5 * placement.expectedFirstTokenMillis()) + 500);
+	private static long firstChunkTimeoutMillis(Route route, Placement placement) {
+		return Math.max(StallTimeouts.millis(route), (long) (1.5 * placement.expectedFirstTokenMillis()) + 500);
 	}
 
 	void chunkReceived(long attemptId, long nowMillis, List<GatewayEffect> effects) {
@@ -411,7 +401,7 @@
 		}
 		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
 		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
-		state.stallDeadlineMillis = nowMillis + StallTimeouts.millis(state.route);
+		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
 	}
 
 	void attemptEnded(GatewayEvent.AttemptEnded event, long nowMillis, List<GatewayEffect> effects) {
@@ -573,7 +563,7 @@
 				expire(state, nowMillis, effects);
 			}
 			else if (state.attemptId != 0 && nowMillis >= state.stallDeadlineMillis) {
-				handleStall(state, nowMillis, effects);
+				handleSilence(state, nowMillis, effects);
 			}
 			else if (this.reservations.isOverdue(state, nowMillis)) {
 				reservationAnswered(new GatewayEvent.ReservationAnswered(state.requestId,
@@ -602,52 +592,66 @@
 	}
 
 	/**
-	 * Moves a stalled stream to another endpoint. A stream that cannot be moved continues
-	 * to wait, because a stall alone must not end an answer.
+	 * Judges a silent stream, and moves it to another endpoint if it is stalled. A stream
+	 * that cannot be moved continues to wait, because a stall alone must not end an
+	 * answer.
 	 * @param state the request
 	 * @param nowMillis the current time
 	 * @param effects receives the effects
 	 */
-	private void handleStall(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+	private void handleSilence(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		if (state.relayPeer.isPresent()) {
-			handleRelayStall(state, nowMillis, effects);
+			handleRelaySilence(state, nowMillis, effects);
 			return;
 		}
 		EndpointHealth health = this.work.health(state.placement.endpoint().id());
-		long maxActivityAgeMillis = Math.min(MAX_ACTIVITY_AGE_MILLIS,
-				(long) (ACTIVITY_AGE_SHARE * StallTimeouts.millis(state.route)));
-		long maxIterationMillis = maxIterationMillis(state);
-		boolean active = health.isActive(nowMillis, maxActivityAgeMillis + maxIterationMillis);
-		if (active && !isLastStall(state, maxIterationMillis, nowMillis)) {
-			// The engine is busy with other requests, and another engine would have to
-			// prefill the prompt again.
-			state.stallDeadlineMillis = nowMillis + RECHECK_MILLIS;
-			return;
+		StallDetector.EngineSigns signs = engineSigns(state, health);
+		StallDetector.Judgement judgement = StallDetector.judge(silence(state), signs, nowMillis);
+		state.stallDeadlineMillis = judgement.recheckMillis();
+		switch (judgement.verdict()) {
+			case SOUND -> {
+			}
+			case UNKNOWN -> {
+				health.recordProbe(nowMillis);
+				log(effects, "silence-probed", "request", state.requestId, "endpoint", state.placement.endpoint().id(),
+						"idle-millis", nowMillis - state.lastChunkMillis, "output-age-millis",
+						nowMillis - Math.max(state.sentMillis, signs.outputMillis()), "reading-millis",
+						signs.readingMillis());
+				effects.add(new GatewayEffect.ProbeEndpoint(state.placement.endpoint()));
+			}
+			case DEAD, STOPPED -> moveStalled(state, judgement.verdict(), signs, nowMillis, effects);
 		}
-		state.stallDeadlineMillis = Long.MAX_VALUE;
-		if (!active) {
+	}
+
+	private void moveStalled(ForwardState state, StallDetector.Verdict verdict, StallDetector.EngineSigns signs,
+			long nowMillis, List<GatewayEffect> effects) {
+		boolean dead = verdict == StallDetector.Verdict.DEAD;
+		EndpointHealth health = this.work.health(state.placement.endpoint().id());
+		if (dead) {
 			this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 		}
-		boolean movable = state.route.kind() == RequestKind.RESUMABLE_STREAM && state.reservations.isEmpty()
-				&& state.sends < state.maxAttempts();
+		boolean movable = isMovable(state);
 		Optional<Placement> placement = (movable) ? placement(state, nowMillis) : Optional.empty();
 		boolean aroundCut = movable && this.links.isCut(state.service) && this.relays.choose(state).isPresent();
-		if (active && placement.isPresent() && isTooLate(state, placement.get(), nowMillis)) {
+		if (!dead && placement.isPresent() && isTooLate(state, placement.get(), nowMillis)) {
 			return;
 		}
 		if ((placement.isEmpty() && !aroundCut) || !mayRetry(state, AttemptOutcome.SILENT, nowMillis)) {
+			state.stallDeadlineMillis = Long.MAX_VALUE;
 			health.recordFailure();
 			return;
 		}
 		log(effects, "stream-stalled", "request", state.requestId, "attempt", state.attemptId, "endpoint",
-				state.placement.endpoint().id(), "idle-millis", nowMillis - state.lastChunkMillis);
+				state.placement.endpoint().id(), "verdict", verdict, "idle-millis", nowMillis - state.lastChunkMillis,
+				"begun", state.attemptStarted, "output-age-millis",
+				nowMillis - Math.max(state.sentMillis, signs.outputMillis()), "reading-millis", signs.readingMillis());
 		effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
 		this.byAttemptId.remove(state.attemptId);
-		if (active) {
-			health.recordFailure();
+		if (dead) {
+			health.recordFault(nowMillis);
 		}
 		else {
-			health.recordFault(nowMillis);
+			health.recordFailure();
 		}
 		state.mayHaveRun = true;
 		this.work.remove(state.requestId);
@@ -656,17 +660,25 @@
 		}
 	}
 
-	/**
-	 * Returns whether a stream of a busy endpoint has been idle for so long that it is to
-	 * be moved before its caller leaves.
-	 * @param state the request
-	 * @param maxIterationMillis time for which its engine may send nothing
-	 * @param nowMillis the current time
-	 * @return true if it has begun and no iteration of its engine explains the stall
-	 */
-	private static boolean isLastStall(ForwardState state, long maxIterationMillis, long nowMillis) {
-		return state.attemptStarted
-				&& nowMillis - state.lastChunkMillis >= StallTimeouts.lastMillis(state.route) + maxIterationMillis;
+	private static StallDetector.StreamSilence silence(ForwardState state) {
+		long stallMillis = StallTimeouts.millis(state.route);
+		long timeoutMillis = (state.attemptStarted) ? stallMillis
+				: firstChunkTimeoutMillis(state.route, state.placement);
+		return new StallDetector.StreamSilence(state.lastChunkMillis, state.attemptStarted, timeoutMillis, stallMillis,
+				StallTimeouts.lastMillis(state.route), isMovable(state));
+	}
+
+	private static boolean isMovable(ForwardState state) {
+		return state.route.kind() == RequestKind.RESUMABLE_STREAM && state.reservations.isEmpty()
+				&& state.sends < state.maxAttempts();
+	}
+
+	private StallDetector.EngineSigns engineSigns(ForwardState state, EndpointHealth health) {
+		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
+		EndpointWork endpoint = this.work.view(List.of(state.placement.endpoint())).get(0);
+		return new StallDetector.EngineSigns(health.lastActivityMillis(), health.lastSignMillis(),
+				health.lastProbeMillis(), model.map((engine) -> (long) endpoint.maxIterationMillis(engine)).orElse(0L),
+				model.map((engine) -> (long) endpoint.maxReadingMillis(engine, state.attemptStarted)).orElse(0L));
 	}
 
 	private static boolean isTooLate(ForwardState state, Placement placement, long nowMillis) {
@@ -675,29 +687,29 @@
 	}
 
 	/**
-	 * Hands a request whose peer does not answer to another peer. One that must not be
-	 * repeated continues to wait.
+	 * Hands a request whose peer does not answer and is not heard of to another peer. One
+	 * that must not be repeated continues to wait.
 	 * @param state the request
 	 * @param nowMillis the current time
 	 * @param effects receives the effects
 	 */
-	private void handleRelayStall(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+	private void handleRelaySilence(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		state.stallDeadlineMillis = Long.MAX_VALUE;
 		if (!state.route.kind().isRepeatable() || this.relays.choose(state).isEmpty()) {
 			return;
 		}
+		long silentMillis = StallDetector.peerSilentMillis(state.lastChunkMillis,
+				StallTimeouts.lastMillis(state.route), this.relays.heardMillis(state.relayPeer.get()));
+		if (nowMillis < silentMillis) {
+			state.stallDeadlineMillis = silentMillis;
+			return;
+		}
 		long attempt = state.attemptId;
 		effects.add(new GatewayEffect.CancelAttempt(attempt));
 		this.byAttemptId.remove(attempt);
 		relayEnded(state, new GatewayEvent.AttemptEnded(attempt, AttemptOutcome.SILENT, 0), nowMillis, effects);
 	}
 
-	private long maxIterationMillis(ForwardState state) {
-		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
-		EndpointWork endpoint = this.work.view(List.of(state.placement.endpoint())).get(0);
-		return model.map((engine) -> (long) endpoint.maxIterationMillis(engine)).orElse(0L);
-	}
-
 	private void giveUp(ForwardState state, RefusalCause cause, long nowMillis, List<GatewayEffect> effects) {
 		if (state.answerStarted) {
 			log(effects, "answer-aborted", "request", state.requestId, "cause", cause);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -142,8 +142,10 @@
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.ConnectionEstablished established) {
-			this.endpoints.find(established.endpoint())
-				.ifPresent((endpoint) -> this.forwarder.linkEvidence().connected(endpoint.service(), this.effects));
+			this.endpoints.find(established.endpoint()).ifPresent((endpoint) -> {
+				this.work.health(endpoint.id()).recordSign(nowMillis);
+				this.forwarder.linkEvidence().connected(endpoint.service(), this.effects);
+			});
 		}
 		else if (event instanceof GatewayEvent.NoticesReceived received) {
 			noticesReceived(received, nowMillis);
@@ -235,9 +237,10 @@
 	}
 
 	private void noticesReceived(GatewayEvent.NoticesReceived event, long nowMillis) {
-		this.endpoints.find(event.endpoint())
-			.ifPresent((endpoint) -> this.forwarder.linkEvidence()
-				.answerReceived(endpoint.service(), nowMillis, this.effects));
+		this.endpoints.find(event.endpoint()).ifPresent((endpoint) -> {
+			this.work.health(endpoint.id()).recordSign(nowMillis);
+			this.forwarder.linkEvidence().answerReceived(endpoint.service(), nowMillis, this.effects);
+		});
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
@@ -283,6 +286,7 @@
 
 	private void digestReceived(InstanceDigest digest, long nowMillis) {
 		Map<Long, RequestWork> shifted = new HashMap<>();
+		this.forwarder.peerHeard(digest.sender(), nowMillis);
 		this.work.applyPeerSummaries(digest.sender(), digest.summaries(), nowMillis);
 		digest.work().forEach((request, each) -> shifted.put(request, each.shifted(nowMillis)));
 		if (digest.fullState().isEmpty()) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
@@ -1,9 +1,12 @@
 package io.mulberrylift.core.forwarding;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 import io.mulberrylift.core.gossip.RelayPeer;
 
@@ -23,14 +26,40 @@
 
 	private final RandomGenerator random;
 
+	/** Number of further peers whose last message is kept. */
+	private static final int SPARE_HEARD = 16;
+
+	/** Time in the far past; differences to it do not overflow. */
+	private static final long NEVER = Long.MIN_VALUE / 2;
+
 	private List<RelayPeer> peers = List.of();
 
+	/** When the last message of each peer was received, by address. */
+	private final Map<String, Long> heardMillis = new HashMap<>();
+
 	Relays(RandomGenerator random) {
 		this.random = Objects.requireNonNull(random, "random");
 	}
 
 	void setPeers(List<RelayPeer> current) {
 		this.peers = List.copyOf(current);
+		if (this.heardMillis.size() > 2 * this.peers.size() + SPARE_HEARD) {
+			this.heardMillis.keySet()
+				.retainAll(this.peers.stream().map(RelayPeer::address).collect(Collectors.toSet()));
+		}
+	}
+
+	void recordHeard(String address, long nowMillis) {
+		this.heardMillis.put(address, nowMillis);
+	}
+
+	/**
+	 * Returns when the last message of a peer was received.
+	 * @param address address of the peer
+	 * @return the time in milliseconds, in the far past for never
+	 */
+	long heardMillis(String address) {
+		return this.heardMillis.getOrDefault(address, NEVER);
 	}
 
 	int peers() {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointHealth.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointHealth.java
@@ -42,6 +42,10 @@
 
 	private long lastActivityMillis = NEVER;
 
+	private long lastSignMillis = NEVER;
+
+	private long lastProbeMillis = NEVER;
+
 	/**
 	 * Records a successful attempt and ends any avoidance.
 	 */
@@ -109,13 +113,44 @@
 	}
 
 	/**
-	 * Returns whether bytes of any answer were received recently.
+	 * Returns when bytes of any answer were last received.
+	 * @return the time in milliseconds, in the far past for never
+	 */
+	public long lastActivityMillis() {
+		return this.lastActivityMillis;
+	}
+
+	/**
+	 * Records that the endpoint showed that it lives: a connection was established or the
+	 * head of an answer was received.
 	 * @param nowMillis the current time
-	 * @param maxAgeMillis maximum time since the last bytes
-	 * @return true if the endpoint is active
 	 */
-	public boolean isActive(long nowMillis, long maxAgeMillis) {
-		return nowMillis - this.lastActivityMillis <= maxAgeMillis;
+	public void recordSign(long nowMillis) {
+		this.lastSignMillis = nowMillis;
+	}
+
+	/**
+	 * Returns when the endpoint last showed that it lives.
+	 * @return the time in milliseconds, in the far past for never
+	 */
+	public long lastSignMillis() {
+		return this.lastSignMillis;
+	}
+
+	/**
+	 * Records that a connection is tried to learn whether the endpoint lives.
+	 * @param nowMillis the current time
+	 */
+	public void recordProbe(long nowMillis) {
+		this.lastProbeMillis = nowMillis;
+	}
+
+	/**
+	 * Returns when a connection was last tried to learn whether the endpoint lives.
+	 * @return the time in milliseconds, in the far past for never
+	 */
+	public long lastProbeMillis() {
+		return this.lastProbeMillis;
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointWork.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EndpointWork.java
@@ -1,5 +1,6 @@
 package io.mulberrylift.core.placement;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 
@@ -119,6 +120,30 @@
 		return iterationDecodeMillis(model, 0) + prefill;
 	}
 
+	/**
+	 * Returns the maximum time before a request advances, by all known work. A request
+	 * that decodes advances with each iteration, which prefills a limited number of
+	 * tokens; one that is not decoding yet may have to wait for all the others.
+	 * @param model cost model of the endpoint
+	 * @param requestDecodes whether the request is decoding
+	 * @return the time in milliseconds
+	 */
+	public double maxReadingMillis(EngineCostModel model, boolean requestDecodes) {
+		List<WorkItem> reading = this.items.stream()
+			.filter((item) -> item.prefillMillis() > 0)
+			.sorted(Comparator
+				.comparingDouble((WorkItem item) -> -model.maxTokenPrefillMillis(item.totalPrefillMillis())))
+			.toList();
+		double millis = iterationDecodeMillis(model, 0);
+		double tokensLeft = (requestDecodes) ? model.prefillTokensPerIteration() : Double.POSITIVE_INFINITY;
+		for (WorkItem item : reading) {
+			double tokens = Math.min(tokensLeft, model.promptTokens(item.totalPrefillMillis()) / item.parts());
+			tokensLeft -= tokens;
+			millis += Math.min(item.prefillMillis(), tokens * model.maxTokenPrefillMillis(item.totalPrefillMillis()));
+		}
+		return millis;
+	}
+
 	/**
 	 * Returns the time of the decode steps of one iteration.
 	 * @param model cost model of the endpoint
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineCostModel.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineCostModel.java
@@ -76,12 +76,31 @@
 		if (totalPrefillMillis <= 0) {
 			return 0;
 		}
+		return totalPrefillMillis * Math.min(1, prefillTokensPerIteration() / promptTokens(totalPrefillMillis));
+	}
+
+	/**
+	 * Returns the number of tokens of a prompt.
+	 * @param totalPrefillMillis prefill time of the entire prompt on one idle engine
+	 * @return the number of tokens
+	 */
+	public double promptTokens(double totalPrefillMillis) {
 		double perToken = 1 / this.prefillTokensPerMilli;
 		double perPair = this.perMillionTokenPairsMillis / MILLION;
-		double tokens = (perPair > 0)
+		return (perPair > 0)
 				? (Math.sqrt(perToken * perToken + 2 * perPair * totalPrefillMillis) - perToken) / perPair
 				: totalPrefillMillis / perToken;
-		return totalPrefillMillis * Math.min(1, prefillTokensPerIteration() / tokens);
+	}
+
+	/**
+	 * Returns the prefill time of the last token of a prompt, which attends to all
+	 * others.
+	 * @param totalPrefillMillis prefill time of the entire prompt on one idle engine
+	 * @return the time in milliseconds
+	 */
+	public double maxTokenPrefillMillis(double totalPrefillMillis) {
+		return 1 / this.prefillTokensPerMilli
+				+ promptTokens(totalPrefillMillis) * this.perMillionTokenPairsMillis / MILLION;
 	}
 
 	/**
--- /dev/null
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayStallTests.java
@@ -0,0 +1,211 @@
+package io.mulberrylift.core.forwarding;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+
+import io.mulberrylift.core.gossip.FullState;
+import io.mulberrylift.core.gossip.InstanceDigest;
+import io.mulberrylift.core.gossip.RelayPeer;
+import io.mulberrylift.core.gossip.StoreRevision;
+import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.placement.RequestWork;
+import io.mulberrylift.core.placement.WorkTable;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Streams of engines that read prompts and send nothing meanwhile, and of engines that
+ * are dead, in virtual time.
+ */
+class GatewayStallTests {
+
+	private static final int STREAMS = 68;
+
+	private static final int READING_MILLIS = 8000;
+
+	/** Maximum number of probes of an engine in a silence of 1.4 s. */
+	private static final int MAX_PROBES = 4;
+
+	private static final long TICK_MILLIS = 20;
+
+	/** Time without a chunk after which short streams of dead engines are moved. */
+	private static final long STALL_MILLIS = 900;
+
+	private static final RelayPeer NEAR = new RelayPeer("10.0.0.2:7", true);
+
+	private static final RelayPeer FAR = new RelayPeer("10.0.0.3:7", false);
+
+	private final GatewayFixture fixture = new GatewayFixture();
+
+	/** Engines that accept no connection. */
+	private final Set<EndpointId> dead = new HashSet<>();
+
+	private int handled;
+
+	private long messages;
+
+	private void start(int engines) {
+		this.fixture.started();
+		this.fixture.listEngines(engines);
+	}
+
+	/** Advances the clock; living engines accept the connections that probe them. */
+	private void run(long millis) {
+		for (long passed = 0; passed < millis; passed += TICK_MILLIS) {
+			this.fixture.advance(TICK_MILLIS);
+			List<GatewayEffect> effects = this.fixture.effects;
+			for (; this.handled < effects.size(); this.handled++) {
+				if (effects.get(this.handled) instanceof GatewayEffect.ProbeEndpoint probe
+						&& !this.dead.contains(probe.endpoint().id())) {
+					this.fixture.reduce(new GatewayEvent.ConnectionEstablished(probe.endpoint().id()));
+				}
+			}
+		}
+	}
+
+	private List<GatewayEffect.Send> beginStreams(int count) {
+		for (int index = 0; index < count; index++) {
+			this.fixture.arrive("/stream/x", 5000);
+		}
+		List<GatewayEffect.Send> sends = this.fixture.all(GatewayEffect.Send.class);
+		assertThat(sends).hasSize(count);
+		sends.forEach((send) -> this.fixture.reduce(new GatewayEvent.AnswerChunk(send.attemptId())));
+		return sends;
+	}
+
+	/** A peer tells that engines read one of three parts of a prompt each. */
+	private void peerReads(Set<EndpointId> engines, double millis) {
+		Map<Long, RequestWork> work = new HashMap<>();
+		engines.forEach((engine) -> work.put((long) WorkTable.hash(engine), new RequestWork(false, millis, 200_000, 0,
+				800, 3000, (long) millis, 40, WorkTable.hash(engine), List.of(1, 2))));
+		hear("10.0.0.9:1", work);
+	}
+
+	private static Set<EndpointId> engines(List<GatewayEffect.Send> sends) {
+		return sends.stream().map((send) -> send.endpoint().id()).collect(Collectors.toSet());
+	}
+
+	private void hear(String peer, Map<Long, RequestWork> work) {
+		FullState state = new FullState("zone-b", 1, StoreRevision.NONE, Optional.empty(), true, List.of(), List.of(),
+				List.of());
+		this.messages++;
+		this.fixture.reduce(new GatewayEvent.DigestReceived(new InstanceDigest(peer, 1, this.messages, work, List.of(),
+				List.of(), List.of(), Optional.of(state))));
+	}
+
+	/**
+	 * Load: 45 engines that all read parts of long prompts of other instances, of which
+	 * this instance knows nothing; 68 short streams were taken from them as stalled after
+	 * 903 ms.
+	 */
+	@Test
+	void soundStreamsOfEnginesThatReadUnknownPromptsAreNotMoved() {
+		start(45);
+		List<GatewayEffect.Send> sends = beginStreams(STREAMS);
+		SplittableRandom random = new SplittableRandom(68);
+		Map<EndpointId, Long> silentUntil = new HashMap<>();
+		int silences = 0;
+		for (int passed = 0; passed < READING_MILLIS; passed += TICK_MILLIS) {
+			for (EndpointId engine : engines(sends)) {
+				if (silentUntil.getOrDefault(engine, 0L) <= this.fixture.nowMillis) {
+					sends.stream()
+						.filter((send) -> send.endpoint().id().equals(engine))
+						.forEach((send) -> this.fixture.reduce(new GatewayEvent.AnswerChunk(send.attemptId())));
+					silentUntil.put(engine, this.fixture.nowMillis + 920 + random.nextLong(500));
+					silences++;
+				}
+			}
+			run(TICK_MILLIS);
+		}
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(STREAMS);
+		assertThat(this.fixture.gateway.reachesEndpoints()).isTrue();
+		assertThat(this.fixture.all(GatewayEffect.ProbeEndpoint.class)).hasSizeBetween(silences / 2, silences * MAX_PROBES);
+	}
+
+	/**
+	 * Load: the same with one part of a prompt of 900,000 tokens, of which a peer tells.
+	 * Callers would leave after 2 s, but another engine that reads as well is no better.
+	 */
+	@Test
+	void soundStreamsAreNotMovedWhileKnownReadingExplainsTheSilence() {
+		start(12);
+		List<GatewayEffect.Send> sends = beginStreams(12);
+		for (int round = 0; round < 5; round++) {
+			peerReads(engines(sends), 4000);
+			run(700);
+		}
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+	}
+
+	/** Failure: engines fall silent for good beside others that only read. */
+	@Test
+	void streamsOfDeadEnginesAreMovedAsSoonAsBefore() {
+		start(45);
+		List<GatewayEffect.Send> sends = beginStreams(STREAMS);
+		EndpointId dark = sends.get(0).endpoint().id();
+		this.dead.add(dark);
+		run(STALL_MILLIS);
+		Set<Long> expected = new HashSet<>();
+		sends.stream().filter((send) -> send.endpoint().id().equals(dark)).forEach((send) -> expected.add(send.attemptId()));
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).extracting(GatewayEffect.CancelAttempt::attemptId)
+			.containsExactlyInAnyOrderElementsOf(expected);
+		assertThat(this.fixture.logged("stream-stalled")).containsEntry("verdict", StallDetector.Verdict.DEAD);
+	}
+
+	/**
+	 * Failure: an engine dies while it is known to read; the same iteration time of it as
+	 * before is waited for.
+	 */
+	@Test
+	void streamsOfDeadEnginesThatWereKnownToReadAreMovedAsSoonAsBefore() {
+		start(6);
+		List<GatewayEffect.Send> sends = beginStreams(1);
+		EndpointId dark = sends.get(0).endpoint().id();
+		this.dead.add(dark);
+		peerReads(Set.of(dark), 300);
+		run(STALL_MILLIS);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).hasSize(1);
+	}
+
+	/** Failure: an engine lives, but hangs on one request. */
+	@Test
+	void requestThatHangsAtALivingEngineIsMovedBeforeItsCallerLeaves() {
+		start(6);
+		this.fixture.arrive("/stream/x", 5000);
+		run(1400);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+		run(400);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).hasSize(1);
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(2);
+	}
+
+	/**
+	 * Load: the engine of a stream that a peer has reads for longer than the time after
+	 * which silent peers are left; the peer judges the stream itself.
+	 */
+	@Test
+	void streamOfAPeerThatIsHeardOfIsNotHandedToAnotherPeer() {
+		this.fixture.started();
+		this.fixture.gateway.setRelayPeers(List.of(NEAR, FAR));
+		this.fixture.arrive("/stream/x", 5000);
+		this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.NOT_CONNECTED);
+		this.fixture.end(this.fixture.last(GatewayEffect.Send.class).attemptId(), AttemptOutcome.NOT_CONNECTED);
+		GatewayEffect.Relay relay = this.fixture.last(GatewayEffect.Relay.class);
+		run(1000);
+		hear(relay.peer(), Map.of());
+		run(900);
+		assertThat(this.fixture.all(GatewayEffect.Relay.class)).hasSize(1);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+		run(600);
+		assertThat(this.fixture.all(GatewayEffect.Relay.class)).hasSize(2);
+	}
+
+}
