--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -698,8 +698,8 @@
 		if (!state.route.kind().isRepeatable() || this.relays.choose(state).isEmpty()) {
 			return;
 		}
-		long silentMillis = StallDetector.peerSilentMillis(state.lastChunkMillis,
-				StallTimeouts.lastMillis(state.route), this.relays.heardMillis(state.relayPeer.get()));
+		long silentMillis = StallDetector.peerSilentMillis(state.lastChunkMillis, StallTimeouts.lastMillis(state.route),
+				this.relays.heardMillis(state.relayPeer.get()));
 		if (nowMillis < silentMillis) {
 			state.stallDeadlineMillis = silentMillis;
 			return;
