Forget the process before when an endpoint starts again under its identity

Cause: nothing compared the starts of endpoints. Avoidance, failure rate, limit, back-off, leaving mark, work and memory reservations of the process before bound the new one, and reservations would have been renewed at it for no request. Change: EndpointStarts tells another start under a known identity, also of an endpoint that was not listed in between. The gateway then forgets all of that and discards its idle connections. Attempts in progress end by their connections; their ends, late answers and older reports of peers no longer count against the new process. Evidence against requests remains.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointLinks.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointLinks.java
@@ -170,6 +170,16 @@
 		return this.brokenEndpoints.size() > SILENT_ENDPOINTS;
 	}
 
+	/**
+	 * Forgets an endpoint whose process has started again.
+	 * @param endpoint the endpoint
+	 */
+	void forget(EndpointId endpoint) {
+		this.brokenEndpoints.remove(endpoint);
+		this.overall.forget(endpoint);
+		this.byService.values().forEach((link) -> link.forget(endpoint));
+	}
+
 	private static final class Link {
 
 		/** Endpoints that failed since the last byte from any endpoint. */
@@ -201,6 +211,13 @@
 					&& nowMillis - this.lastAnswerMillis >= MIN_SILENCE_MILLIS;
 		}
 
+		void forget(EndpointId endpoint) {
+			this.silentEndpoints.remove(endpoint);
+			this.silentConnectedEndpoints.remove(endpoint);
+			this.unconnectedEndpoints.remove(endpoint);
+			this.silent = this.silent && this.silentEndpoints.size() >= SILENT_ENDPOINTS;
+		}
+
 		void clear() {
 			this.silentEndpoints.clear();
 			this.silentConnectedEndpoints.clear();
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
@@ -36,8 +36,14 @@
 	/** When endpoints last reported themselves that they are leaving. */
 	private final Map<EndpointId, Long> reportedLeavingMillis = new HashMap<>();
 
+	private final EndpointStarts starts = new EndpointStarts();
+
 	private boolean known;
 
+	EndpointStarts starts() {
+		return this.starts;
+	}
+
 	/**
 	 * Replaces the table's contents.
 	 * @param endpoints all listed endpoints
@@ -78,6 +84,14 @@
 		return accepted;
 	}
 
+	/**
+	 * Forgets that an endpoint reported that it is leaving.
+	 * @param id the endpoint
+	 */
+	void forgetLeaving(EndpointId id) {
+		this.reportedLeavingMillis.remove(id);
+	}
+
 	/**
 	 * Removes reports of endpoints that are still listed as available long after them.
 	 * @param nowMillis the current time
@@ -103,12 +117,20 @@
 		return Optional.ofNullable(this.byHash.get(hash));
 	}
 
+	/**
+	 * Returns the endpoint with an identity or an address.
+	 * @param name the identity or address
+	 * @return the endpoint, empty if none is listed; of several with one address, an
+	 * available one
+	 */
 	Optional<EndpointId> findByName(String name) {
 		return this.byId.values()
 			.stream()
 			.filter((endpoint) -> endpoint.id().value().equals(name) || endpoint.address().equals(name))
-			.map(ForwardEndpoint::id)
-			.findFirst();
+			.min(Comparator.comparing((ForwardEndpoint endpoint) -> !endpoint.id().value().equals(name))
+				.thenComparing((endpoint) -> !isAvailable(endpoint))
+				.thenComparing(ForwardEndpoint::id))
+			.map(ForwardEndpoint::id);
 	}
 
 	Set<EndpointId> ids() {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -410,7 +410,7 @@
 			return;
 		}
 		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
-		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
+		health(state).recordActivity(nowMillis);
 		state.stallDeadlineMillis = nowMillis + StallTimeouts.millis(state.route);
 	}
 
@@ -432,7 +432,7 @@
 				"expected-first-token-millis", (long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis",
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
-		recordOutcome(state, outcome, endpoint, nowMillis);
+		recordOutcome(state, outcome, nowMillis);
 		boolean linkBroken = this.linkEvidence.attemptEnded(state, event, nowMillis, effects);
 		if (!linkBroken) {
 			this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
@@ -500,8 +500,55 @@
 		}
 	}
 
-	private void recordOutcome(ForwardState state, AttemptOutcome outcome, EndpointId endpoint, long nowMillis) {
-		EndpointHealth health = this.work.health(endpoint);
+	/**
+	 * Returns the health of the endpoint of an attempt.
+	 * @param state the request
+	 * @return its health; one that nothing reads if its process has started again since
+	 */
+	private EndpointHealth health(ForwardState state) {
+		ForwardEndpoint endpoint = state.placement.endpoint();
+		return (this.endpoints.starts().hasRestarted(endpoint)) ? new EndpointHealth()
+				: this.work.health(endpoint.id());
+	}
+
+	/**
+	 * Handles the start of a new process under the identity of an endpoint. Attempts in
+	 * progress there end by their connections.
+	 * @param endpoint the endpoint
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 * @return the number of requests that had something there
+	 */
+	int endpointRestarted(EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
+		this.links.forget(endpoint);
+		int affected = 0;
+		for (ForwardState state : List.copyOf(this.byRequestId.values())) {
+			boolean reserved = this.reservations.forget(state, endpoint);
+			boolean sent = state.attemptId != 0 && state.relayPeer.isEmpty()
+					&& state.placement.endpoint().id().equals(endpoint);
+			affected += (reserved || sent) ? 1 : 0;
+			if (reserved && state.pendingReservations > 0) {
+				reservationAnswered(
+						new GatewayEvent.ReservationAnswered(state.requestId, endpoint, Optional.empty()), nowMillis,
+						effects);
+			}
+		}
+		return affected;
+	}
+
+	/**
+	 * Returns whether an answer is one of a process that is gone.
+	 * @param attemptId the attempt
+	 * @return true if its endpoint has started again since it was sent
+	 */
+	boolean isOfProcessBefore(long attemptId) {
+		ForwardState state = this.byAttemptId.get(attemptId);
+		return state != null && state.relayPeer.isEmpty()
+				&& this.endpoints.starts().hasRestarted(state.placement.endpoint());
+	}
+
+	private void recordOutcome(ForwardState state, AttemptOutcome outcome, long nowMillis) {
+		EndpointHealth health = health(state);
 		if (outcome.isCompleted()) {
 			health.recordSuccess();
 		}
@@ -591,7 +638,7 @@
 		if (state.attemptId != 0) {
 			state.mayHaveRun = true;
 			if (state.relayPeer.isEmpty()) {
-				this.work.health(state.placement.endpoint().id()).recordFailure();
+				health(state).recordFailure();
 				if (!state.attemptStarted) {
 					this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 				}
@@ -613,7 +660,7 @@
 			handleRelayStall(state, nowMillis, effects);
 			return;
 		}
-		EndpointHealth health = this.work.health(state.placement.endpoint().id());
+		EndpointHealth health = health(state);
 		long maxActivityAgeMillis = Math.min(MAX_ACTIVITY_AGE_MILLIS,
 				(long) (ACTIVITY_AGE_SHARE * StallTimeouts.millis(state.route)));
 		long maxIterationMillis = maxIterationMillis(state);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -128,7 +128,7 @@
 			configurationRead(read.configuration());
 		}
 		else if (event instanceof GatewayEvent.EndpointsRead read) {
-			endpointsRead(read.endpoints());
+			endpointsRead(read.endpoints(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.DigestReceived received) {
 			digestReceived(received.digest(), nowMillis);
@@ -217,10 +217,11 @@
 		this.forwarder.setConfiguration(read);
 	}
 
-	private void endpointsRead(List<ForwardEndpoint> listed) {
+	private void endpointsRead(List<ForwardEndpoint> listed, long nowMillis) {
 		boolean first = !this.endpoints.isKnown();
 		List<EndpointId> leaving = this.endpoints.replace(listed);
 		this.work.retainHealth(this.endpoints.ids());
+		this.endpoints.starts().record(listed, nowMillis).forEach((restart) -> endpointRestarted(restart, nowMillis));
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
 		leaving.forEach((id) -> endpointLeaving(id, "list"));
@@ -230,6 +231,24 @@
 	}
 
 	private void endpointLeaving(EndpointId endpoint, String source) {
+	/**
+	 * Forgets what is known of the process that an endpoint had before. What it says about
+	 * requests that may have crashed it remains.
+	 * @param restart the endpoint
+	 * @param nowMillis the current time
+	 */
+	private void endpointRestarted(EndpointStarts.Restart restart, long nowMillis) {
+		EndpointId id = restart.endpoint().id();
+		this.endpoints.forgetLeaving(id);
+		this.work.forget(id);
+		this.limits.forget(id);
+		this.backOffs.forget(id);
+		this.effects.add(new GatewayEffect.DiscardConnections(id));
+		int affected = this.forwarder.endpointRestarted(id, nowMillis, this.effects);
+		log("endpoint-restarted", "endpoint", id, "started", restart.endpoint().startedEpochMillis(),
+				"started-before", restart.earlierEpochMillis(), "requests", affected);
+	}
+
 		log("endpoint-leaving", "endpoint", endpoint, "source", source);
 		this.effects.add(new GatewayEffect.DiscardConnections(endpoint));
 	}
@@ -239,6 +258,9 @@
 			.ifPresent((endpoint) -> this.forwarder.linkEvidence()
 				.answerReceived(endpoint.service(), nowMillis, this.effects));
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
+		if (this.forwarder.isOfProcessBefore(event.attemptId())) {
+			return;
+		}
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
 			endpointLeaving(event.endpoint(), "answer");
@@ -293,10 +315,13 @@
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
+				.filter((id) -> !this.endpoints.starts().mayConcernProcessBefore(id, EndpointStarts.PEER_DELAY_MILLIS,
+						nowMillis))
 		}
 		for (EndpointLimit limit : digest.fullState().get().limits()) {
 			this.endpoints.findByHash(limit.endpointHash())
 				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
+				.filter((id) -> !this.endpoints.starts().mayConcernProcessBefore(id, limit.ageMillis(), nowMillis))
 					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
 		}
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/MemoryReservations.java
@@ -169,6 +169,19 @@
 		state.pendingReservations = 0;
 	}
 
+	/**
+	 * Forgets the reservations at an engine whose process has started again, so that they
+	 * are not renewed there.
+	 * @param state the request
+	 * @param engine the engine
+	 * @return whether there were any
+	 */
+	boolean forget(ForwardState state, EndpointId engine) {
+		boolean had = state.reservations.values().removeIf((each) -> each.id().equals(engine));
+		state.reservedMillis.keySet().retainAll(state.reservations.keySet());
+		return had;
+	}
+
 	enum Progress {
 
 		/** Some engines have not answered yet. */
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/EndpointBackOffs.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/EndpointBackOffs.java
@@ -84,6 +84,15 @@
 		this.malformedValues.keySet().retainAll(listed);
 	}
 
+	/**
+	 * Removes what is known of an endpoint whose process has started again.
+	 * @param endpoint the endpoint
+	 */
+	public void forget(EndpointId endpoint) {
+		this.endMillis.remove(endpoint);
+		this.malformedValues.remove(endpoint);
+	}
+
 	/**
 	 * Returns all back-offs, for operators.
 	 * @param nowMillis the current time
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
@@ -269,6 +269,15 @@
 		this.malformedValues.keySet().retainAll(listed);
 	}
 
+	/**
+	 * Removes the limit of an endpoint whose process has started again.
+	 * @param endpoint the endpoint
+	 */
+	public void forget(EndpointId endpoint) {
+		this.limits.remove(endpoint);
+		this.malformedValues.remove(endpoint);
+	}
+
 	/**
 	 * A change of an endpoint's limit.
 	 *
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/RequestWork.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/RequestWork.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Work of one request in progress at all endpoints involved, as published to peers.
@@ -50,6 +51,24 @@
 				this.endpointHash, helpers);
 	}
 
+	/**
+	 * Returns this work without an endpoint whose process has started again.
+	 * @param hash hash of the endpoint
+	 * @return the rest of the work, empty if there is none
+	 */
+	Optional<RequestWork> without(int hash) {
+		if (this.endpointHash == hash) {
+			return Optional.empty();
+		}
+		if (!this.helperHashes.contains(hash)) {
+			return Optional.of(this);
+		}
+		return Optional.of(new RequestWork(this.decoding, this.partPrefillMillis, this.memoryTokens,
+				this.helperMemoryTokens, this.gapTargetMillis, this.firstTokenDueMillis, this.expectedFirstTokenMillis,
+				this.weight, this.endpointHash,
+				this.helperHashes.stream().filter((each) -> each != hash).toList()));
+	}
+
 	/**
 	 * Returns this work with its times shifted, for conversion between absolute and
 	 * relative times.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
@@ -178,6 +178,37 @@
 		this.health.keySet().retainAll(listed);
 	}
 
+	/**
+	 * Forgets the health of an endpoint whose process has started again, and all work
+	 * that the process before had.
+	 * @param endpoint the endpoint
+	 */
+	public void forget(EndpointId endpoint) {
+		this.health.remove(endpoint);
+		int hash = hash(endpoint);
+		for (long request : List.copyOf(this.ownWork.keySet())) {
+			if (forget(this.ownWork, request, hash)) {
+				this.changedRequests.add(request);
+			}
+		}
+		this.peers.values()
+			.forEach((report) -> List.copyOf(report.work().keySet())
+				.forEach((request) -> forget(report.work(), request, hash)));
+		this.peerSummaries.values().forEach((summaries) -> summaries.remove(EndpointSummary.key(hash)));
+	}
+
+	private static boolean forget(Map<Long, RequestWork> works, long request, int hash) {
+		RequestWork known = works.get(request);
+		RequestWork rest = known.without(hash).orElse(null);
+		if (rest == null) {
+			works.remove(request);
+		}
+		else {
+			works.put(request, rest);
+		}
+		return rest != known;
+	}
+
 	/**
 	 * Returns the endpoints that are avoided because of faults that this instance
 	 * observed.
