Keep requests within the regions that their route and workspace allow

Cause: allowed-regions was decoded and decided nothing. Without an allowed endpoint a request is refused at once with NO_ENDPOINT and a time to return, also while the link is cut. Peers to relay to now state their zone. Requests without restriction are decided as before.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.core.forwarding;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.stream.Stream;
 
@@ -26,6 +27,9 @@
 
 	private final EndpointBackOffs backOffs;
 
+	/** Region of each availability zone. */
+	private Map<String, String> regionsByZone = Map.of();
+
 	EndpointCandidates(EndpointTable endpoints, WorkTable work, RequestLimits limits, EndpointBackOffs backOffs) {
 		this.endpoints = Objects.requireNonNull(endpoints, "endpoints");
 		this.work = Objects.requireNonNull(work, "work");
@@ -33,8 +37,28 @@
 		this.backOffs = Objects.requireNonNull(backOffs, "backOffs");
 	}
 
+	void setRegions(Map<String, String> regions) {
+		this.regionsByZone = regions;
+	}
+
+	/**
+	 * Returns whether any endpoint that accepts new work is in a region that a request may
+	 * be in.
+	 * @param state the request
+	 * @return true for a request that may be anywhere
+	 */
+	boolean hasAllowed(ForwardState state) {
+		return !state.allowedRegions.isRestricted() || allowed(state).findAny().isPresent();
+	}
+
+	private Stream<ForwardEndpoint> allowed(ForwardState state) {
+		return this.endpoints.available(state.service)
+			.stream()
+			.filter((endpoint) -> state.allowedRegions.allows(endpoint.zone(), this.regionsByZone));
+	}
+
 	/**
-	 * Returns the endpoints that accept new work, have not been tried, do not back off
+	 * Returns the endpoints that accept new work, are in a permitted region, have not been tried, do not back off
 	 * and have room in their limit. Avoided ones are included only if there are no
 	 * others.
 	 * @param state the request
@@ -52,9 +76,7 @@
 	}
 
 	private Stream<ForwardEndpoint> untried(ForwardState state) {
-		return this.endpoints.available(state.service)
-			.stream()
-			.filter((endpoint) -> !state.triedEndpoints.contains(endpoint.id()));
+		return allowed(state).filter((endpoint) -> !state.triedEndpoints.contains(endpoint.id()));
 	}
 
 	/**
@@ -83,16 +105,14 @@
 	}
 
 	/**
-	 * Returns the time until an endpoint of a service accepts a request: its back-off has
-	 * ended and its limit has room.
-	 * @param service name of the service
+	 * Returns the time until an endpoint accepts a request: its back-off has ended and its
+	 * limit has room.
+	 * @param state the request
 	 * @param nowMillis the current time
 	 * @return the time in milliseconds, 0 if one accepts requests now or there is none
 	 */
-	long acceptedInMillis(String service, long nowMillis) {
-		return this.endpoints.available(service)
-			.stream()
-			.mapToLong((endpoint) -> Math.max(this.backOffs.remainingMillis(endpoint.id(), nowMillis),
+	long acceptedInMillis(ForwardState state, long nowMillis) {
+		return allowed(state).mapToLong((endpoint) -> Math.max(this.backOffs.remainingMillis(endpoint.id(), nowMillis),
 					this.limits.acceptsInMillis(endpoint.id(), nowMillis)))
 			.min()
 			.orElse(0);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -53,6 +53,9 @@
 	/** Addresses of the peers that the request was handed to. */
 	final Set<String> triedPeers = new HashSet<>();
 
+	/** Regions that the request may be in. */
+	AllowedRegions allowedRegions = AllowedRegions.ANY;
+
 	Placement placement;
 
 	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -118,6 +118,12 @@
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
 		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits, backOffs);
+		setRegions(identity.terms());
+	}
+
+	private void setRegions(GatewayTerms terms) {
+		this.candidates.setRegions(terms.regionsByZone());
+		this.relays.setRegions(terms.regionsByZone());
 	}
 
 	void setConfiguration(ForwardingConfiguration current) {
@@ -126,6 +132,7 @@
 
 	void setIdentity(GatewayIdentity current) {
 		this.identity = current;
+		setRegions(current.terms());
 		this.reservations.setFreeMillis(current.memoryFreeMillis());
 		this.retryBudgets.values().forEach((budget) -> budget.setBounds(current.retryBounds()));
 	}
@@ -190,7 +197,7 @@
 	}
 
 	private void dispatch(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		if (this.links.isCut(state.service) && dispatchAroundCut(state, nowMillis, effects)) {
+		if (this.links.isCut(state.service) && this.candidates.hasAllowed(state) && dispatchAroundCut(state, nowMillis, effects)) {
 			return;
 		}
 		List<EndpointWork> available = this.candidates.find(state, nowMillis);
@@ -767,7 +774,7 @@
 	}
 
 	private Optional<Long> retryAfterMillis(ForwardState state, RefusalCause cause, long nowMillis) {
-		long acceptedInMillis = this.candidates.acceptedInMillis(state.service, nowMillis);
+		long acceptedInMillis = this.candidates.acceptedInMillis(state, nowMillis);
 		boolean untilAccepted = switch (cause) {
 			case ENDPOINTS_LIMITED, ENDPOINTS_BACKING_OFF -> true;
 			case NOT_RUN, OVERLOADED, EXPIRED_NOT_RUN -> acceptedInMillis > 0;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -197,6 +197,7 @@
 		}
 		String service = route.get().chooseService(this.random.nextDouble());
 		ForwardState state = new ForwardState(event.requestId(), request, route.get(), service, workspace, nowMillis);
+		state.allowedRegions = AllowedRegions.of(route.get(), current.terms(workspace));
 		this.forwarder.start(state, current, nowMillis, this.effects);
 	}
 
@@ -220,8 +221,8 @@
 	private void endpointsRead(List<ForwardEndpoint> listed, long nowMillis) {
 		boolean first = !this.endpoints.isKnown();
 		List<EndpointId> leaving = this.endpoints.replace(listed);
-		this.work.retainHealth(this.endpoints.ids());
 		this.endpoints.starts().record(listed, nowMillis).forEach((restart) -> endpointRestarted(restart, nowMillis));
+		this.work.retainHealth(this.endpoints.ids());
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
 		leaving.forEach((id) -> endpointLeaving(id, "list"));
@@ -230,7 +231,6 @@
 		}
 	}
 
-	private void endpointLeaving(EndpointId endpoint, String source) {
 	/**
 	 * Forgets what is known of the process that an endpoint had before. What it says about
 	 * requests that may have crashed it remains.
@@ -249,6 +249,7 @@
 				"started-before", restart.earlierEpochMillis(), "requests", affected);
 	}
 
+	private void endpointLeaving(EndpointId endpoint, String source) {
 		log("endpoint-leaving", "endpoint", endpoint, "source", source);
 		this.effects.add(new GatewayEffect.DiscardConnections(endpoint));
 	}
@@ -257,10 +258,10 @@
 		this.endpoints.find(event.endpoint())
 			.ifPresent((endpoint) -> this.forwarder.linkEvidence()
 				.answerReceived(endpoint.service(), nowMillis, this.effects));
-		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		if (this.forwarder.isOfProcessBefore(event.attemptId())) {
 			return;
 		}
+		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
 			endpointLeaving(event.endpoint(), "answer");
@@ -314,14 +315,14 @@
 		this.work.replacePeerWork(digest.sender(), shifted, nowMillis);
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
-				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
 				.filter((id) -> !this.endpoints.starts().mayConcernProcessBefore(id, EndpointStarts.PEER_DELAY_MILLIS,
 						nowMillis))
+				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
 		}
 		for (EndpointLimit limit : digest.fullState().get().limits()) {
 			this.endpoints.findByHash(limit.endpointHash())
-				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
 				.filter((id) -> !this.endpoints.starts().mayConcernProcessBefore(id, limit.ageMillis(), nowMillis))
+				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
 					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
 		}
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.core.forwarding;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -25,6 +26,9 @@
 
 	private List<RelayPeer> peers = List.of();
 
+	/** Region of each availability zone. */
+	private Map<String, String> regionsByZone = Map.of();
+
 	Relays(RandomGenerator random) {
 		this.random = Objects.requireNonNull(random, "random");
 	}
@@ -33,6 +37,10 @@
 		this.peers = List.copyOf(current);
 	}
 
+	void setRegions(Map<String, String> regions) {
+		this.regionsByZone = regions;
+	}
+
 	int peers() {
 		return this.peers.size();
 	}
@@ -40,7 +48,7 @@
 	/**
 	 * Chooses a peer that the request was not handed to yet: first one of the same
 	 * availability zone if there is any, then one of another zone, since the first zone
-	 * may be cut off as a whole.
+	 * may be cut off as a whole. A peer is in a region that the request may be in.
 	 * @param state the request
 	 * @return address of the peer, empty if there is none
 	 */
@@ -49,7 +57,8 @@
 			return Optional.empty();
 		}
 		List<RelayPeer> untried = this.peers.stream()
-			.filter((peer) -> !state.triedPeers.contains(peer.address()))
+			.filter((peer) -> !state.triedPeers.contains(peer.address())
+					&& state.allowedRegions.allows(peer.zone(), this.regionsByZone))
 			.toList();
 		boolean near = state.triedPeers.isEmpty();
 		List<RelayPeer> preferred = untried.stream().filter((peer) -> peer.sameZone() == near).toList();
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -459,7 +459,8 @@
 			.stream()
 			.filter((entry) -> entry.getValue().endpointsReachable()
 					&& nowMillis - entry.getValue().lastReceivedMillis() <= LIVENESS_TIMEOUT_MILLIS)
-			.map((entry) -> new RelayPeer(entry.getKey(), entry.getValue().zone().equals(this.zone)))
+			.map((entry) -> new RelayPeer(entry.getKey(), entry.getValue().zone().equals(this.zone),
+					entry.getValue().zone()))
 			.sorted(Comparator.comparing(RelayPeer::address))
 			.toList();
 		return this.relayPeers;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/RelayPeer.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/RelayPeer.java
@@ -7,14 +7,25 @@
  *
  * @param address address at which other instances reach it
  * @param sameZone whether it is in the availability zone of this instance
+ * @param zone its availability zone, empty if it is not known
  */
-public record RelayPeer(String address, boolean sameZone) {
+public record RelayPeer(String address, boolean sameZone, String zone) {
 
 	/**
 	 * Creates the peer.
 	 */
 	public RelayPeer {
 		Objects.requireNonNull(address, "address");
+		Objects.requireNonNull(zone, "zone");
+	}
+
+	/**
+	 * Creates a peer whose availability zone is not known.
+	 * @param address address at which other instances reach it
+	 * @param sameZone whether it is in the availability zone of this instance
+	 */
+	public RelayPeer(String address, boolean sameZone) {
+		this(address, sameZone, "");
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointCandidatesTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/EndpointCandidatesTests.java
@@ -72,7 +72,7 @@
 	void limitedEndpointsAreCandidatesWhenTheirLimitHasRoom() {
 		limit("p1");
 		assertThat(found(999)).containsExactly("p2");
-		assertThat(this.candidates.acceptedInMillis("plain", 400)).isZero();
+		assertThat(this.candidates.acceptedInMillis(this.state, 400)).isZero();
 		assertThat(names(this.candidates.withoutLimit(this.candidates.find(this.state, 1000)))).containsExactly("p2");
 		assertThat(found(1000)).containsExactly("p1", "p2");
 	}
@@ -82,7 +82,7 @@
 		limit("p1");
 		limit("p2");
 		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.ENDPOINTS_LIMITED);
-		assertThat(this.candidates.acceptedInMillis("plain", 400)).isEqualTo(600);
+		assertThat(this.candidates.acceptedInMillis(this.state, 400)).isEqualTo(600);
 		this.state.triedEndpoints.addAll(List.of(new EndpointId("p1"), new EndpointId("p2")));
 		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.NO_ENDPOINT);
 		this.state.sends = 2;
@@ -93,11 +93,11 @@
 	void endpointsThatBackOffAreNoCandidates() {
 		this.backOffs.extend(new EndpointId("p1"), 3000, 0);
 		assertThat(found(2999)).containsExactly("p2");
-		assertThat(this.candidates.acceptedInMillis("plain", 400)).isZero();
+		assertThat(this.candidates.acceptedInMillis(this.state, 400)).isZero();
 		this.backOffs.extend(new EndpointId("p2"), 2000, 0);
 		assertThat(found(1999)).isEmpty();
 		assertThat(this.candidates.unavailabilityCause(this.state, 400)).isEqualTo(RefusalCause.ENDPOINTS_BACKING_OFF);
-		assertThat(this.candidates.acceptedInMillis("plain", 400)).isEqualTo(1600);
+		assertThat(this.candidates.acceptedInMillis(this.state, 400)).isEqualTo(1600);
 		assertThat(found(2000)).containsExactly("p2");
 		limit("p2");
 		assertThat(this.candidates.unavailabilityCause(this.state, 2000)).isEqualTo(RefusalCause.ENDPOINTS_LIMITED);
