Merge identities and regions

Forwarder, Gateway and Relays: the judgement of stalls is kept, with the health of the process that was chosen; notices of a process before are dropped after they have counted as a sign of life.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -104,6 +104,12 @@
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
 		this.reservations = new MemoryReservations(identity.memoryFreeMillis(), limits, backOffs);
+		setRegions(identity.terms());
+	}
+
+	private void setRegions(GatewayTerms terms) {
+		this.candidates.setRegions(terms.regionsByZone());
+		this.relays.setRegions(terms.regionsByZone());
 	}
 
 	void setConfiguration(ForwardingConfiguration current) {
@@ -112,6 +118,7 @@
 
 	void setIdentity(GatewayIdentity current) {
 		this.identity = current;
+		setRegions(current.terms());
 		this.reservations.setFreeMillis(current.memoryFreeMillis());
 		this.retryBudgets.values().forEach((budget) -> budget.setBounds(current.retryBounds()));
 	}
@@ -180,7 +187,8 @@
 	}
 
 	private void dispatch(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
-		if (this.links.isCut(state.service) && dispatchAroundCut(state, nowMillis, effects)) {
+		if (this.links.isCut(state.service) && this.candidates.hasAllowed(state)
+				&& dispatchAroundCut(state, nowMillis, effects)) {
 			return;
 		}
 		List<EndpointWork> available = this.candidates.find(state, nowMillis);
@@ -400,7 +408,7 @@
 			return;
 		}
 		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
-		this.work.health(state.placement.endpoint().id()).recordActivity(nowMillis);
+		health(state).recordActivity(nowMillis);
 		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
 	}
 
@@ -422,7 +430,7 @@
 				"expected-first-token-millis", (long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis",
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
-		recordOutcome(state, outcome, endpoint, nowMillis);
+		recordOutcome(state, outcome, nowMillis);
 		boolean linkBroken = this.linkEvidence.attemptEnded(state, event, nowMillis, effects);
 		if (!linkBroken) {
 			this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
@@ -490,8 +498,54 @@
 		}
 	}
 
-	private void recordOutcome(ForwardState state, AttemptOutcome outcome, EndpointId endpoint, long nowMillis) {
-		EndpointHealth health = this.work.health(endpoint);
+	/**
+	 * Returns the health of the endpoint of an attempt.
+	 * @param state the request
+	 * @return its health; one that nothing reads if its process has started again since
+	 */
+	private EndpointHealth health(ForwardState state) {
+		ForwardEndpoint endpoint = state.placement.endpoint();
+		return (this.endpoints.starts().hasRestarted(endpoint)) ? new EndpointHealth()
+				: this.work.health(endpoint.id());
+	}
+
+	/**
+	 * Handles the start of a new process under the identity of an endpoint. Attempts in
+	 * progress there end by their connections.
+	 * @param endpoint the endpoint
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 * @return the number of requests that had something there
+	 */
+	int endpointRestarted(EndpointId endpoint, long nowMillis, List<GatewayEffect> effects) {
+		this.links.forget(endpoint);
+		int affected = 0;
+		for (ForwardState state : List.copyOf(this.byRequestId.values())) {
+			boolean reserved = this.reservations.forget(state, endpoint);
+			boolean sent = state.attemptId != 0 && state.relayPeer.isEmpty()
+					&& state.placement.endpoint().id().equals(endpoint);
+			affected += (reserved || sent) ? 1 : 0;
+			if (reserved && state.pendingReservations > 0) {
+				reservationAnswered(new GatewayEvent.ReservationAnswered(state.requestId, endpoint, Optional.empty()),
+						nowMillis, effects);
+			}
+		}
+		return affected;
+	}
+
+	/**
+	 * Returns whether an answer is one of a process that is gone.
+	 * @param attemptId the attempt
+	 * @return true if its endpoint has started again since it was sent
+	 */
+	boolean isOfProcessBefore(long attemptId) {
+		ForwardState state = this.byAttemptId.get(attemptId);
+		return state != null && state.relayPeer.isEmpty()
+				&& this.endpoints.starts().hasRestarted(state.placement.endpoint());
+	}
+
+	private void recordOutcome(ForwardState state, AttemptOutcome outcome, long nowMillis) {
+		EndpointHealth health = health(state);
 		if (outcome.isCompleted()) {
 			health.recordSuccess();
 		}
@@ -581,7 +635,7 @@
 		if (state.attemptId != 0) {
 			state.mayHaveRun = true;
 			if (state.relayPeer.isEmpty()) {
-				this.work.health(state.placement.endpoint().id()).recordFailure();
+				health(state).recordFailure();
 				if (!state.attemptStarted) {
 					this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 				}
@@ -604,7 +658,7 @@
 			handleRelaySilence(state, nowMillis, effects);
 			return;
 		}
-		EndpointHealth health = this.work.health(state.placement.endpoint().id());
+		EndpointHealth health = health(state);
 		StallDetector.EngineSigns signs = engineSigns(state, health);
 		StallDetector.Judgement judgement = StallDetector.judge(silence(state), signs, nowMillis);
 		state.stallDeadlineMillis = judgement.recheckMillis();
@@ -626,7 +680,7 @@
 	private void moveStalled(ForwardState state, StallDetector.Verdict verdict, StallDetector.EngineSigns signs,
 			long nowMillis, List<GatewayEffect> effects) {
 		boolean dead = verdict == StallDetector.Verdict.DEAD;
-		EndpointHealth health = this.work.health(state.placement.endpoint().id());
+		EndpointHealth health = health(state);
 		if (dead) {
 			this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 		}
@@ -732,7 +786,7 @@
 	}
 
 	private Optional<Long> retryAfterMillis(ForwardState state, RefusalCause cause, long nowMillis) {
-		long acceptedInMillis = this.candidates.acceptedInMillis(state.service, nowMillis);
+		long acceptedInMillis = this.candidates.acceptedInMillis(state, nowMillis);
 		boolean untilAccepted = switch (cause) {
 			case ENDPOINTS_LIMITED, ENDPOINTS_BACKING_OFF -> true;
 			case NOT_RUN, OVERLOADED, EXPIRED_NOT_RUN -> acceptedInMillis > 0;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -128,7 +128,7 @@
 			configurationRead(read.configuration());
 		}
 		else if (event instanceof GatewayEvent.EndpointsRead read) {
-			endpointsRead(read.endpoints());
+			endpointsRead(read.endpoints(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.DigestReceived received) {
 			digestReceived(received.digest(), nowMillis);
@@ -199,6 +199,7 @@
 		}
 		String service = route.get().chooseService(this.random.nextDouble());
 		ForwardState state = new ForwardState(event.requestId(), request, route.get(), service, workspace, nowMillis);
+		state.allowedRegions = AllowedRegions.of(route.get(), current.terms(workspace));
 		this.forwarder.start(state, current, nowMillis, this.effects);
 	}
 
@@ -219,9 +220,10 @@
 		this.forwarder.setConfiguration(read);
 	}
 
-	private void endpointsRead(List<ForwardEndpoint> listed) {
+	private void endpointsRead(List<ForwardEndpoint> listed, long nowMillis) {
 		boolean first = !this.endpoints.isKnown();
 		List<EndpointId> leaving = this.endpoints.replace(listed);
+		this.endpoints.starts().record(listed, nowMillis).forEach((restart) -> endpointRestarted(restart, nowMillis));
 		this.work.retainHealth(this.endpoints.ids());
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
@@ -231,6 +233,24 @@
 		}
 	}
 
+	/**
+	 * Forgets what is known of the process that an endpoint had before. What it says
+	 * about requests that may have crashed it remains.
+	 * @param restart the endpoint
+	 * @param nowMillis the current time
+	 */
+	private void endpointRestarted(EndpointStarts.Restart restart, long nowMillis) {
+		EndpointId id = restart.endpoint().id();
+		this.endpoints.forgetLeaving(id);
+		this.work.forget(id);
+		this.limits.forget(id);
+		this.backOffs.forget(id);
+		this.effects.add(new GatewayEffect.DiscardConnections(id));
+		int affected = this.forwarder.endpointRestarted(id, nowMillis, this.effects);
+		log("endpoint-restarted", "endpoint", id, "started", restart.endpoint().startedEpochMillis(), "started-before",
+				restart.earlierEpochMillis(), "requests", affected);
+	}
+
 	private void endpointLeaving(EndpointId endpoint, String source) {
 		log("endpoint-leaving", "endpoint", endpoint, "source", source);
 		this.effects.add(new GatewayEffect.DiscardConnections(endpoint));
@@ -241,6 +261,9 @@
 			this.work.health(endpoint.id()).recordSign(nowMillis);
 			this.forwarder.linkEvidence().answerReceived(endpoint.service(), nowMillis, this.effects);
 		});
+		if (this.forwarder.isOfProcessBefore(event.attemptId())) {
+			return;
+		}
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		if (event.notices().leaving() && this.endpoints.recordLeaving(event.endpoint(), nowMillis)) {
@@ -296,10 +319,13 @@
 		this.work.replacePeerWork(digest.sender(), shifted, nowMillis);
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
+				.filter((id) -> !this.endpoints.starts()
+					.mayConcernProcessBefore(id, EndpointStarts.PEER_DELAY_MILLIS, nowMillis))
 				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
 		}
 		for (EndpointLimit limit : digest.fullState().get().limits()) {
 			this.endpoints.findByHash(limit.endpointHash())
+				.filter((id) -> !this.endpoints.starts().mayConcernProcessBefore(id, limit.ageMillis(), nowMillis))
 				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
 					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Relays.java
@@ -37,6 +37,9 @@
 	/** When the last message of each peer was received, by address. */
 	private final Map<String, Long> heardMillis = new HashMap<>();
 
+	/** Region of each availability zone. */
+	private Map<String, String> regionsByZone = Map.of();
+
 	Relays(RandomGenerator random) {
 		this.random = Objects.requireNonNull(random, "random");
 	}
@@ -62,6 +65,10 @@
 		return this.heardMillis.getOrDefault(address, NEVER);
 	}
 
+	void setRegions(Map<String, String> regions) {
+		this.regionsByZone = regions;
+	}
+
 	int peers() {
 		return this.peers.size();
 	}
@@ -69,7 +76,7 @@
 	/**
 	 * Chooses a peer that the request was not handed to yet: first one of the same
 	 * availability zone if there is any, then one of another zone, since the first zone
-	 * may be cut off as a whole.
+	 * may be cut off as a whole. A peer is in a region that the request may be in.
 	 * @param state the request
 	 * @return address of the peer, empty if there is none
 	 */
@@ -78,7 +85,8 @@
 			return Optional.empty();
 		}
 		List<RelayPeer> untried = this.peers.stream()
-			.filter((peer) -> !state.triedPeers.contains(peer.address()))
+			.filter((peer) -> !state.triedPeers.contains(peer.address())
+					&& state.allowedRegions.allows(peer.zone(), this.regionsByZone))
 			.toList();
 		boolean near = state.triedPeers.isEmpty();
 		List<RelayPeer> preferred = untried.stream().filter((peer) -> peer.sameZone() == near).toList();
