--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointTable.java
@@ -5,15 +5,18 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.WorkTable;
+import io.mulberrylift.core.zone.ZoneEvacuations;
 
 /**
  * Table of the listed endpoints by identity and service. Endpoints accept new work unless
- * they are listed as leaving or reported it themselves.
+ * they are listed as leaving or reported it themselves, or their availability zone is
+ * evacuated.
  *
  * <p>
  * Not thread-safe; owned by the reducer.
@@ -38,8 +41,18 @@
 
 	private final EndpointStarts starts = new EndpointStarts();
 
+	private final ZoneEvacuations evacuations;
+
 	private boolean known;
 
+	EndpointTable() {
+		this(new ZoneEvacuations());
+	}
+
+	EndpointTable(ZoneEvacuations evacuations) {
+		this.evacuations = Objects.requireNonNull(evacuations, "evacuations");
+	}
+
 	EndpointStarts starts() {
 		return this.starts;
 	}
@@ -142,7 +155,11 @@
 	}
 
 	private boolean isAvailable(ForwardEndpoint endpoint) {
-		return !endpoint.leaving() && !this.reportedLeavingMillis.containsKey(endpoint.id());
+		return !endpoint.leaving() && !this.reportedLeavingMillis.containsKey(endpoint.id()) && !isEvacuated(endpoint);
+	}
+
+	boolean isEvacuated(ForwardEndpoint endpoint) {
+		return this.evacuations.isEvacuated(endpoint.zone());
 	}
 
 	/**
