--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayEvacuationTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayEvacuationTests.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 
 import io.mulberrylift.core.gossip.EvacuationKnowledge;
