--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -73,6 +73,9 @@
 	/** Whether a chunk has been received in the attempt in progress. */
 	boolean attemptStarted;
 
+	/** Whether the stream isn't read at present, since its caller reads slowly. */
+	boolean readingPaused;
+
 	long sentMillis;
 
 	long firstChunkMillis;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -258,6 +258,7 @@
 	private void beginAttempt(ForwardState state, long nowMillis) {
 		state.attemptId = this.nextAttemptId++;
 		state.attemptStarted = false;
+		state.readingPaused = false;
 		state.sentMillis = nowMillis;
 		state.longestGapMillis = 0;
 		state.lastChunkMillis = nowMillis;
@@ -404,6 +405,27 @@
 		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
 	}
 
+	/**
+	 * Handles that a stream isn't read or is read again. A stream that isn't read is not
+	 * silent, whatever its engine does.
+	 * @param attemptId the attempt
+	 * @param paused whether it isn't read from now on
+	 * @param nowMillis the current time
+	 */
+	void readingPaused(long attemptId, boolean paused, long nowMillis) {
+		ForwardState state = this.byAttemptId.get(attemptId);
+		if (state == null || state.readingPaused == paused) {
+			return;
+		}
+		state.readingPaused = paused;
+		if (!paused) {
+			state.lastChunkMillis = nowMillis;
+			state.stallDeadlineMillis = (state.relayPeer.isPresent())
+					? nowMillis + StallTimeouts.lastMillis(state.route)
+					: StallDetector.firstCheckMillis(silence(state));
+		}
+	}
+
 	void attemptEnded(GatewayEvent.AttemptEnded event, long nowMillis, List<GatewayEffect> effects) {
 		AttemptOutcome outcome = event.outcome();
 		this.crashEvidence.abandonedAttemptEnded(event, nowMillis, effects);
@@ -422,10 +444,12 @@
 				"expected-first-token-millis", (long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis",
 				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
 		state.attemptId = 0;
-		recordOutcome(state, outcome, endpoint, nowMillis);
-		boolean linkBroken = this.linkEvidence.attemptEnded(state, event, nowMillis, effects);
-		if (!linkBroken) {
-			this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
+		// Endpoints cut off streams that are not read.
+		if (!state.readingPaused || outcome != AttemptOutcome.BROKEN_MIDWAY) {
+			recordOutcome(state, outcome, endpoint, nowMillis);
+			if (!this.linkEvidence.attemptEnded(state, event, nowMillis, effects)) {
+				this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
+			}
 		}
 		if (outcome.isCompleted()) {
 			finish(state, nowMillis, effects);
@@ -562,7 +586,7 @@
 			if (nowMillis >= state.deadlineMillis) {
 				expire(state, nowMillis, effects);
 			}
-			else if (state.attemptId != 0 && nowMillis >= state.stallDeadlineMillis) {
+			else if (state.attemptId != 0 && !state.readingPaused && nowMillis >= state.stallDeadlineMillis) {
 				handleSilence(state, nowMillis, effects);
 			}
 			else if (this.reservations.isOverdue(state, nowMillis)) {
@@ -698,8 +722,8 @@
 		if (!state.route.kind().isRepeatable() || this.relays.choose(state).isEmpty()) {
 			return;
 		}
-		long silentMillis = StallDetector.peerSilentMillis(state.lastChunkMillis,
-				StallTimeouts.lastMillis(state.route), this.relays.heardMillis(state.relayPeer.get()));
+		long silentMillis = StallDetector.peerSilentMillis(state.lastChunkMillis, StallTimeouts.lastMillis(state.route),
+				this.relays.heardMillis(state.relayPeer.get()));
 		if (nowMillis < silentMillis) {
 			state.stallDeadlineMillis = silentMillis;
 			return;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -138,6 +138,9 @@
 				.forEach((each) -> this.crashEvidence.reported(each, reported.sender(), this.partialView, nowMillis,
 						this.effects));
 		}
+		else if (event instanceof GatewayEvent.ReadingPaused reading) {
+			this.forwarder.readingPaused(reading.attemptId(), reading.paused(), nowMillis);
+		}
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -40,6 +40,16 @@
 	record AnswerChunk(long attemptId) implements GatewayEvent {
 	}
 
+	/**
+	 * The stream of an attempt isn't read any more, since its caller reads slowly, or is
+	 * read again.
+	 *
+	 * @param attemptId the attempt
+	 * @param paused whether reading is paused from now on
+	 */
+	record ReadingPaused(long attemptId, boolean paused) implements GatewayEvent {
+	}
+
 	/**
 	 * An attempt ended.
 	 *
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallDetector.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallDetector.java
@@ -143,7 +143,8 @@
 	 * @param timeoutMillis time after which silence may mean death
 	 * @param stallMillis the same for a stream that has begun
 	 * @param lastStallMillis time after which its caller will leave soon
-	 * @param mayProbe whether a probe is worth a connection, since the stream can be moved
+	 * @param mayProbe whether a probe is worth a connection, since the stream can be
+	 * moved
 	 */
 	record StreamSilence(long sinceMillis, boolean begun, long timeoutMillis, long stallMillis, long lastStallMillis,
 			boolean mayProbe) {
@@ -159,8 +160,7 @@
 	 * @param readingMillis time that all the reading known to be there may take before
 	 * this stream advances
 	 */
-	record EngineSigns(long outputMillis, long signMillis, long probeMillis, long iterationMillis,
-			long readingMillis) {
+	record EngineSigns(long outputMillis, long signMillis, long probeMillis, long iterationMillis, long readingMillis) {
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineCostModel.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineCostModel.java
@@ -87,8 +87,7 @@
 	public double promptTokens(double totalPrefillMillis) {
 		double perToken = 1 / this.prefillTokensPerMilli;
 		double perPair = this.perMillionTokenPairsMillis / MILLION;
-		return (perPair > 0)
-				? (Math.sqrt(perToken * perToken + 2 * perPair * totalPrefillMillis) - perToken) / perPair
+		return (perPair > 0) ? (Math.sqrt(perToken * perToken + 2 * perPair * totalPrefillMillis) - perToken) / perPair
 				: totalPrefillMillis / perToken;
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayStallTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayStallTests.java
@@ -96,8 +96,8 @@
 		FullState state = new FullState("zone-b", 1, StoreRevision.NONE, Optional.empty(), true, List.of(), List.of(),
 				List.of());
 		this.messages++;
-		this.fixture.reduce(new GatewayEvent.DigestReceived(new InstanceDigest(peer, 1, this.messages, work, List.of(),
-				List.of(), List.of(), Optional.of(state))));
+		this.fixture.reduce(new GatewayEvent.DigestReceived(
+				new InstanceDigest(peer, 1, this.messages, work, List.of(), List.of(), List.of(), Optional.of(state))));
 	}
 
 	/**
@@ -127,7 +127,8 @@
 		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(STREAMS);
 		assertThat(this.fixture.gateway.reachesEndpoints()).isTrue();
-		assertThat(this.fixture.all(GatewayEffect.ProbeEndpoint.class)).hasSizeBetween(silences / 2, silences * MAX_PROBES);
+		assertThat(this.fixture.all(GatewayEffect.ProbeEndpoint.class)).hasSizeBetween(silences / 2,
+				silences * MAX_PROBES);
 	}
 
 	/**
@@ -154,8 +155,11 @@
 		this.dead.add(dark);
 		run(STALL_MILLIS);
 		Set<Long> expected = new HashSet<>();
-		sends.stream().filter((send) -> send.endpoint().id().equals(dark)).forEach((send) -> expected.add(send.attemptId()));
-		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).extracting(GatewayEffect.CancelAttempt::attemptId)
+		sends.stream()
+			.filter((send) -> send.endpoint().id().equals(dark))
+			.forEach((send) -> expected.add(send.attemptId()));
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class))
+			.extracting(GatewayEffect.CancelAttempt::attemptId)
 			.containsExactlyInAnyOrderElementsOf(expected);
 		assertThat(this.fixture.logged("stream-stalled")).containsEntry("verdict", StallDetector.Verdict.DEAD);
 	}
@@ -187,6 +191,30 @@
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(2);
 	}
 
+	/** Load: a caller reads slowly, so that its stream isn't read for seconds. */
+	@Test
+	void streamThatIsNotReadBecauseOfItsCallerIsNotMoved() {
+		start(6);
+		long attempt = beginStreams(1).get(0).attemptId();
+		this.fixture.reduce(new GatewayEvent.ReadingPaused(attempt, true));
+		run(5000);
+		assertThat(this.fixture.all(GatewayEffect.ProbeEndpoint.class)).isEmpty();
+		this.fixture.reduce(new GatewayEvent.ReadingPaused(attempt, false));
+		run(STALL_MILLIS - 2 * TICK_MILLIS);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+	}
+
+	/** Failure: the engine cuts off a stream that isn't read, which is no fault of it. */
+	@Test
+	void endpointThatCutsOffAStreamThatIsNotReadIsNotSuspected() {
+		start(6);
+		GatewayEffect.Send send = beginStreams(1).get(0);
+		this.fixture.reduce(new GatewayEvent.ReadingPaused(send.attemptId(), true));
+		this.fixture.end(send.attemptId(), AttemptOutcome.BROKEN_MIDWAY);
+		assertThat(this.fixture.logged("endpoint-lost")).isEmpty();
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(2);
+	}
+
 	/**
 	 * Load: the engine of a stream that a peer has reads for longer than the time after
 	 * which silent peers are left; the peer judges the stream itself.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
@@ -1,13 +1,19 @@
 package io.mulberrylift.gateway.caller;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import io.mulberrylift.gateway.pressure.BodyBuffer;
+import io.mulberrylift.gateway.pressure.BodyWriter;
+import io.mulberrylift.gateway.pressure.HeldBytes;
+import io.mulberrylift.gateway.pressure.Pressure;
+import io.mulberrylift.gateway.pressure.WaitingConnections;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -42,7 +48,8 @@
  *
  * <p>
  * Not thread-safe; confined to the event loop. Messages of pipelined requests are queued
- * while an answer is pending; reading pauses while the queue is full.
+ * while an answer is pending or not sent completely; reading pauses while the queue is
+ * full. An answer that its caller does not read is given up at the caller's deadline.
  * </p>
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
@@ -50,6 +57,14 @@
 	/** Number of queued messages of pipelined requests above which reading pauses. */
 	private static final int MAX_QUEUED_MESSAGES = 64;
 
+	/** The same for their bytes. */
+	private static final int MAX_QUEUED_BYTES = 32 * 1024;
+
+	/** Minimum time to send an answer, also one that is due already. */
+	private static final long MIN_SENDING_MILLIS = 1000;
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
 	/**
 	 * Upper limit of the time to receive a body when the request states a longer
 	 * deadline.
@@ -77,15 +92,33 @@
 
 	private final LongSupplier exchangeIds;
 
+	private final Pressure pressure;
+
 	private final Deque<HttpObject> queuedMessages = new ArrayDeque<>();
 
+	/** Accounts for the queued messages. */
+	private final HeldBytes.Lease queuedLease;
+
+	/** Accounts for parts of a streamed answer that are not sent yet. */
+	private final HeldBytes.Lease streamLease;
+
+	/** Accounts for the complete answer that is being sent. */
+	private Optional<HeldBytes.Lease> answerLease = Optional.empty();
+
+	private Optional<BodyWriter> answerWriter = Optional.empty();
+
+	private long receivedNanos;
+
+	/** Whether no more is read for this caller because of the sum of all. */
+	private boolean outOfTurn;
+
 	private ChannelHandlerContext context;
 
 	private RequestHead head;
 
 	private HttpRequest requestHead;
 
-	private ByteArrayOutputStream body;
+	private BodyBuffer body;
 
 	private CallerExchange exchange;
 
@@ -107,6 +140,9 @@
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.encoder = Objects.requireNonNull(encoder, "encoder");
 		this.exchangeIds = Objects.requireNonNull(ids, "ids");
+		this.pressure = listener.pressure();
+		this.queuedLease = this.pressure.held().lease();
+		this.streamLease = this.pressure.held().lease();
 	}
 
 	@Override
@@ -156,7 +192,8 @@
 		}
 		if (this.exchange != null) {
 			this.queuedMessages.addLast((HttpObject) message);
-			if (this.queuedMessages.size() > MAX_QUEUED_MESSAGES) {
+			this.queuedLease.set(this.queuedLease.size() + size((HttpObject) message));
+			if (this.queuedMessages.size() > MAX_QUEUED_MESSAGES || this.queuedLease.size() > MAX_QUEUED_BYTES) {
 				this.context.channel().config().setAutoRead(false);
 			}
 			return;
@@ -164,6 +201,17 @@
 		handleMessage((HttpObject) message);
 	}
 
+	private static int size(HttpObject message) {
+		int size = 0;
+		if (message instanceof HttpRequest request) {
+			size += request.uri().length();
+			for (Map.Entry<String, String> header : request.headers()) {
+				size += header.getKey().length() + header.getValue().length();
+			}
+		}
+		return size + ((message instanceof HttpContent content) ? content.content().readableBytes() : 0);
+	}
+
 	private void handleMessage(HttpObject message) {
 		try {
 			if (message.decoderResult().isFailure()) {
@@ -206,7 +254,7 @@
 			refuse(413, "Request body exceeds the size limit; send a smaller body");
 			return;
 		}
-		this.body = new ByteArrayOutputStream(512);
+		this.body = new BodyBuffer(this.pressure.held().lease(), this.listener.limits().maxBodyBytes());
 		scheduleTimeout(Math.min(this.head.deadlineMillis(), MAX_BODY_TIMEOUT_MILLIS),
 				() -> refuse(408, "Request body not received within the deadline"));
 		if (HttpUtil.is100ContinueExpected(request)) {
@@ -216,18 +264,20 @@
 
 	private void appendBody(HttpContent content) {
 		ByteBuf bytes = content.content();
-		if (this.body.size() + bytes.readableBytes() > this.listener.limits().maxBodyBytes()) {
+		if (bytes.readableBytes() > this.listener.limits().maxBodyBytes() - this.body.size()) {
 			refuse(413, "Request body exceeds the size limit; send a smaller body");
 			return;
 		}
-		byte[] copy = new byte[bytes.readableBytes()];
-		bytes.readBytes(copy);
-		this.body.writeBytes(copy);
+		if (!this.body.append(bytes)) {
+			refuse(503, "Too many request bodies are held; send the request again later");
+			return;
+		}
 		if (content instanceof LastHttpContent) {
 			cancelTimer();
 			BufferedRequest request = new BufferedRequest(this.requestHead.method(), this.requestHead.uri(),
 					this.requestHead.headers(), this.body.toByteArray(), this.head);
-			this.exchange = new CallerExchange(this.exchangeIds.getAsLong(), request, this);
+			this.exchange = new CallerExchange(this.exchangeIds.getAsLong(), request, this, this.body.lease());
+			this.receivedNanos = System.nanoTime();
 			this.requestHead = null;
 			this.body = null;
 			this.listener.requestReceived(this.exchange);
@@ -241,15 +291,26 @@
 		this.listener.requestRejected(status, reason);
 		this.closed = true;
 		cancelTimer();
+		releaseBody();
 		byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(text));
 		response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
 		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		if (status == 503) {
+			response.headers().set(HttpHeaderNames.RETRY_AFTER, "0.5");
+		}
 		this.context.writeAndFlush(response).addListener((sent) -> closeOutput());
 	}
 
+	private void releaseBody() {
+		if (this.body != null) {
+			this.body.lease().release();
+			this.body = null;
+		}
+	}
+
 	/**
 	 * Closes the sending side, and the connection when the caller has closed it as well
 	 * or after {@value #LINGER_MILLIS} ms.
@@ -295,16 +356,37 @@
 	}
 
 	boolean isWritable() {
-		return this.context.channel().isWritable();
+		this.outOfTurn = this.streamLease.size() > 0 && !this.pressure.held().mayReadAhead();
+		return this.context.channel().isWritable() && !this.outOfTurn;
 	}
 
-	void answer(int status, HttpHeaders headers, byte[] bytes) {
-		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes), headers, new DefaultHttpHeaders());
+	void answer(int status, HttpHeaders headers, byte[] bytes, Optional<HeldBytes.Lease> lease) {
+		HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status),
+				headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
 		boolean close = setConnectionHeader(response);
-		this.context.writeAndFlush(response);
-		endExchange(close);
+		this.answerLease = lease;
+		this.context.write(response);
+		BodyWriter writer = new BodyWriter(this.context.channel(), bytes, (sent) -> endExchange(close));
+		this.answerWriter = Optional.of(writer);
+		writer.advance();
+		limitSending();
+	}
+
+	/**
+	 * Gives up an answer that is complete and not sent yet at its caller's deadline.
+	 */
+	private void limitSending() {
+		CallerExchange sending = this.exchange;
+		if (sending == null || this.closed) {
+			return;
+		}
+		this.pressure.waiting().begin(WaitingConnections.Reason.ANSWER_SENDING, sending.id());
+		long passedMillis = (System.nanoTime() - this.receivedNanos) / NANOS_PER_MILLI;
+		scheduleTimeout(Math.max(MIN_SENDING_MILLIS, sending.request().head().deadlineMillis() - passedMillis), () -> {
+			this.listener.answerNotRead(sending);
+			abort();
+		});
 	}
 
 	void beginAnswer(int status, HttpHeaders headers) {
@@ -316,16 +398,29 @@
 	}
 
 	void write(ByteBuf bytes) {
-		this.context.writeAndFlush(new DefaultHttpContent(bytes));
+		int size = bytes.readableBytes();
+		this.streamLease.set(this.streamLease.size() + size);
+		this.context.writeAndFlush(new DefaultHttpContent(bytes)).addListener((sent) -> partSent(size));
+	}
+
+	private void partSent(int size) {
+		this.streamLease.set(this.streamLease.size() - size);
+		if (this.outOfTurn && this.exchange != null && isWritable()) {
+			this.listener.becameWritable(this.exchange);
+		}
 	}
 
 	void finish() {
-		this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-		endExchange(!this.keepAlive);
+		boolean close = !this.keepAlive;
+		this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener((sent) -> endExchange(close));
+		limitSending();
 	}
 
 	void abort() {
 		this.closed = true;
+		if (this.exchange != null) {
+			releaseAnswer(this.exchange);
+		}
 		this.exchange = null;
 		cancelTimer();
 		this.context.close();
@@ -341,31 +436,51 @@
 	}
 
 	private void endExchange(boolean close) {
+		if (this.closed || this.exchange == null) {
+			return;
+		}
+		releaseAnswer(this.exchange);
 		this.exchange = null;
 		this.answered = true;
+		cancelTimer();
 		if (close) {
 			this.closed = true;
-			cancelTimer();
-			this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener((sent) -> closeOutput());
+			closeOutput();
 			return;
 		}
 		startIdleTimer();
 		this.context.executor().execute(this::handleQueued);
 	}
 
+	private void releaseAnswer(CallerExchange answeredExchange) {
+		this.pressure.waiting().end(WaitingConnections.Reason.ANSWER_SENDING, answeredExchange.id());
+		this.answerLease.ifPresent(HeldBytes.Lease::release);
+		this.answerLease = Optional.empty();
+		this.answerWriter = Optional.empty();
+	}
+
 	private void handleQueued() {
 		while (this.exchange == null && !this.closed && !this.queuedMessages.isEmpty()) {
 			bytesReceived();
-			handleMessage(this.queuedMessages.removeFirst());
+			HttpObject message = this.queuedMessages.removeFirst();
+			this.queuedLease.set(this.queuedLease.size() - size(message));
+			handleMessage(message);
 		}
-		if (!this.closed && this.queuedMessages.size() <= MAX_QUEUED_MESSAGES / 2) {
+		if (!this.closed && this.queuedMessages.size() <= MAX_QUEUED_MESSAGES / 2
+				&& this.queuedLease.size() <= MAX_QUEUED_BYTES / 2) {
 			this.context.channel().config().setAutoRead(true);
 		}
 	}
 
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext changed) {
-		if (this.exchange != null && changed.channel().isWritable()) {
+		if (!changed.channel().isWritable()) {
+			return;
+		}
+		if (this.answerWriter.isPresent()) {
+			this.answerWriter.get().advance();
+		}
+		else if (this.exchange != null && isWritable()) {
 			this.listener.becameWritable(this.exchange);
 		}
 	}
@@ -376,9 +491,17 @@
 		this.closed = true;
 		this.queuedMessages.forEach(ReferenceCountUtil::release);
 		this.queuedMessages.clear();
+		releaseBody();
+		this.queuedLease.release();
+		this.streamLease.release();
 		CallerExchange open = this.exchange;
 		this.exchange = null;
-		if (open != null && !open.isEnded()) {
+		if (open == null) {
+			return;
+		}
+		releaseAnswer(open);
+		if (!open.isEnded()) {
+			open.end();
 			this.listener.callerDisconnected(open);
 		}
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerExchange.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerExchange.java
@@ -1,7 +1,9 @@
 package io.mulberrylift.gateway.caller;
 
 import java.util.Objects;
+import java.util.Optional;
 
+import io.mulberrylift.gateway.pressure.HeldBytes;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 
@@ -22,14 +24,18 @@
 
 	private final CallerConnection connection;
 
+	/** Accounts for the body of the request. */
+	private final HeldBytes.Lease requestLease;
+
 	private boolean answerBegun;
 
 	private boolean ended;
 
-	CallerExchange(long id, BufferedRequest request, CallerConnection connection) {
+	CallerExchange(long id, BufferedRequest request, CallerConnection connection, HeldBytes.Lease requestLease) {
 		this.id = id;
 		this.request = Objects.requireNonNull(request, "request");
 		this.connection = Objects.requireNonNull(connection, "connection");
+		this.requestLease = Objects.requireNonNull(requestLease, "requestLease");
 	}
 
 	/**
@@ -54,7 +60,8 @@
 
 	/**
 	 * Returns whether the caller's connection accepts more bytes.
-	 * @return {@code false} while the write buffer of the connection is full
+	 * @return {@code false} while the write buffer of the connection is full, or it holds
+	 * bytes and all connections together hold too many
 	 */
 	public boolean isWritable() {
 		return this.connection.isWritable();
@@ -67,11 +74,25 @@
 	 * @param body the body
 	 */
 	public void answer(int status, HttpHeaders headers, byte[] body) {
-		if (!this.ended && !this.answerBegun) {
-			this.answerBegun = true;
-			this.ended = true;
-			this.connection.answer(status, headers, body);
+		answer(status, headers, body, Optional.empty());
+	}
+
+	/**
+	 * Sends a complete answer. Has no effect if an answer has begun.
+	 * @param status the HTTP status of the answer
+	 * @param headers end-to-end headers; hop-by-hop headers are added here
+	 * @param body the body
+	 * @param lease accounts for the body; released when it was sent or its connection
+	 * closed
+	 */
+	public void answer(int status, HttpHeaders headers, byte[] body, Optional<HeldBytes.Lease> lease) {
+		if (this.ended || this.answerBegun) {
+			lease.ifPresent(HeldBytes.Lease::release);
+			return;
 		}
+		this.answerBegun = true;
+		end();
+		this.connection.answer(status, headers, body, lease);
 	}
 
 	/**
@@ -103,7 +124,7 @@
 	 */
 	public void finish() {
 		if (!this.ended && this.answerBegun) {
-			this.ended = true;
+			end();
 			this.connection.finish();
 		}
 	}
@@ -114,11 +135,19 @@
 	 */
 	public void abort() {
 		if (!this.ended) {
-			this.ended = true;
+			end();
 			this.connection.abort();
 		}
 	}
 
+	/**
+	 * Ends the exchange: nothing more is sent, and the request is not held any more.
+	 */
+	void end() {
+		this.ended = true;
+		this.requestLease.release();
+	}
+
 	/**
 	 * Returns whether the answer was completed or aborted.
 	 * @return {@code true} if nothing more can be sent
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerListener.java
@@ -1,6 +1,7 @@
 package io.mulberrylift.gateway.caller;
 
 import io.mulberrylift.core.forwarding.ClientLimits;
+import io.mulberrylift.gateway.pressure.Pressure;
 
 /**
  * Receives the events of callers' connections. All methods are called on the event loop.
@@ -26,6 +27,12 @@
 	 */
 	void becameWritable(CallerExchange exchange);
 
+	/**
+	 * Called when an answer was cut off since its caller did not read it in time.
+	 * @param exchange the exchange
+	 */
+	void answerNotRead(CallerExchange exchange);
+
 	/**
 	 * Called when a malformed request was answered with an error.
 	 * @param status the HTTP status of the answer
@@ -39,6 +46,12 @@
 	 */
 	ClientLimits limits();
 
+	/**
+	 * Returns what the connections of the instance hold and wait for.
+	 * @return the pressure, always the same
+	 */
+	Pressure pressure();
+
 	/**
 	 * Returns whether connections are closed after their current answer, so that callers
 	 * reconnect to another instance.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 
 import io.mulberrylift.gateway.http.NetAddress;
+import io.mulberrylift.gateway.pressure.Pressure;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -80,6 +81,9 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.SO_SNDBUF, Pressure.SEND_BUFFER_BYTES)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Pressure.WATER_MARK)
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR, Pressure.readAllocator())
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel accepted) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -17,6 +17,14 @@
 	 */
 	void chunkReceived(long attemptId);
 
+	/**
+	 * Called when the stream of an attempt isn't read any more, since its caller reads
+	 * slowly, and when it is read again.
+	 * @param attemptId the attempt
+	 * @param paused whether reading is paused from now on
+	 */
+	void readingPaused(long attemptId, boolean paused);
+
 	/**
 	 * Called once when an attempt ended; no further events of the attempt follow.
 	 * @param attemptId the attempt
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -1,12 +1,15 @@
 package io.mulberrylift.gateway.endpoint;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Objects;
 import java.util.Optional;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.gateway.caller.BufferedRequest;
+import io.mulberrylift.gateway.pressure.BodyBuffer;
+import io.mulberrylift.gateway.pressure.HeldBytes;
+import io.mulberrylift.gateway.pressure.Pressure;
+import io.mulberrylift.gateway.pressure.WaitingConnections;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -24,6 +27,9 @@
 	/** Maximum size of an event of a stream. */
 	private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
+	/** Maximum size of an answer that is held until it is complete. */
+	static final int MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
 	private final GatewayEffect.Send send;
 
 	private final ForwardedAnswer answer;
@@ -32,13 +38,16 @@
 
 	private final AttemptListener listener;
 
-	private final AnswerBuffers buffers;
+	private final Pressure pressure;
+
+	/** Accounts for the incomplete event of a stream. */
+	private final HeldBytes.Lease eventLease;
 
 	private final Optional<String> resumeAfter;
 
 	private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
 
-	private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+	private final BodyBuffer bufferedBody;
 
 	private AnswerClass answerClass = AnswerClass.INVALID;
 
@@ -48,15 +57,22 @@
 
 	private boolean headRead;
 
+	/** Whether the answer accounts for the buffered body from now on. */
+	private boolean delivered;
+
+	private boolean readingPaused;
+
 	private boolean ended;
 
 	EndpointAttempt(GatewayEffect.Send send, ForwardedAnswer answer, EndpointProtocol protocol,
-			AttemptListener listener, AnswerBuffers buffers) {
+			AttemptListener listener, Pressure pressure) {
 		this.send = Objects.requireNonNull(send, "send");
 		this.answer = Objects.requireNonNull(answer, "answer");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.listener = Objects.requireNonNull(listener, "listener");
-		this.buffers = Objects.requireNonNull(buffers, "buffers");
+		this.pressure = Objects.requireNonNull(pressure, "pressure");
+		this.eventLease = pressure.held().lease();
+		this.bufferedBody = new BodyBuffer(pressure.held().lease(), MAX_ANSWER_BYTES);
 		this.resumeAfter = answer.lastEventId();
 	}
 
@@ -84,6 +100,37 @@
 		return this.answer.exchange().isEnded() || this.answer.exchange().isWritable();
 	}
 
+	/**
+	 * Records that the answer isn't read any more or is read again.
+	 * @param paused whether reading is paused from now on
+	 */
+	void setReadingPaused(boolean paused) {
+		if (this.readingPaused == paused || this.ended) {
+			return;
+		}
+		this.readingPaused = paused;
+		if (paused) {
+			this.pressure.waiting().begin(WaitingConnections.Reason.STREAM_READING, id());
+		}
+		else {
+			this.pressure.waiting().end(WaitingConnections.Reason.STREAM_READING, id());
+		}
+		this.listener.readingPaused(id(), paused);
+	}
+
+	/**
+	 * Records whether the body of the request waits for the endpoint.
+	 * @param waits whether it is not sent completely
+	 */
+	void setSendingWaits(boolean waits) {
+		if (waits) {
+			this.pressure.waiting().begin(WaitingConnections.Reason.REQUEST_SENDING, id());
+		}
+		else {
+			this.pressure.waiting().end(WaitingConnections.Reason.REQUEST_SENDING, id());
+		}
+	}
+
 	/**
 	 * Handles the head of an answer.
 	 * @param response the head
@@ -111,7 +158,7 @@
 		this.headers = this.protocol.answerHeaders(response);
 		this.headRead = true;
 		if (classified == AnswerClass.VALID && isStreamed()) {
-			this.answer.buffer(this.status, this.headers, new byte[0]);
+			this.answer.bufferHead(this.status, this.headers);
 		}
 		return true;
 	}
@@ -130,13 +177,7 @@
 		if (this.answerClass == AnswerClass.VALID && isStreamed()) {
 			return forwardEvents(bytes);
 		}
-		if (!this.buffers.extend(this.bufferedBody.size(), bytes.readableBytes())) {
-			return false;
-		}
-		byte[] copy = new byte[bytes.readableBytes()];
-		bytes.readBytes(copy);
-		this.bufferedBody.writeBytes(copy);
-		return true;
+		return this.bufferedBody.append(bytes);
 	}
 
 	private boolean forwardEvents(ByteBuf bytes) {
@@ -150,7 +191,7 @@
 				}
 				this.listener.chunkReceived(id());
 			}
-			return true;
+			return this.ended || this.eventLease.resize(this.splitter.bufferedBytes());
 		}
 		catch (IllegalStateException ex) {
 			return false;
@@ -178,7 +219,7 @@
 		switch (this.answerClass) {
 			case VALID -> completeValid((framed) ? AttemptOutcome.COMPLETED : AttemptOutcome.COMPLETED_AT_CLOSE);
 			case FAILURE -> {
-				this.answer.buffer(this.status, this.headers, this.bufferedBody.toByteArray());
+				deliverBuffered();
 				end(AttemptOutcome.ENDPOINT_ERROR);
 			}
 			case NOT_RUN -> end(AttemptOutcome.REFUSED_FULL);
@@ -190,7 +231,7 @@
 
 	private void completeValid(AttemptOutcome completed) {
 		if (!isStreamed()) {
-			this.answer.buffer(this.status, this.headers, this.bufferedBody.toByteArray());
+			deliverBuffered();
 			end(completed);
 		}
 		else {
@@ -198,6 +239,11 @@
 		}
 	}
 
+	private void deliverBuffered() {
+		this.answer.buffer(this.status, this.headers, this.bufferedBody);
+		this.delivered = true;
+	}
+
 	void connectionLost() {
 		end((this.headRead) ? AttemptOutcome.BROKEN_MIDWAY : AttemptOutcome.BROKEN);
 	}
@@ -214,8 +260,13 @@
 	 */
 	void abandon() {
 		if (!this.ended) {
+			setSendingWaits(false);
+			this.pressure.waiting().end(WaitingConnections.Reason.STREAM_READING, id());
 			this.ended = true;
-			this.buffers.release(this.bufferedBody.size());
+			this.eventLease.release();
+			if (!this.delivered) {
+				this.bufferedBody.lease().release();
+			}
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -1,16 +1,15 @@
 package io.mulberrylift.gateway.endpoint;
 
 import java.util.Objects;
+import java.util.Optional;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
-import io.netty.buffer.Unpooled;
+import io.mulberrylift.gateway.pressure.BodyWriter;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -41,6 +40,8 @@
 
 	private EndpointAttempt attempt;
 
+	private Optional<BodyWriter> requestWriter = Optional.empty();
+
 	private boolean headRead;
 
 	private boolean skippingAnswer;
@@ -96,13 +97,25 @@
 		if (body.length > 0 || next.request().headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		}
-		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, next.request().target(),
-				Unpooled.wrappedBuffer(body), headers, EmptyHttpHeaders.INSTANCE);
-		this.channel.writeAndFlush(request).addListener((future) -> {
+		this.channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, next.request().target(), headers));
+		BodyWriter writer = new BodyWriter(this.channel, body, (sent) -> {
 			if (this.attempt == next) {
-				this.requestWritten = future.isSuccess();
+				this.requestWritten = sent;
+				next.setSendingWaits(false);
 			}
 		});
+		this.requestWriter = Optional.of(writer);
+		writer.advance();
+		if (this.attempt == next && !this.requestWritten) {
+			next.setSendingWaits(true);
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext context) {
+		if (this.attempt != null && this.channel.isWritable()) {
+			this.requestWriter.ifPresent(BodyWriter::advance);
+		}
 	}
 
 	/**
@@ -169,7 +182,7 @@
 			if (content instanceof LastHttpContent) {
 				this.skippingAnswer = false;
 			}
-			else if (this.skippedBytes > AnswerBuffers.MAX_ANSWER_BYTES) {
+			else if (this.skippedBytes > EndpointAttempt.MAX_ANSWER_BYTES) {
 				fail(AttemptOutcome.OVERSIZED);
 			}
 			return;
@@ -197,6 +210,7 @@
 		}
 		else if (!this.attempt.isCallerWritable()) {
 			this.channel.config().setAutoRead(false);
+			this.attempt.setReadingPaused(true);
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -16,8 +16,10 @@
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.http.HttpChannels;
 import io.mulberrylift.gateway.http.NetAddress;
+import io.mulberrylift.gateway.pressure.Pressure;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 
@@ -50,7 +52,7 @@
 	/** Local address of connections. */
 	private final InetSocketAddress source;
 
-	private final AnswerBuffers buffers = new AnswerBuffers();
+	private final Pressure pressure;
 
 	private final Map<EndpointId, Deque<EndpointConnection>> idleConnections = new HashMap<>();
 
@@ -65,14 +67,16 @@
 	 * @param listener receives the events of attempts
 	 * @param clockMillis monotonic time in milliseconds
 	 * @param source local address of connections
+	 * @param pressure what the connections of the instance hold and wait for
 	 */
 	public EndpointPool(EventLoopGroup group, EndpointProtocol protocol, AttemptListener listener,
-			LongSupplier clockMillis, InetSocketAddress source) {
+			LongSupplier clockMillis, InetSocketAddress source, Pressure pressure) {
 		this.group = Objects.requireNonNull(group, "group");
 		this.protocol = Objects.requireNonNull(protocol, "protocol");
 		this.listener = Objects.requireNonNull(listener, "listener");
 		this.clockMillis = Objects.requireNonNull(clockMillis, "clockMillis");
 		this.source = Objects.requireNonNull(source, "source");
+		this.pressure = Objects.requireNonNull(pressure, "pressure");
 	}
 
 	/**
@@ -91,7 +95,7 @@
 	 * @param attemptProtocol encodes the request and decodes the answer
 	 */
 	public void send(GatewayEffect.Send send, ForwardedAnswer answer, EndpointProtocol attemptProtocol) {
-		EndpointAttempt attempt = new EndpointAttempt(send, answer, attemptProtocol, this.listener, this.buffers);
+		EndpointAttempt attempt = new EndpointAttempt(send, answer, attemptProtocol, this.listener, this.pressure);
 		ActiveAttempt started = new ActiveAttempt(attempt);
 		this.activeAttempts.put(attempt.id(), started);
 		EndpointConnection pooled = pollIdle(send.endpoint().id());
@@ -137,12 +141,16 @@
 		this.openedConnections++;
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
 		EndpointConnection connection = new EndpointConnection(this, decoder);
-		HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS).handler(new ChannelInitializer<Channel>() {
-			@Override
-			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-			}
-		})
+		HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS)
+			.option(ChannelOption.SO_SNDBUF, Pressure.SEND_BUFFER_BYTES)
+			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, Pressure.WATER_MARK)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, Pressure.readAllocator())
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+				}
+			})
 			.connect(new NetAddress(endpoint.host(), endpoint.port()).socketAddress(), this.source)
 			.addListener((future) -> {
 				if (future.isSuccess()) {
@@ -183,6 +191,7 @@
 	public void resume(long attemptId) {
 		ActiveAttempt resumed = this.activeAttempts.get(attemptId);
 		if (resumed != null && resumed.connection != null) {
+			resumed.attempt.setReadingPaused(false);
 			resumed.connection.setReading(true);
 		}
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EventSplitter.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EventSplitter.java
@@ -66,6 +66,14 @@
 		return events;
 	}
 
+	/**
+	 * Returns the number of bytes of the incomplete event.
+	 * @return the number of buffered bytes
+	 */
+	public int bufferedBytes() {
+		return this.length;
+	}
+
 	/**
 	 * Returns whether part of an event is buffered.
 	 * @return {@code true} if the last event is incomplete
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 
 import io.mulberrylift.gateway.caller.CallerExchange;
+import io.mulberrylift.gateway.pressure.BodyBuffer;
+import io.mulberrylift.gateway.pressure.HeldBytes;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -29,6 +31,9 @@
 
 	private byte[] body = new byte[0];
 
+	/** Accounts for the buffered body. */
+	private Optional<HeldBytes.Lease> lease = Optional.empty();
+
 	/**
 	 * Creates an answer without content.
 	 * @param exchange the exchange by which the caller is answered
@@ -49,14 +54,33 @@
 		return this.lastEventId;
 	}
 
-	void buffer(int bufferedStatus, HttpHeaders bufferedHeaders, byte[] bufferedBody) {
+	void bufferHead(int bufferedStatus, HttpHeaders bufferedHeaders) {
 		if (!this.exchange.isAnswerBegun()) {
+			discard();
 			this.status = bufferedStatus;
 			this.headers = bufferedHeaders;
-			this.body = bufferedBody;
 		}
 	}
 
+	void buffer(int bufferedStatus, HttpHeaders bufferedHeaders, BodyBuffer bufferedBody) {
+		if (this.exchange.isAnswerBegun()) {
+			bufferedBody.lease().release();
+			return;
+		}
+		bufferHead(bufferedStatus, bufferedHeaders);
+		this.body = bufferedBody.toByteArray();
+		this.lease = Optional.of(bufferedBody.lease());
+	}
+
+	/**
+	 * Discards the buffered body, since it will not be delivered.
+	 */
+	public void discard() {
+		this.body = new byte[0];
+		this.lease.ifPresent(HeldBytes.Lease::release);
+		this.lease = Optional.empty();
+	}
+
 	void forward(StreamEvent event) {
 		if (!this.exchange.isAnswerBegun()) {
 			this.exchange.beginAnswer(this.status, this.headers);
@@ -75,7 +99,8 @@
 			this.exchange.finish();
 		}
 		else {
-			this.exchange.answer(this.status, this.headers, this.body);
+			this.exchange.answer(this.status, this.headers, this.body, this.lease);
+			this.lease = Optional.empty();
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -42,6 +42,7 @@
 import io.mulberrylift.gateway.http.PageServer;
 import io.mulberrylift.gateway.logging.EventLog;
 import io.mulberrylift.gateway.peer.PeerLink;
+import io.mulberrylift.gateway.pressure.Pressure;
 import io.mulberrylift.gateway.relay.RelayCallerProtocol;
 import io.mulberrylift.gateway.relay.RelayEndpointProtocol;
 import io.netty.channel.EventLoopGroup;
@@ -97,6 +98,8 @@
 
 	private final GatewayMetrics metrics = new GatewayMetrics();
 
+	private final Pressure pressure = Pressure.create(GatewayLoop::nowMillis);
+
 	private final Gateway gateway;
 
 	private final Membership membership;
@@ -157,7 +160,7 @@
 		this.membership.setSeeds(settings.seedAddresses());
 		this.storeReading = new StoreReadingUpdater(this.membership, platform, log);
 		this.endpointPool = new EndpointPool(this.group, endpointProtocol, this, GatewayLoop::nowMillis,
-				settings.peersAddress().ephemeralSocketAddress());
+				settings.peersAddress().ephemeralSocketAddress(), this.pressure);
 		this.memoryReservationClient = new MemoryReservationClient(this.group, endpointProtocol, log, this);
 	}
 
@@ -349,6 +352,11 @@
 	}
 
 	private void updateViews(long now) {
+		this.pressure.waiting()
+			.pollReports()
+			.forEach((each) -> this.log.write("connection-waits", "reason", each.reason(), "id", each.id(),
+					"age-millis", each.ageMillis(), "waiting", this.pressure.waiting().count(), "held-bytes",
+					this.pressure.held().bytes()));
 		this.gateway.setLiveInstances(this.membership.liveInstances(now));
 		this.gateway.setPartialView(this.membership.isPartial());
 		this.gateway.setFleet(this.membership.view(now), now);
@@ -393,7 +401,10 @@
 			refuse(refuse);
 		}
 		else if (effect instanceof GatewayEffect.AbortAnswer abort) {
-			removeRequest(abort.requestId()).ifPresent((answer) -> answer.exchange().abort());
+			removeRequest(abort.requestId()).ifPresent((answer) -> {
+				answer.discard();
+				answer.exchange().abort();
+			});
 			this.metrics.count("answers_broken_off");
 		}
 		else if (effect instanceof GatewayEffect.CancelAttempt cancel) {
@@ -466,6 +477,7 @@
 	private void refuse(GatewayEffect.Refuse refuse) {
 		this.metrics.countRefusal(refuse.cause());
 		removeRequest(refuse.requestId()).ifPresent((answer) -> {
+			answer.discard();
 			HttpHeaders headers = new DefaultHttpHeaders();
 			headers.set(HttpHeaderNames.CONTENT_TYPE, "application/problem+json");
 			refuse.retryAfterMillis()
@@ -503,7 +515,14 @@
 	public void callerDisconnected(CallerExchange exchange) {
 		this.metrics.count("callers_gone");
 		run(new GatewayEvent.CallerDisconnected(exchange.id()));
-		removeRequest(exchange.id());
+		removeRequest(exchange.id()).ifPresent(ForwardedAnswer::discard);
+	}
+
+	@Override
+	public void answerNotRead(CallerExchange exchange) {
+		this.metrics.count("answers_not_read");
+		this.log.write("answer-not-read", "request", exchange.id(), "caller-attempt",
+				exchange.request().head().attemptId(), "held-bytes", this.pressure.held().bytes());
 	}
 
 	@Override
@@ -516,8 +535,14 @@
 
 	@Override
 	public void requestRejected(int status, String reason) {
-		this.metrics.count("malformed");
-		this.log.write("malformed", "status", status, "reason", reason);
+		String event = (status == 503) ? "body-rejected" : "malformed";
+		this.metrics.count(event.replace('-', '_'));
+		this.log.write(event, "status", status, "reason", reason, "held-bytes", this.pressure.held().bytes());
+	}
+
+	@Override
+	public Pressure pressure() {
+		return this.pressure;
 	}
 
 	@Override
@@ -535,6 +560,11 @@
 		run(new GatewayEvent.AnswerChunk(attemptId));
 	}
 
+	@Override
+	public void readingPaused(long attemptId, boolean paused) {
+		run(new GatewayEvent.ReadingPaused(attemptId, paused));
+	}
+
 	@Override
 	public void attemptEnded(long attemptId, AttemptOutcome outcome, int status) {
 		this.metrics.countAttempt(outcome);
@@ -572,10 +602,15 @@
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
 			case "/state" -> Page.text(200, this.gateway.describe(nowMillis()) + "\n");
-			case "/metrics" -> Page.text(200, this.metrics.text() + "mulberrylift_connections_opened "
-					+ this.endpointPool.openedConnections() + "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
-					+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
-					+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis()) + "\n");
+			case "/metrics" -> Page.text(200,
+					this.metrics.text() + "mulberrylift_connections_opened " + this.endpointPool.openedConnections()
+							+ "\nmulberrylift_peer_bytes " + this.peerLink.sentBytes()
+							+ "\nmulberrylift_limited_endpoints " + this.gateway.requestLimits().size()
+							+ "\nmulberrylift_isolated_requests " + this.gateway.isolatedAttributes(nowMillis())
+							+ "\nmulberrylift_held_bytes " + this.pressure.held().bytes()
+							+ "\nmulberrylift_held_bytes_max " + this.pressure.held().maxBytes()
+							+ "\nmulberrylift_bodies_not_held " + this.pressure.held().rejected()
+							+ "\nmulberrylift_waiting_connections " + this.pressure.waiting().count() + "\n");
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/caller/CallerConnectionTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/caller/CallerConnectionTests.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.mulberrylift.core.forwarding.ClientLimits;
+import io.mulberrylift.gateway.pressure.HeldBytes;
+import io.mulberrylift.gateway.pressure.Pressure;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -24,6 +26,10 @@
 
 	private final List<CallerExchange> disconnected = new ArrayList<>();
 
+	private final List<CallerExchange> notRead = new ArrayList<>();
+
+	private final Pressure pressure = Pressure.create(() -> 0);
+
 	private boolean closing;
 
 	private final CallerListener listener = new CallerListener() {
@@ -42,6 +48,16 @@
 			// No test fills the write buffer.
 		}
 
+		@Override
+		public void answerNotRead(CallerExchange exchange) {
+			CallerConnectionTests.this.notRead.add(exchange);
+		}
+
+		@Override
+		public Pressure pressure() {
+			return CallerConnectionTests.this.pressure;
+		}
+
 		@Override
 		public void requestRejected(int status, String reason) {
 			// The tests check the answer instead.
@@ -193,6 +209,51 @@
 		assertThat(this.disconnected).hasSize(1);
 	}
 
+	/** Load: a caller sends requests without reading the answers. */
+	@Test
+	void pipelinedRequestsAreHeldWithinABoundWhileTheirAnswersArePending() {
+		for (int count = 0; count < 100; count++) {
+			send("GET /1 HTTP/1.1\r\nHost: h\r\nX: " + "x".repeat(900) + "\r\n\r\n");
+		}
+		assertThat(this.channel.config().isAutoRead()).isFalse();
+		assertThat(this.pressure.held().maxBytes()).isPositive();
+		for (int count = 0; count < 100; count++) {
+			answer(this.received.get(count), "x");
+			this.channel.runPendingTasks();
+		}
+		assertThat(this.channel.config().isAutoRead()).isTrue();
+		assertThat(this.pressure.held().bytes()).isZero();
+	}
+
+	/** Failure: requests with bodies come while the instance holds too many already. */
+	@Test
+	void bodyThatCannotBeHeldIsRefusedAsNotRun() {
+		while (this.pressure.held().lease().resize(HeldBytes.OWN_BYTES)) {
+			assertThat(this.pressure.held().bytes()).isLessThanOrEqualTo(HeldBytes.MAX_BYTES);
+		}
+		while (this.pressure.held().lease().resize(1)) {
+			assertThat(this.pressure.held().bytes()).isLessThanOrEqualTo(HeldBytes.MAX_BYTES);
+		}
+		send(HEAD + "Content-Length: 5\r\n\r\nhello");
+		assertThat(sent()).startsWith("HTTP/1.1 503").contains("retry-after: 0.5");
+		assertThat(this.received).isEmpty();
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Test
+	void bodiesAreReleasedHoweverTheExchangeEnds() {
+		send(HEAD + "Content-Length: 5\r\n\r\nhel");
+		assertThat(this.pressure.held().bytes()).isEqualTo(3);
+		send("lo");
+		assertThat(this.pressure.held().bytes()).isEqualTo(5);
+		answer(this.received.get(0), "x");
+		assertThat(this.pressure.held().bytes()).isZero();
+		send(HEAD + "Content-Length: 5\r\n\r\nhel");
+		this.channel.close();
+		this.channel.runPendingTasks();
+		assertThat(this.pressure.held().bytes()).isZero();
+	}
+
 	@Test
 	void connectionClosesAfterItsAnswerDuringShutdown() {
 		this.closing = true;
