--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayStallTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayStallTests.java
@@ -191,6 +191,30 @@
 		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(2);
 	}
 
+	/** Load: a caller reads slowly, so that its stream isn't read for seconds. */
+	@Test
+	void streamThatIsNotReadBecauseOfItsCallerIsNotMoved() {
+		start(6);
+		long attempt = beginStreams(1).get(0).attemptId();
+		this.fixture.reduce(new GatewayEvent.ReadingPaused(attempt, true));
+		run(5000);
+		assertThat(this.fixture.all(GatewayEffect.ProbeEndpoint.class)).isEmpty();
+		this.fixture.reduce(new GatewayEvent.ReadingPaused(attempt, false));
+		run(STALL_MILLIS - 2 * TICK_MILLIS);
+		assertThat(this.fixture.all(GatewayEffect.CancelAttempt.class)).isEmpty();
+	}
+
+	/** Failure: the engine cuts off a stream that isn't read, which is no fault of it. */
+	@Test
+	void endpointThatCutsOffAStreamThatIsNotReadIsNotSuspected() {
+		start(6);
+		GatewayEffect.Send send = beginStreams(1).get(0);
+		this.fixture.reduce(new GatewayEvent.ReadingPaused(send.attemptId(), true));
+		this.fixture.end(send.attemptId(), AttemptOutcome.BROKEN_MIDWAY);
+		assertThat(this.fixture.logged("endpoint-lost")).isEmpty();
+		assertThat(this.fixture.all(GatewayEffect.Send.class)).hasSize(2);
+	}
+
 	/**
 	 * Load: the engine of a stream that a peer has reads for longer than the time after
 	 * which silent peers are left; the peer judges the stream itself.
