--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -53,6 +53,9 @@
 	/** Addresses of the peers that the request was handed to. */
 	final Set<String> triedPeers = new HashSet<>();
 
+	/** Regions that the request may be in. */
+	AllowedRegions allowedRegions = AllowedRegions.ANY;
+
 	Placement placement;
 
 	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
@@ -73,6 +76,9 @@
 	/** Whether a chunk has been received in the attempt in progress. */
 	boolean attemptStarted;
 
+	/** Whether the stream isn't read at present, since its caller reads slowly. */
+	boolean readingPaused;
+
 	long sentMillis;
 
 	long firstChunkMillis;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -151,12 +151,17 @@
 				.forEach((each) -> this.crashEvidence.reported(each, reported.sender(), this.partialView, nowMillis,
 						this.effects));
 		}
+		else if (event instanceof GatewayEvent.ReadingPaused reading) {
+			this.forwarder.readingPaused(reading.attemptId(), reading.paused(), nowMillis);
+		}
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
 		}
 		else if (event instanceof GatewayEvent.ConnectionEstablished established) {
-			this.endpoints.find(established.endpoint())
-				.ifPresent((endpoint) -> this.forwarder.linkEvidence().connected(endpoint.service(), this.effects));
+			this.endpoints.find(established.endpoint()).ifPresent((endpoint) -> {
+				this.work.health(endpoint.id()).recordSign(nowMillis);
+				this.forwarder.linkEvidence().connected(endpoint.service(), this.effects);
+			});
 		}
 		else if (event instanceof GatewayEvent.NoticesReceived received) {
 			noticesReceived(received, nowMillis);
@@ -212,6 +217,7 @@
 		}
 		String service = route.get().chooseService(this.random.nextDouble());
 		ForwardState state = new ForwardState(event.requestId(), request, route.get(), service, workspace, nowMillis);
+		state.allowedRegions = AllowedRegions.of(route.get(), current.terms(workspace));
 		this.forwarder.start(state, current, nowMillis, this.effects);
 	}
 
@@ -236,6 +242,7 @@
 	private void endpointsRead(List<ForwardEndpoint> listed, long nowMillis) {
 		boolean first = !this.endpoints.isKnown();
 		List<EndpointId> leaving = this.endpoints.replace(listed);
+		this.endpoints.starts().record(listed, nowMillis).forEach((restart) -> endpointRestarted(restart, nowMillis));
 		this.work.retainHealth(this.endpoints.ids());
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
@@ -246,15 +253,37 @@
 		}
 	}
 
+	/**
+	 * Forgets what is known of the process that an endpoint had before. What it says
+	 * about requests that may have crashed it remains.
+	 * @param restart the endpoint
+	 * @param nowMillis the current time
+	 */
+	private void endpointRestarted(EndpointStarts.Restart restart, long nowMillis) {
+		EndpointId id = restart.endpoint().id();
+		this.endpoints.forgetLeaving(id);
+		this.work.forget(id);
+		this.limits.forget(id);
+		this.backOffs.forget(id);
+		this.effects.add(new GatewayEffect.DiscardConnections(id));
+		int affected = this.forwarder.endpointRestarted(id, nowMillis, this.effects);
+		log("endpoint-restarted", "endpoint", id, "started", restart.endpoint().startedEpochMillis(), "started-before",
+				restart.earlierEpochMillis(), "requests", affected);
+	}
+
 	private void endpointLeaving(EndpointId endpoint, String source) {
 		log("endpoint-leaving", "endpoint", endpoint, "source", source);
 		this.effects.add(new GatewayEffect.DiscardConnections(endpoint));
 	}
 
 	private void noticesReceived(GatewayEvent.NoticesReceived event, long nowMillis) {
-		this.endpoints.find(event.endpoint())
-			.ifPresent((endpoint) -> this.forwarder.linkEvidence()
-				.answerReceived(endpoint.service(), nowMillis, this.effects));
+		this.endpoints.find(event.endpoint()).ifPresent((endpoint) -> {
+			this.work.health(endpoint.id()).recordSign(nowMillis);
+			this.forwarder.linkEvidence().answerReceived(endpoint.service(), nowMillis, this.effects);
+		});
+		if (this.forwarder.isOfProcessBefore(event.attemptId())) {
+			return;
+		}
 		limitReported(event.endpoint(), event.attemptId(), event.notices().limit(), nowMillis);
 		backOffReported(event.endpoint(), event.notices().backOff(), nowMillis);
 		event.notices()
@@ -311,6 +340,7 @@
 
 	private void digestReceived(InstanceDigest digest, long nowMillis) {
 		Map<Long, RequestWork> shifted = new HashMap<>();
+		this.forwarder.peerHeard(digest.sender(), nowMillis);
 		this.work.applyPeerSummaries(digest.sender(), digest.summaries(), nowMillis);
 		digest.work().forEach((request, each) -> shifted.put(request, each.shifted(nowMillis)));
 		if (digest.fullState().isEmpty()) {
@@ -323,10 +353,13 @@
 		figures.coldEndpoints().forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
+				.filter((id) -> !this.endpoints.starts()
+					.mayConcernProcessBefore(id, EndpointStarts.PEER_DELAY_MILLIS, nowMillis))
 				.ifPresent((id) -> this.work.health(id).avoidOnReport(nowMillis + avoided.leftMillis()));
 		}
 		for (EndpointLimit limit : digest.fullState().get().limits()) {
 			this.endpoints.findByHash(limit.endpointHash())
+				.filter((id) -> !this.endpoints.starts().mayConcernProcessBefore(id, limit.ageMillis(), nowMillis))
 				.ifPresent((id) -> this.limits.applyFromPeer(id, zone(id), limit, nowMillis)
 					.ifPresent((change) -> logLimitChange(id, change, digest.sender(), limit.ageMillis())));
 		}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayEvacuationTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayEvacuationTests.java
@@ -23,19 +23,19 @@
 
 	private static GatewayFixture fixture(GatewayTerms terms) {
 		GatewayFixture fixture = new GatewayFixture();
-		fixture.reduce(new GatewayEvent.LimitsRead(new GatewayIdentity("instance-1", "zone-a",
-				new RetryBounds(0.2, 10_000, 100), 2600, 4000, terms)));
-		fixture.reduce(new GatewayEvent.ConfigurationRead(
-				GatewayFixture.configuration(1, GatewayFixture.defaultRoutes())));
-		fixture.reduce(new GatewayEvent.EndpointsRead(List.of(endpoint("e1", "engines", "zone-a"),
-				endpoint("e2", "engines", "zone-b"), endpoint("p1", "plain", "zone-a"),
-				endpoint("p2", "plain", "zone-b"))));
+		fixture.reduce(new GatewayEvent.LimitsRead(
+				new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0.2, 10_000, 100), 2600, 4000, terms)));
+		fixture.reduce(
+				new GatewayEvent.ConfigurationRead(GatewayFixture.configuration(1, GatewayFixture.defaultRoutes())));
+		fixture.reduce(new GatewayEvent.EndpointsRead(
+				List.of(endpoint("e1", "engines", "zone-a"), endpoint("e2", "engines", "zone-b"),
+						endpoint("p1", "plain", "zone-a"), endpoint("p2", "plain", "zone-b"))));
 		return fixture;
 	}
 
 	private static ForwardEndpoint endpoint(String id, String service, String zone) {
-		return new ForwardEndpoint(new EndpointId(id), service, "10.0.0.1",
-				1024 + Math.floorMod(id.hashCode(), 40_000), zone, 11, false, 0);
+		return new ForwardEndpoint(new EndpointId(id), service, "10.0.0.1", 1024 + Math.floorMod(id.hashCode(), 40_000),
+				zone, 11, false, 0);
 	}
 
 	private void evacuate(long revision, String... zones) {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -473,8 +473,8 @@
 			Route route = new Route("r", "h", "/", List.of(new WeightedService("s", 1)), RequestKind.IDEMPOTENT, 60_000,
 					300, 0, 2, 1, true);
 			reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(1, new RouteTable(List.of(route)),
-					Map.of("s", new ForwardedService("s", 100, Optional.empty(), SimulatedFleet.this.coldStart)), Map.of(), false,
-					ClientLimits.DEFAULT)));
+					Map.of("s", new ForwardedService("s", 100, Optional.empty(), SimulatedFleet.this.coldStart)),
+					Map.of(), false, ClientLimits.DEFAULT)));
 			readEndpoints();
 		}
 
