--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ColdEndpoints.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ColdEndpoints.java
@@ -169,7 +169,8 @@
 	void reportedByPeer(ColdEndpoint reported, String sender, long nowMillis, List<GatewayEffect> effects) {
 		this.endpoints.findByHash(reported.endpointHash())
 			.flatMap(this.endpoints::find)
-			.filter((endpoint) -> !isCold(endpoint.id(), nowMillis + reported.remainingMillis() - PEER_TOLERANCE_MILLIS))
+			.filter((
+					endpoint) -> !isCold(endpoint.id(), nowMillis + reported.remainingMillis() - PEER_TOLERANCE_MILLIS))
 			.ifPresent((endpoint) -> cold(endpoint, reported.remainingMillis(), sender, nowMillis, effects));
 	}
 
@@ -180,6 +181,11 @@
 
 	/**
 	 * Extends the time for which an endpoint is cold.
+	 * @param endpoint the endpoint
+	 * @param millis time from now on
+	 * @param source what stated that
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
 	 * @return true if it was extended by a time that peers should know soon
 	 */
 	private boolean cold(ForwardEndpoint endpoint, long millis, String source, long nowMillis,
@@ -224,7 +230,10 @@
 		});
 	}
 
-	/** Applies the rates of changed terms. */
+	/**
+	 * Applies the rates of changed terms.
+	 * @param nowMillis the current time
+	 */
 	private void imply(long nowMillis) {
 		for (EndpointId id : this.colds.keySet()) {
 			Optional<ForwardEndpoint> endpoint = this.endpoints.find(id);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -350,7 +350,8 @@
 		this.work.replacePeerWork(digest.sender(), shifted, nowMillis);
 		FleetFigures figures = digest.fullState().get().figures();
 		figures.evacuations().ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
-		figures.coldEndpoints().forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
+		figures.coldEndpoints()
+			.forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.filter((id) -> !this.endpoints.starts()
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/ImpliedLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/ImpliedLimits.java
@@ -15,9 +15,9 @@
  * <p>
  * Not thread-safe; owned by the reducer. Unlike those of a named limit, shares are kept
  * within any single second: an instance saves up little more than one request, so that
- * all instances together send at most one request per share in a second. An instance without
- * a share sends none. Shares begin at different phases, so that the rate is used from the
- * beginning without all of them sending together.
+ * all instances together send at most one request per share in a second. An instance
+ * without a share sends none. Shares begin at different phases, so that the rate is used
+ * from the beginning without all of them sending together.
  * </p>
  */
 final class ImpliedLimits {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayColdEndpointTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayColdEndpointTests.java
@@ -33,8 +33,8 @@
 
 	private static GatewayFixture fixture(GatewayTerms terms) {
 		GatewayFixture fixture = new GatewayFixture();
-		fixture.reduce(new GatewayEvent.LimitsRead(new GatewayIdentity("instance-1", "zone-a",
-				new RetryBounds(0.2, 10_000, 100), 2600, 4000, terms)));
+		fixture.reduce(new GatewayEvent.LimitsRead(
+				new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0.2, 10_000, 100), 2600, 4000, terms)));
 		Map<String, ForwardedService> services = Map.of("engines",
 				new ForwardedService("engines", 100, Optional.of(GatewayFixture.MODEL),
 						Optional.of(new ColdStart(COLD_MILLIS, 4))),
@@ -42,8 +42,8 @@
 		fixture.reduce(new GatewayEvent.ConfigurationRead(
 				new ForwardingConfiguration(1, new RouteTable(GatewayFixture.defaultRoutes()), services,
 						Map.of("key-1", "workspace-1"), true, ClientLimits.DEFAULT)));
-		fixture.reduce(
-				new GatewayEvent.EndpointsRead(List.of(engine("e1", "zone-a", 0, 100), engine("e2", "zone-b", 0, 100))));
+		fixture.reduce(new GatewayEvent.EndpointsRead(
+				List.of(engine("e1", "zone-a", 0, 100), engine("e2", "zone-b", 0, 100))));
 		return fixture;
 	}
 
@@ -122,16 +122,16 @@
 		FullState state = new FullState("zone-b", 1, StoreRevision.NONE, Optional.empty(), true, List.of(), List.of(),
 				List.of(), new FleetFigures(Optional.empty(),
 						List.of(new ColdEndpoint(WorkTable.hash(new EndpointId("e2")), 1500)), List.of(), List.of()));
-		this.fixture.reduce(new GatewayEvent.DigestReceived(new InstanceDigest("10.0.0.2:7", 1, 1, Map.of(), List.of(),
-				List.of(), List.of(), Optional.of(state))));
+		this.fixture.reduce(new GatewayEvent.DigestReceived(
+				new InstanceDigest("10.0.0.2:7", 1, 1, Map.of(), List.of(), List.of(), List.of(), Optional.of(state))));
 		assertThat(this.fixture.gateway.coldEndpoints()).isOne();
 		assertThat(this.fixture.gateway.fleetFigures(this.fixture.nowMillis).coldEndpoints()).isEmpty();
 	}
 
 	@Test
 	void zoneThatReturnsFromAnEvacuationIsCold() {
-		this.fixture.reduce(new GatewayEvent.EvacuationsRead(
-				new EvacuationKnowledge(new StoreRevision(0, 5), List.of("zone-a"))));
+		this.fixture.reduce(
+				new GatewayEvent.EvacuationsRead(new EvacuationKnowledge(new StoreRevision(0, 5), List.of("zone-a"))));
 		assertThat(this.fixture.gateway.coldEndpoints()).isZero();
 		this.fixture
 			.reduce(new GatewayEvent.EvacuationsRead(new EvacuationKnowledge(new StoreRevision(0, 6), List.of())));
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetColdEndpointTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetColdEndpointTests.java
@@ -26,8 +26,8 @@
 	/** Share of the rate that is to be used while work waits. */
 	private static final double MIN_USED_SHARE = 0.8;
 
-	private static final GatewayTerms TERMS = new GatewayTerms(
-			Optional.of(new GatewayTerms.ColdBounds(1.5, 5)), Optional.of(5000L), Map.of());
+	private static final GatewayTerms TERMS = new GatewayTerms(Optional.of(new GatewayTerms.ColdBounds(1.5, 5)),
+			Optional.of(5000L), Map.of());
 
 	/** Time after which all instances know each other. */
 	private static final long START_MILLIS = 20_000;
@@ -35,7 +35,9 @@
 	/** Time from the end of a runner until instances know its successor. */
 	private static final long LISTED_MILLIS = 2000;
 
-	/** Time from the last request that is sent while an endpoint is cold to its arrival. */
+	/**
+	 * Time from the last request that is sent while an endpoint is cold to its arrival.
+	 */
 	private static final long ARRIVAL_MILLIS = 5;
 
 	private static SimulatedFleet fleet(int instances, int runners, double requestsPerSecond, long coldMillis,
@@ -46,7 +48,9 @@
 		return fleet;
 	}
 
-	/** Load: 300 requests per second to a service whose only endpoint has just started. */
+	/**
+	 * Load: 300 requests per second to a service whose only endpoint has just started.
+	 */
 	@ParameterizedTest
 	@ValueSource(ints = { 9, 75 })
 	void startedEndpointGetsAtMostTheBoundInAnySecondAndUsesItsRate(int instances) {
@@ -57,7 +61,8 @@
 			long listed = fleet.nowMillis();
 			fleet.run(coldMillis);
 			SimulatedRunner runner = fleet.runners.get(0);
-			assertThat(runner.maxInOneSecond(0, listed + coldMillis + ARRIVAL_MILLIS)).isLessThanOrEqualTo((long) BOUND);
+			assertThat(runner.maxInOneSecond(0, listed + coldMillis + ARRIVAL_MILLIS))
+				.isLessThanOrEqualTo((long) BOUND);
 			assertThat((double) runner.arrivedBetween(listed, listed + coldMillis))
 				.isGreaterThanOrEqualTo(MIN_USED_SHARE * PER_SECOND * coldMillis / 1000);
 			long warm = fleet.nowMillis();
@@ -99,8 +104,7 @@
 		long ended = fleet.nowMillis();
 		fleet.readEvacuations(0, 8);
 		fleet.run(coldMillis);
-		assertThat(fleet.runners.stream().filter((runner) -> runner.endpoint.zone().equals("zone-1")))
-			.hasSize(2)
+		assertThat(fleet.runners.stream().filter((runner) -> runner.endpoint.zone().equals("zone-1"))).hasSize(2)
 			.allMatch((runner) -> runner.maxInOneSecond(ended, ended + coldMillis) <= BOUND)
 			.allMatch((runner) -> runner.arrivedSince(ended) > 0);
 		fleet.run(8000);
@@ -128,8 +132,7 @@
 	 */
 	@Test
 	void deploymentThatStartsWithWarmEndpointsUsesThemAtOnce() {
-		SimulatedFleet fleet = new SimulatedFleet(9, 3, 3, 300, 8, TERMS,
-				Optional.of(new ColdStart(3000, PER_SECOND)));
+		SimulatedFleet fleet = new SimulatedFleet(9, 3, 3, 300, 8, TERMS, Optional.of(new ColdStart(3000, PER_SECOND)));
 		fleet.run(3000);
 		assertThat(fleet.refused).isEmpty();
 		assertThat(fleet.runners).allMatch((runner) -> runner.arrivedSince(0) > 3 * BOUND);
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/SimulatedFleet.java
@@ -300,8 +300,8 @@
 	}
 
 	private ForwardEndpoint cold(ForwardEndpoint endpoint) {
-		return new ForwardEndpoint(endpoint.id(), endpoint.service(), endpoint.host(), endpoint.port(),
-				endpoint.zone(), endpoint.slots(), false, this.coldStart.map(ColdStart::durationMillis).orElse(0L));
+		return new ForwardEndpoint(endpoint.id(), endpoint.service(), endpoint.host(), endpoint.port(), endpoint.zone(),
+				endpoint.slots(), false, this.coldStart.map(ColdStart::durationMillis).orElse(0L));
 	}
 
 	private long nextFingerprint() {
