--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
@@ -22,7 +22,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
