--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -607,10 +607,11 @@
 		run(new GatewayEvent.NoticesReceived(endpoint, attemptId, notices));
 	}
 
-	private String evacuationMetrics() {
+	private String zoneMetrics() {
 		Map<String, Integer> evacuated = this.gateway.evacuatedZones();
 		return "mulberrylift_evacuated_zones " + evacuated.size() + "\nmulberrylift_requests_in_evacuated_zones "
-				+ evacuated.values().stream().mapToInt(Integer::intValue).sum() + "\n";
+				+ evacuated.values().stream().mapToInt(Integer::intValue).sum() + "\nmulberrylift_cold_endpoints "
+				+ this.gateway.coldEndpoints() + "\n";
 	}
 
 	private Page page(String path, String query) {
@@ -624,7 +625,7 @@
 					+ "\nmulberrylift_held_bytes " + this.pressure.held().bytes() + "\nmulberrylift_held_bytes_max "
 					+ this.pressure.held().maxBytes() + "\nmulberrylift_bodies_not_held "
 					+ this.pressure.held().rejected() + "\nmulberrylift_waiting_connections "
-					+ this.pressure.waiting().count() + "\n" + evacuationMetrics());
+					+ this.pressure.waiting().count() + "\n" + zoneMetrics());
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
