--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ColdEndpoints.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ColdEndpoints.java
@@ -181,6 +181,11 @@
 
 	/**
 	 * Extends the time for which an endpoint is cold.
+	 * @param endpoint the endpoint
+	 * @param millis how long it stays cold
+	 * @param source who says so
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
 	 * @return true if it was extended by a time that peers should know soon
 	 */
 	private boolean cold(ForwardEndpoint endpoint, long millis, String source, long nowMillis,
@@ -225,7 +230,10 @@
 		});
 	}
 
-	/** Applies the rates of changed terms. */
+	/**
+	 * Applies the rates of changed terms.
+	 * @param nowMillis the current time
+	 */
 	private void imply(long nowMillis) {
 		for (EndpointId id : this.colds.keySet()) {
 			Optional<ForwardEndpoint> endpoint = this.endpoints.find(id);
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/EndpointCandidates.java
@@ -81,6 +81,9 @@
 	/**
 	 * Leaves the few requests that cold endpoints accept to short answers, as long as
 	 * there are other endpoints for long prompts.
+	 * @param state the request
+	 * @param found the endpoints that it may be sent to
+	 * @return those to choose from
 	 */
 	private List<EndpointWork> warmForLongPrompts(ForwardState state, List<EndpointWork> found) {
 		if (!state.isPrompt() || state.route.gapTargetMillis() <= SHORT_GAP_MILLIS) {
