--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -665,7 +665,7 @@
 				nowMillis - state.arrivalMillis, "answer-started", state.answerStarted);
 		if (state.attemptId != 0) {
 			state.mayHaveRun = true;
-			if (state.relayPeer.isEmpty()) {
+			if (state.relayPeer.isEmpty() && !state.readingPaused) {
 				health(state).recordFailure();
 				if (!state.attemptStarted) {
 					this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
