--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ColdEndpoints.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ColdEndpoints.java
@@ -182,8 +182,8 @@
 	/**
 	 * Extends the time for which an endpoint is cold.
 	 * @param endpoint the endpoint
-	 * @param millis how long it stays cold
-	 * @param source who says so
+	 * @param millis time from now on
+	 * @param source what stated that
 	 * @param nowMillis the current time
 	 * @param effects receives the effects
 	 * @return true if it was extended by a time that peers should know soon
