--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetColdEndpointTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetColdEndpointTests.java
@@ -117,9 +117,10 @@
 	 * Load: an endpoint becomes cold again under 20 requests per second, of which
 	 * instances learn over a second.
 	 */
-	@Test
-	void endpointThatBecomesColdAgainKeepsTheBoundWhileInstancesLearnOfIt() {
-		SimulatedFleet fleet = fleet(75, 6, 120, 3000, 7);
+	@ParameterizedTest
+	@ValueSource(ints = { 9, 75 })
+	void endpointThatBecomesColdAgainKeepsTheBoundWhileInstancesLearnOfIt(int instances) {
+		SimulatedFleet fleet = fleet(instances, 6, 120, 3000, 7);
 		long before = fleet.nowMillis();
 		fleet.chill(2, 1000);
 		fleet.run(3000);
