--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -750,7 +750,8 @@
 		long timeoutMillis = (state.attemptStarted) ? stallMillis
 				: firstChunkTimeoutMillis(state.route, state.placement);
 		return new StallDetector.StreamSilence(state.lastChunkMillis, state.attemptStarted, timeoutMillis, stallMillis,
-				StallTimeouts.lastMillis(state.route), isMovable(state));
+				StallTimeouts.lastMoveMillis(state.route, state.placement.expectedFirstTokenMillis()),
+				isMovable(state));
 	}
 
 	private static boolean isMovable(ForwardState state) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallDetector.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallDetector.java
@@ -9,7 +9,8 @@
  * only part of what an engine reads. Shortly before silence would count as death, the
  * engine is probed by a connection. It is dead if it shows nothing after that: no byte
  * and no connection. If it shows something, the stream is left where it is until no known
- * reading explains the silence and its caller would leave soon.
+ * reading explains the silence and another engine could just begin before its caller
+ * leaves; one that has not begun, as long as other streams of its engine advance.
  * </p>
  */
 final class StallDetector {
@@ -64,35 +65,29 @@
 		long outputUntilMillis = signs.outputMillis() + signMillis + signs.iterationMillis();
 		long deadMillis = Math.max(silence.sinceMillis() + silence.timeoutMillis(),
 				Math.max(outputUntilMillis, signs.signMillis() + signMillis));
-		if (isStopped(silence, signs, nowMillis < outputUntilMillis, nowMillis) && nowMillis < deadMillis) {
+		boolean othersAdvance = nowMillis < outputUntilMillis;
+		long stoppedMillis = silence.sinceMillis() + Math.max(silence.timeoutMillis(), silence.lastStallMillis())
+				+ signs.readingMillis();
+		boolean mayBeStopped = silence.begun() || !othersAdvance;
+		if (mayBeStopped && nowMillis >= stoppedMillis && nowMillis < deadMillis) {
 			return new Judgement(Verdict.STOPPED, nowMillis + RECHECK_MILLIS);
 		}
 		if (nowMillis < deadMillis - LEAD_MILLIS) {
-			return new Judgement(Verdict.SOUND, deadMillis - LEAD_MILLIS);
+			return judgement(Verdict.SOUND, deadMillis - LEAD_MILLIS, stoppedMillis, nowMillis);
 		}
 		long shownMillis = Math.max(silence.sinceMillis(), Math.max(signs.outputMillis(), signs.signMillis()));
 		if (silence.mayProbe() && signs.probeMillis() <= shownMillis) {
-			return new Judgement(Verdict.UNKNOWN, Math.max(deadMillis, nowMillis + PROBE_MILLIS));
+			return judgement(Verdict.UNKNOWN, Math.max(deadMillis, nowMillis + PROBE_MILLIS), stoppedMillis, nowMillis);
 		}
 		long decidedMillis = (silence.mayProbe()) ? Math.max(deadMillis, signs.probeMillis() + PROBE_MILLIS)
 				: deadMillis;
-		return (nowMillis < decidedMillis) ? new Judgement(Verdict.SOUND, decidedMillis)
+		return (nowMillis < decidedMillis) ? judgement(Verdict.SOUND, decidedMillis, stoppedMillis, nowMillis)
 				: new Judgement(Verdict.DEAD, nowMillis + RECHECK_MILLIS);
 	}
 
-	/**
-	 * Returns whether a stream whose engine lives has been silent for so long that its
-	 * caller will leave, and no known reading explains it. One that has not begun may
-	 * wait as long as others of its engine advance.
-	 * @param silence the stream
-	 * @param signs what its engine has shown, and what it is known to read
-	 * @param othersAdvance whether other streams of the engine advance
-	 * @param nowMillis the current time
-	 * @return true if it has stopped
-	 */
-	private static boolean isStopped(StreamSilence silence, EngineSigns signs, boolean othersAdvance, long nowMillis) {
-		long lastMillis = Math.max(silence.timeoutMillis(), silence.lastStallMillis()) + signs.readingMillis();
-		return (silence.begun() || !othersAdvance) && nowMillis - silence.sinceMillis() >= lastMillis;
+	private static Judgement judgement(Verdict verdict, long recheckMillis, long stoppedMillis, long nowMillis) {
+		return new Judgement(verdict,
+				(nowMillis < stoppedMillis) ? Math.min(recheckMillis, stoppedMillis) : recheckMillis);
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallTimeouts.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallTimeouts.java
@@ -15,6 +15,15 @@
 	 */
 	private static final double LAST_SHARE = 0.75;
 
+	/**
+	 * Time that a stream needs to begin at another endpoint beyond the expected one, in
+	 * milliseconds.
+	 */
+	private static final long MOVE_MILLIS = 200;
+
+	/** Ratio of the time to the first token that is allowed for to the expected one. */
+	private static final double FIRST_TOKEN_FACTOR = 1.5;
+
 	/** Minimum time after which callers leave. */
 	private static final long MIN_CALLER_MILLIS = 2000;
 
@@ -32,8 +41,7 @@
 	}
 
 	/**
-	 * Returns the time after which another endpoint is tried although the endpoint is
-	 * busy, or another peer.
+	 * Returns the time after which another peer is tried.
 	 * @param route the route
 	 * @return the time in milliseconds
 	 */
@@ -41,6 +49,18 @@
 		return (long) (LAST_SHARE * callerMillis(route));
 	}
 
+	/**
+	 * Returns the time after which a stream whose endpoint lives is moved: as late as
+	 * another endpoint can begin before the caller leaves.
+	 * @param route the route
+	 * @param expectedFirstTokenMillis expected time to the first token
+	 * @return the time in milliseconds, at least {@link #lastMillis}
+	 */
+	static long lastMoveMillis(Route route, double expectedFirstTokenMillis) {
+		long neededMillis = MOVE_MILLIS + (long) (FIRST_TOKEN_FACTOR * expectedFirstTokenMillis);
+		return Math.max(lastMillis(route), callerMillis(route) - neededMillis);
+	}
+
 	/**
 	 * Returns the time after which callers leave.
 	 * @param route the route
