--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallDetector.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/StallDetector.java
@@ -19,13 +19,13 @@
 	 * Time that a probed engine has to accept a connection, in milliseconds; several
 	 * round trips beside other work of this instance.
 	 */
-	static final long PROBE_MILLIS = 250;
+	static final long PROBE_MILLIS = 120;
 
 	/**
 	 * Time before the end of an engine's silence at which it is probed, in milliseconds;
-	 * longer than the time that it has by more than two ticks.
+	 * longer than the time that it has by two ticks. Most silences end before it.
 	 */
-	private static final long LEAD_MILLIS = 300;
+	private static final long LEAD_MILLIS = 160;
 
 	/** Interval of checks of a stream that is left where it is, in milliseconds. */
 	static final long RECHECK_MILLIS = 200;
