Place requests of plain services where they are expected to be complete first

Cause: requests that look alike cost endpoints very different amounts of work, and endpoints differ in speed. Least requests per slot knows neither. Change: package core.cost learns service times by route and service, the pace of endpoints and the remaining work there from attempts, peers' observations (field 7 of full states, at most 8 figures) and load lines. `sent` tells what was expected and what it rested on; two metrics.

--- /dev/null
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/cost/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What requests cost, learned from what instances see, and the choice of endpoints by it.
+ */
+package io.mulberrylift.core.cost;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.mulberrylift.core.cost.CompletionEstimate;
+import io.mulberrylift.core.cost.CostSubject;
 import io.mulberrylift.core.gossip.RequestAttribute;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.Placement;
@@ -58,6 +60,9 @@
 
 	Placement placement;
 
+	/** What the placement rests on, empty if it does not rest on learned costs. */
+	Optional<CompletionEstimate> estimate = Optional.empty();
+
 	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
 	Optional<String> relayPeer = Optional.empty();
 
@@ -118,6 +123,10 @@
 		return this.deadlineMillis - nowMillis;
 	}
 
+	CostSubject costSubject() {
+		return CostSubject.of(this.service, this.route.name());
+	}
+
 	boolean isPrompt() {
 		return this.request.promptTokens() > 0;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -8,6 +8,9 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import io.mulberrylift.core.cost.CompletionEstimate;
+import io.mulberrylift.core.cost.ExpectedCompletionPlacement;
+import io.mulberrylift.core.cost.LearnedCosts;
 import io.mulberrylift.core.gossip.RelayPeer;
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
@@ -68,6 +71,10 @@
 
 	private final LeastLoadedPlacement leastLoadedPlacement;
 
+	private final LearnedCosts costs;
+
+	private final ExpectedCompletionPlacement completionPlacement;
+
 	private final RequestLimits limits;
 
 	private final MemoryReservations reservations;
@@ -92,8 +99,10 @@
 	private long nextAttemptId = 1;
 
 	Forwarder(GatewayIdentity identity, RandomGenerator random, EndpointTable endpoints, WorkTable work,
-			CrashEvidence crashEvidence, RequestLimits limits, EndpointBackOffs backOffs) {
+			CrashEvidence crashEvidence, RequestLimits limits, EndpointBackOffs backOffs, LearnedCosts costs) {
 		this.identity = identity;
+		this.costs = costs;
+		this.completionPlacement = new ExpectedCompletionPlacement(costs, random);
 		this.random = random;
 		this.endpoints = endpoints;
 		this.candidates = new EndpointCandidates(endpoints, work, limits, backOffs);
@@ -203,8 +212,7 @@
 		}
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		if (model.isEmpty() || !state.isPrompt()) {
-			send(state, this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow(), nowMillis,
-					effects);
+			send(state, placePlain(state, available, nowMillis), nowMillis, effects);
 			return;
 		}
 		PromptDemand demand = demand(state, nowMillis);
@@ -227,6 +235,17 @@
 		recordWork(state, demand, nowMillis);
 	}
 
+	private Placement placePlain(ForwardState state, List<EndpointWork> available, long nowMillis) {
+		if (!this.identity.terms().learnedCosts()) {
+			return this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow();
+		}
+		ExpectedCompletionPlacement.Choice choice = this.completionPlacement
+			.place(available, this.identity.zone(), state.costSubject(), nowMillis)
+			.orElseThrow();
+		state.estimate = Optional.of(choice.estimate());
+		return choice.placement();
+	}
+
 	/**
 	 * Hands a request to a peer or refuses it if the link to the service is cut.
 	 * @param state the request
@@ -345,6 +364,8 @@
 		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
 		state.triedEndpoints.add(placement.endpoint().id());
 		recordWork(state, demand(state, nowMillis), nowMillis);
+		state.estimate.ifPresent((estimate) -> this.costs.sent(state.requestId, placement.endpoint(),
+				state.costSubject(), estimate, nowMillis));
 		this.limits.recordRequest(placement.endpoint().id(), nowMillis);
 		if (state.reservations.isEmpty()) {
 			placement.helpers().forEach((helper) -> this.limits.recordRequest(helper.id(), nowMillis));
@@ -359,6 +380,11 @@
 				placement.helpers().stream().map((each) -> each.id().value()).collect(Collectors.joining(" ")),
 				"prompt", state.request.promptTokens(), "expected-first-token-millis",
 				(long) placement.expectedFirstTokenMillis(), "cost", Math.round(placement.cost() * 100) / 100.0,
+				"expected-millis", state.estimate.map((each) -> (long) each.totalMillis()).orElse(-1L),
+				"expected-wait-millis", state.estimate.map((each) -> (long) each.waitMillis()).orElse(-1L),
+				"observations", state.estimate.map(CompletionEstimate::observations).orElse(-1L),
+				"observation-age-millis", state.estimate.map(CompletionEstimate::ageMillis).orElse(-1L), "pace",
+				state.estimate.map((each) -> Math.round(each.paceFactor() * 100) / 100.0).orElse(1.0),
 				"remaining-millis", state.timeLeftMillis(nowMillis));
 		effects.add(new GatewayEffect.Send(state.requestId, state.attemptId, placement.endpoint(), helpers,
 				state.timeLeftMillis(nowMillis), rank(state), state.route.kind(), state.workspace));
@@ -372,8 +398,10 @@
 		Placement placement = state.placement;
 		int endpointHash = WorkTable.hash(placement.endpoint().id());
 		if (!state.isPrompt()) {
-			this.work.put(state.requestId, new RequestWork(false, 0, 0, 0, 0, state.deadlineMillis,
-					state.deadlineMillis, 1, endpointHash, List.of()));
+			// Peers read the two times as those of the start and the end of the work.
+			long start = state.estimate.map((each) -> each.startMillis(nowMillis)).orElse(state.deadlineMillis);
+			long end = state.estimate.map((each) -> each.endMillis(nowMillis)).orElse(state.deadlineMillis);
+			this.work.put(state.requestId, new RequestWork(false, 0, 0, 0, 0, start, end, 1, endpointHash, List.of()));
 			return;
 		}
 		long due = nowMillis + demand.firstTokenTimeLeftMillis();
@@ -460,6 +488,7 @@
 		// Endpoints cut off streams that are not read.
 		if (!state.readingPaused || outcome != AttemptOutcome.BROKEN_MIDWAY) {
 			recordOutcome(state, outcome, nowMillis);
+			this.costs.ended(state.requestId, nowMillis);
 			if (!this.linkEvidence.attemptEnded(state, event, nowMillis, effects)) {
 				this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
 			}
@@ -577,6 +606,9 @@
 		EndpointHealth health = health(state);
 		if (outcome.isCompleted()) {
 			health.recordSuccess();
+			if (!state.readingPaused) {
+				this.costs.completed(state.requestId, nowMillis);
+			}
 		}
 		else if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.MISDIRECTED
 				|| outcome == AttemptOutcome.SILENT || outcome == AttemptOutcome.BROKEN
@@ -661,6 +693,7 @@
 	}
 
 	private void expire(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		this.costs.expired(state.requestId, nowMillis);
 		log(effects, "expired", "request", state.requestId, "attempt", state.attemptId, "millis",
 				nowMillis - state.arrivalMillis, "answer-started", state.answerStarted);
 		if (state.attemptId != 0) {
@@ -844,6 +877,7 @@
 			this.byAttemptId.remove(state.attemptId);
 		}
 		this.work.remove(state.requestId);
+		this.costs.ended(state.requestId, nowMillis);
 		this.reservations.release(state, nowMillis, effects);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -10,7 +10,9 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
+import io.mulberrylift.core.cost.LearnedCosts;
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
+import io.mulberrylift.core.gossip.CostFigure;
 import io.mulberrylift.core.gossip.CrashObservation;
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.EvacuationKnowledge;
@@ -50,6 +52,12 @@
 	/** Value of a limit in log lines if there is none. */
 	private static final double UNLIMITED_PER_SECOND = -1;
 
+	/** Maximum number of learned quantities in a message. */
+	private static final int MAX_COSTS = 8;
+
+	/** Maximum number of learned quantities in a message in large fleets. */
+	private static final int MAX_COSTS_PARTIAL = 3;
+
 	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
@@ -68,6 +76,8 @@
 
 	private final EndpointBackOffs backOffs = new EndpointBackOffs();
 
+	private final LearnedCosts costs = new LearnedCosts();
+
 	private final Forwarder forwarder;
 
 	private final EvacuationControl evacuations;
@@ -97,7 +107,7 @@
 		this.crashEvidence = new CrashEvidence(this.suspects);
 		this.limits = new RequestLimits(alone, random);
 		this.forwarder = new Forwarder(identity, random, this.endpoints, this.work, this.crashEvidence, this.limits,
-				this.backOffs);
+				this.backOffs, this.costs);
 		this.evacuations = new EvacuationControl(this.zones, this.forwarder);
 		this.cold = new ColdEndpoints(identity.terms(), this.endpoints, this.limits);
 	}
@@ -156,6 +166,8 @@
 		}
 		else if (event instanceof GatewayEvent.LoadObserved observed) {
 			this.work.health(observed.endpoint()).recordLoad(observed.load(), nowMillis);
+			this.endpoints.find(observed.endpoint())
+				.ifPresent((endpoint) -> this.costs.loadReported(endpoint, observed.load(), nowMillis));
 		}
 		else if (event instanceof GatewayEvent.ConnectionEstablished established) {
 			this.endpoints.find(established.endpoint()).ifPresent((endpoint) -> {
@@ -247,6 +259,7 @@
 		this.limits.retain(this.endpoints.ids());
 		this.backOffs.retain(this.endpoints.ids());
 		this.cold.endpointsRead(listed, first, nowMillis, this.effects);
+		this.costs.endpointsListed(listed);
 		leaving.forEach((id) -> endpointLeaving(id, "list"));
 		if (first) {
 			log("endpoints", "listed", listed.size());
@@ -352,6 +365,7 @@
 		figures.evacuations().ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
 		figures.coldEndpoints()
 			.forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
+		this.costs.applyFromPeer(figures.costs(), nowMillis);
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.filter((id) -> !this.endpoints.starts()
@@ -555,7 +569,9 @@
 	 * @return the figures, small enough for a full state
 	 */
 	public FleetFigures fleetFigures(long nowMillis) {
-		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis), List.of(), List.of());
+		List<CostFigure> learned = (this.identity.terms().learnedCosts())
+				? this.costs.pollPublished((this.partialView) ? MAX_COSTS_PARTIAL : MAX_COSTS) : List.of();
+		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis), List.of(), learned);
 	}
 
 	/**
@@ -574,6 +590,14 @@
 		return this.evacuations.requestsByZone();
 	}
 
+	/**
+	 * Returns what requests cost, for operators.
+	 * @return the learned costs
+	 */
+	public LearnedCosts costs() {
+		return this.costs;
+	}
+
 	/**
 	 * Returns the limits that endpoints name.
 	 * @return requests per second by endpoint
@@ -610,6 +634,8 @@
 		state.put("evacuated", evacuatedZones().toString());
 		state.put("suspects", this.suspects.suspectCount());
 		state.put("isolated", isolatedAttributes(nowMillis));
+		state.put("cost-estimates", this.costs.size());
+		state.put("cost-median-error", this.costs.medianErrorFactor());
 		state.put("loads", this.work.recentLoads(nowMillis).toString());
 		return state;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayTerms.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayTerms.java
@@ -12,9 +12,11 @@
  * @param evacuationMillis time within which an evacuated zone must receive no more new
  * work, empty if zones are not evacuated
  * @param regionsByZone region of each availability zone, empty if it is not stated
+ * @param learnedCosts whether requests of plain services are placed by what they are
+ * expected to cost
  */
 public record GatewayTerms(Optional<ColdBounds> coldBounds, Optional<Long> evacuationMillis,
-		Map<String, String> regionsByZone) {
+		Map<String, String> regionsByZone, boolean learnedCosts) {
 
 	/** Terms that switch nothing on. */
 	public static final GatewayTerms NONE = new GatewayTerms(Optional.empty(), Optional.empty(), Map.of());
@@ -28,6 +30,18 @@
 		regionsByZone = Map.copyOf(regionsByZone);
 	}
 
+	/**
+	 * Creates terms by which nothing is placed by what it is expected to cost.
+	 * @param coldBounds bounds of requests to cold endpoints
+	 * @param evacuationMillis time within which an evacuated zone must receive no more
+	 * new work
+	 * @param regionsByZone region of each availability zone
+	 */
+	public GatewayTerms(Optional<ColdBounds> coldBounds, Optional<Long> evacuationMillis,
+			Map<String, String> regionsByZone) {
+		this(coldBounds, evacuationMillis, regionsByZone, false);
+	}
+
 	/**
 	 * Bounds of the requests that a cold endpoint receives in one second from all
 	 * instances together: its rate times a factor, plus some requests.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -625,7 +625,9 @@
 					+ "\nmulberrylift_held_bytes " + this.pressure.held().bytes() + "\nmulberrylift_held_bytes_max "
 					+ this.pressure.held().maxBytes() + "\nmulberrylift_bodies_not_held "
 					+ this.pressure.held().rejected() + "\nmulberrylift_waiting_connections "
-					+ this.pressure.waiting().count() + "\n" + zoneMetrics());
+					+ this.pressure.waiting().count() + "\nmulberrylift_cost_estimates " + this.gateway.costs().size()
+					+ "\nmulberrylift_cost_median_error " + this.gateway.costs().medianErrorFactor() + "\n"
+					+ zoneMetrics());
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
