Divide scarce room by rank and workspace

Cause: when not all can be served in time, refusals fell by the size of prompts alone; priorities of routes and workspaces decided nothing, and a workspace with much demand took the room of the others. Change: the package admission decides by the work that ranks and workspaces ask for, known to all instances by six figures in a full state. Nothing is refused while under half of the slots are in use and nothing waits, while few requests wait too long, or while the demand is below the capacity, which follows what is seen. Otherwise room is given by rank, within a rank to workspaces by the work that they ask for, and alike to all sizes; callers return in order of rank, and those refused before come first. Plain services learn what a request of a route costs.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -56,6 +56,15 @@
 	/** Regions that the request may be in. */
 	AllowedRegions allowedRegions = AllowedRegions.ANY;
 
+	/** Whether its admission while room is scarce has been decided. */
+	boolean admissionDecided;
+
+	/** Whether a slot of its endpoint was free as far as was known. */
+	boolean sentToFreeSlot;
+
+	/** Time after which its caller should return if it is refused for lack of room. */
+	Optional<Long> returnMillis = Optional.empty();
+
 	Placement placement;
 
 	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -78,6 +78,8 @@
 
 	private final Relays relays;
 
+	private final Admissions admissions;
+
 	private final Map<Long, ForwardState> byRequestId = new HashMap<>();
 
 	private final Map<Long, ForwardState> byAttemptId = new HashMap<>();
@@ -101,6 +103,7 @@
 		this.crashEvidence = crashEvidence;
 		this.promptPlacement = new PromptPlacement(random);
 		this.relays = new Relays(random);
+		this.admissions = new Admissions(random);
 		this.linkEvidence = new LinkEvidence(this.links, endpoints);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
@@ -113,8 +116,13 @@
 		this.relays.setRegions(terms.regionsByZone());
 	}
 
+	Admissions admissions() {
+		return this.admissions;
+	}
+
 	void setConfiguration(ForwardingConfiguration current) {
 		this.configuration = current;
+		this.admissions.setConfiguration(current);
 	}
 
 	void setIdentity(GatewayIdentity current) {
@@ -126,6 +134,7 @@
 
 	void setRetryPart(double part) {
 		this.retryPart = part;
+		this.admissions.setInstancePart(part);
 	}
 
 	void setRelayPeers(List<RelayPeer> peers) {
@@ -203,15 +212,22 @@
 		}
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		if (model.isEmpty() || !state.isPrompt()) {
-			send(state, this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow(), nowMillis,
-					effects);
+			Placement least = this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow();
+			if (this.admissions.refuses(state, least, available, nowMillis, effects)) {
+				giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
+			}
+			else {
+				send(state, least, nowMillis, effects);
+			}
 			return;
 		}
 		PromptDemand demand = demand(state, nowMillis);
 		Optional<Placement> placement = this.promptPlacement.place(demand, available, model.get(), this.identity.zone(),
 				nowMillis);
 		if (placement.isPresent()) {
-			admitUnlessTooCostly(state, demand, placement.get(), nowMillis, effects);
+			if (!refusedForCost(state, demand, placement.get(), available, nowMillis, effects)) {
+				admit(state, placement.get(), nowMillis, effects);
+			}
 			return;
 		}
 		Optional<Placement> sharded = placementAcrossMemories(demand, available, model.get(), nowMillis);
@@ -219,7 +235,7 @@
 			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 			return;
 		}
-		if (refusedForCost(state, demand, sharded.get(), nowMillis, effects)) {
+		if (refusedForCost(state, demand, sharded.get(), available, nowMillis, effects)) {
 			return;
 		}
 		state.placement = sharded.get();
@@ -310,15 +326,12 @@
 				state.timeLeftMillis(nowMillis), state.route.gapTargetMillis());
 	}
 
-	private void admitUnlessTooCostly(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
-			List<GatewayEffect> effects) {
-		if (!refusedForCost(state, demand, placement, nowMillis, effects)) {
-			admit(state, placement, nowMillis, effects);
+	private boolean refusedForCost(ForwardState state, PromptDemand demand, Placement placement,
+			List<EndpointWork> available, long nowMillis, List<GatewayEffect> effects) {
+		if (this.admissions.refuses(state, placement, available, nowMillis, effects)) {
+			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
+			return true;
 		}
-	}
-
-	private boolean refusedForCost(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
-			List<GatewayEffect> effects) {
 		if (state.sends > 0 || this.promptPlacement.admits(demand, placement)) {
 			return false;
 		}
@@ -465,6 +478,7 @@
 			}
 		}
 		if (outcome.isCompleted()) {
+			this.admissions.answered(state, nowMillis - state.sentMillis);
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 			return;
@@ -643,6 +657,7 @@
 	}
 
 	void tick(long nowMillis, List<GatewayEffect> effects) {
+		this.admissions.expire(nowMillis);
 		for (ForwardState state : List.copyOf(this.byRequestId.values())) {
 			if (nowMillis >= state.deadlineMillis) {
 				expire(state, nowMillis, effects);
@@ -817,6 +832,13 @@
 	}
 
 	private Optional<Long> retryAfterMillis(ForwardState state, RefusalCause cause, long nowMillis) {
+		if (cause == RefusalCause.OVERLOADED || cause == RefusalCause.NOT_RUN) {
+			Optional<Long> returnMillis = this.admissions.returnMillis(state, this.candidates.find(state, nowMillis),
+					nowMillis);
+			if (returnMillis.isPresent()) {
+				return returnMillis;
+			}
+		}
 		long acceptedInMillis = this.candidates.acceptedInMillis(state, nowMillis);
 		boolean untilAccepted = switch (cause) {
 			case ENDPOINTS_LIMITED, ENDPOINTS_BACKING_OFF -> true;
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -352,6 +352,7 @@
 		figures.evacuations().ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
 		figures.coldEndpoints()
 			.forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
+		this.forwarder.admissions().apply(digest.sender(), figures.demand(), nowMillis);
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.filter((id) -> !this.endpoints.starts()
@@ -555,7 +556,8 @@
 	 * @return the figures, small enough for a full state
 	 */
 	public FleetFigures fleetFigures(long nowMillis) {
-		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis), List.of(), List.of());
+		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis),
+				this.forwarder.admissions().pollPublished(nowMillis), List.of());
 	}
 
 	/**
@@ -608,6 +610,7 @@
 		state.put("limits", this.limits.all().toString());
 		state.put("back-offs", this.backOffs.all(nowMillis).toString());
 		state.put("evacuated", evacuatedZones().toString());
+		state.put("refused-for-scarce-room", this.forwarder.admissions().refused());
 		state.put("suspects", this.suspects.suspectCount());
 		state.put("isolated", isolatedAttributes(nowMillis));
 		state.put("loads", this.work.recentLoads(nowMillis).toString());
