--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/AdmissionControl.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/AdmissionControl.java
@@ -128,8 +128,7 @@
 			long nowMillis) {
 		this.returning.recordRefused(request.fingerprint(), nowMillis);
 		long millis = scarce.returnMillis(request.rank(), request.remainingMillis(), room, knownPart, nowMillis);
-		this.demand.addWaiting(DemandTable.subject(request.service()), request.rank(), request.costMillis(),
-				nowMillis);
+		this.demand.addWaiting(DemandTable.subject(request.service()), request.rank(), request.costMillis(), nowMillis);
 		return millis;
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/DemandTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/DemandTable.java
@@ -17,8 +17,8 @@
  * <p>
  * Not thread-safe; owned by the reducer. Subjects are hashes, so figures of parts or
  * workspaces that this instance does not know are kept but never asked for; at most
- * {@value #MAX_PEER_FIGURES} of each peer are. Figures expire
- * {@value #FIGURE_TTL_MILLIS} ms after they were received.
+ * {@value #MAX_PEER_FIGURES} of each peer are. Figures expire {@value #FIGURE_TTL_MILLIS}
+ * ms after they were received.
  * </p>
  */
 final class DemandTable {
@@ -116,8 +116,7 @@
 		this.own.entrySet()
 			.stream()
 			.filter((entry) -> entry.getValue().rate.perSecond(nowMillis) >= MIN_PER_SECOND)
-			.sorted(Comparator
-				.comparingDouble((Map.Entry<Key, Own> entry) -> -entry.getValue().urgency(nowMillis))
+			.sorted(Comparator.comparingDouble((Map.Entry<Key, Own> entry) -> -entry.getValue().urgency(nowMillis))
 				.thenComparingInt((entry) -> entry.getKey().subject()))
 			.limit(MAX_PUBLISHED)
 			.forEach((entry) -> {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ScarceRoom.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ScarceRoom.java
@@ -15,8 +15,8 @@
  * <p>
  * Room is scarce while a tenth of the requests or of the work is expected to be late, or
  * more waits than the most urgent requests can wait for. The capacity that the demand is
- * compared with follows what is seen: it falls while many requests are expected to be late
- * and rises otherwise, and it is smaller by what is to be processed of the work that
+ * compared with follows what is seen: it falls while many requests are expected to be
+ * late and rises otherwise, and it is smaller by what is to be processed of the work that
  * waits. Of requests of one rank and workspace the same share is admitted, whatever their
  * size. Those that return are admitted first, at the expense of new ones of the same
  * workspace. Not thread-safe.
@@ -132,8 +132,8 @@
 		}
 		this.targetMillis = Math.min(this.targetMillis, Math.max(1, request.targetMillis()));
 		double late = request.isLate() ? 1 : 0;
-		double workWeight = 1 - Math.exp(-request.costMillis()
-				/ (WORK_PERIOD_SECONDS * MILLIS_PER_SECOND * Math.max(1, room.places())));
+		double workWeight = 1 - Math
+			.exp(-request.costMillis() / (WORK_PERIOD_SECONDS * MILLIS_PER_SECOND * Math.max(1, room.places())));
 		this.lateShare += REQUEST_WEIGHT * (late - this.lateShare);
 		this.lateWorkShare += workWeight * (late - this.lateWorkShare);
 		double seconds = Math.min(MAX_STEP_MILLIS, Math.max(0, nowMillis - this.updatedMillis)) / MILLIS_PER_SECOND;
@@ -156,8 +156,7 @@
 	}
 
 	boolean isScarce(ServiceRoom room) {
-		return room.isBusy()
-				&& (lateShare() >= SCARCE_SHARE || room.waitMillis() > shortestTargetMillis());
+		return room.isBusy() && (lateShare() >= SCARCE_SHARE || room.waitMillis() > shortestTargetMillis());
 	}
 
 	/**
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ServiceRoom.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ServiceRoom.java
@@ -3,8 +3,8 @@
 /**
  * Room of a service as known to this instance. Immutable.
  *
- * @param places number of requests or engines that work at the same time: each gives 1,000
- * ms of work per second
+ * @param places number of requests or engines that work at the same time: each gives
+ * 1,000 ms of work per second
  * @param backlogMillis work that waits there, in milliseconds of one place
  * @param slotsInUse slots of its endpoints that are in use
  * @param slots slots of its endpoints
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
@@ -22,9 +22,9 @@
  * service has.
  *
  * <p>
- * Not thread-safe; owned by the reducer. A place of an engine service is an engine, one of
- * another service a slot. Each request is decided on once, by the instance that received
- * it from its caller.
+ * Not thread-safe; owned by the reducer. A place of an engine service is an engine, one
+ * of another service a slot. Each request is decided on once, by the instance that
+ * received it from its caller.
  * </p>
  */
 final class Admissions {
@@ -118,13 +118,14 @@
 			return false;
 		}
 		state.returnMillis = Optional.of(refuse.retryAfterMillis());
-		effects.add(new GatewayEffect.Log("room-scarce", List.of("request", state.requestId, "service", state.service,
-				"rank", request.rank(), "workspace", request.workspace(), "cost-millis",
-				Math.round(request.costMillis()), "expected-first-token-millis", Math.round(request.expectedMillis()),
-				"share", rounded(refuse.share()), "late-share", rounded(refuse.lateShare()), "demand",
-				refuse.demandMillisPerSecond(), "capacity", refuse.capacityMillisPerSecond(), "instances",
-				refuse.reporters(), "age-millis", refuse.figuresAgeMillis(), "retry-after",
-				refuse.retryAfterMillis())));
+		effects.add(new GatewayEffect.Log("room-scarce",
+				List.of("request", state.requestId, "service", state.service, "rank", request.rank(), "workspace",
+						request.workspace(), "cost-millis", Math.round(request.costMillis()),
+						"expected-first-token-millis", Math.round(request.expectedMillis()), "share",
+						rounded(refuse.share()), "late-share", rounded(refuse.lateShare()), "demand",
+						refuse.demandMillisPerSecond(), "capacity", refuse.capacityMillisPerSecond(), "instances",
+						refuse.reporters(), "age-millis", refuse.figuresAgeMillis(), "retry-after",
+						refuse.retryAfterMillis())));
 		return true;
 	}
 
@@ -174,8 +175,9 @@
 	}
 
 	private double costMillis(ForwardState state) {
-		return model(state).map((model) -> model.partPrefillMillis(state.request.promptTokens(), 1)
-				+ OUTPUT_PART * state.request.maxOutputTokens() * model.perSequenceMillis())
+		return model(state)
+			.map((model) -> model.partPrefillMillis(state.request.promptTokens(), 1)
+					+ OUTPUT_PART * state.request.maxOutputTokens() * model.perSequenceMillis())
 			.orElseGet(() -> this.costs.getOrDefault(state.route.name(), INITIAL_COST_MILLIS));
 	}
 
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/admission/AdmissionControlTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/admission/AdmissionControlTests.java
@@ -51,7 +51,9 @@
 		return play;
 	}
 
-	/** Load: short requests of rank 0 beside long ones of rank 2 at 1.5 times the room. */
+	/**
+	 * Load: short requests of rank 0 beside long ones of rank 2 at 1.5 times the room.
+	 */
 	@ParameterizedTest
 	@ValueSource(ints = { 1, 9, 75 })
 	void urgentRequestsAreServedFirstAndOthersDoNotStarve(int instances) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/admission/ScarceLoad.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/admission/ScarceLoad.java
@@ -11,8 +11,9 @@
 import io.mulberrylift.core.gossip.DemandFigure;
 
 /**
- * Load of a service in virtual time: instances with a control each, endpoints that process
- * their requests one after the other, and callers that return once after a refusal.
+ * Load of a service in virtual time: instances with a control each, endpoints that
+ * process their requests one after the other, and callers that return once after a
+ * refusal.
  */
 final class ScarceLoad {
 
@@ -163,8 +164,8 @@
 	}
 
 	double inTime(Predicate<Asked> which) {
-		return share(which, (each) -> each.servedMillis > 0
-				&& each.servedMillis - each.firstMillis <= each.kind.targetMillis());
+		return share(which,
+				(each) -> each.servedMillis > 0 && each.servedMillis - each.firstMillis <= each.kind.targetMillis());
 	}
 
 	double share(Predicate<Asked> which, Predicate<Asked> good) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/admission/ScarceSharesTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/admission/ScarceSharesTests.java
@@ -31,7 +31,10 @@
 		demands.forEach((each) -> demand.put(demand.size(), each));
 		double total = demands.stream().mapToDouble(Double::doubleValue).sum();
 		Map<Integer, Double> shares = ScarceShares.byRank(demand, capacity);
-		double used = demand.entrySet().stream().mapToDouble((each) -> each.getValue() * shares.get(each.getKey())).sum();
+		double used = demand.entrySet()
+			.stream()
+			.mapToDouble((each) -> each.getValue() * shares.get(each.getKey()))
+			.sum();
 		assertThat(used).isCloseTo(Math.min(total, capacity), within(total * ROUNDING));
 		double all = Math.min(1, capacity / total);
 		for (int rank = 0; rank < demand.size(); rank++) {
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayAdmissionTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayAdmissionTests.java
@@ -37,10 +37,11 @@
 
 	@BeforeEach
 	void start() {
-		ForwardingConfiguration base = GatewayFixture.configuration(1, List.of(route("/urgent/", 0), route("/late/", 2)));
-		this.fixture.reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(1, base.routes(),
-				base.services(), Map.of("key-1", "w1", "key-2", "w2"), true, ClientLimits.DEFAULT,
-				Map.of("w2", new WorkspaceTerms(Optional.of(0), List.of())))));
+		ForwardingConfiguration base = GatewayFixture.configuration(1,
+				List.of(route("/urgent/", 0), route("/late/", 2)));
+		this.fixture.reduce(new GatewayEvent.ConfigurationRead(
+				new ForwardingConfiguration(1, base.routes(), base.services(), Map.of("key-1", "w1", "key-2", "w2"),
+						true, ClientLimits.DEFAULT, Map.of("w2", new WorkspaceTerms(Optional.of(0), List.of())))));
 		this.fixture.reduce(new GatewayEvent.EndpointsRead(GatewayFixture.defaultEndpoints()));
 	}
 
@@ -66,7 +67,8 @@
 			due += load * ROOM_PER_SECOND / 100;
 			for (; due >= 1; due--) {
 				int index = number++ % paths.size();
-				long request = this.fixture.arrive(paths.get(index), 0, Optional.of(keys.get(index)), number, List.of());
+				long request = this.fixture.arrive(paths.get(index), 0, Optional.of(keys.get(index)), number,
+						List.of());
 				String name = paths.get(index) + keys.get(index);
 				this.pathByRequest.put(request, name);
 				this.asked.merge(name, 1, Integer::sum);
@@ -102,7 +104,8 @@
 		assertThat(late).isLessThanOrEqualTo(urgent + 0.05);
 		assertThat(urgent).isGreaterThan(late);
 		assertThat(late).isGreaterThanOrEqualTo((urgent + late) / 2 / 4);
-		assertThat(this.fixture.logged("room-scarce")).containsEntry("service", "plain").containsKeys("share", "demand");
+		assertThat(this.fixture.logged("room-scarce")).containsEntry("service", "plain")
+			.containsKeys("share", "demand");
 	}
 
 	@Test
