Divide room only where there are ranks or workspaces to divide it among

Cause: with a single priority and a single workspace the control could only refuse earlier than before, and it told peers figures that nobody needs; GatewayColdEndpointTests expects none of a deployment that states nothing. Change: the control acts where a configuration states two priorities or two workspaces at least.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/AdmissionDecision.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/AdmissionDecision.java
@@ -8,8 +8,20 @@
 	/** Admits any request. */
 	AdmissionDecision ADMIT = new Admit();
 
+	/**
+	 * Returns whether the request is sent to an endpoint.
+	 * @return false if it is refused
+	 */
+	boolean isAdmitted();
+
 	/** The request is sent to an endpoint. */
 	record Admit() implements AdmissionDecision {
+
+		@Override
+		public boolean isAdmitted() {
+			return true;
+		}
+
 	}
 
 	/**
@@ -27,6 +39,12 @@
 	 */
 	record Refuse(long retryAfterMillis, double share, double lateShare, long demandMillisPerSecond,
 			long capacityMillisPerSecond, int reporters, long figuresAgeMillis) implements AdmissionDecision {
+
+		@Override
+		public boolean isAdmitted() {
+			return false;
+		}
+
 	}
 
 }
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/DemandTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/DemandTable.java
@@ -250,8 +250,8 @@
 			this.total = total;
 		}
 
-		/** Refused work returns within about the period of the rate. */
 		private double waitingMillis(long nowMillis) {
+			// Refused work returns within about the period of the rate.
 			return this.waiting.perSecond(nowMillis) * DemandRate.PERIOD_MILLIS / MILLIS_PER_SECOND;
 		}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ScarceRoom.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ScarceRoom.java
@@ -146,7 +146,6 @@
 		this.factor = Math.min(MAX_FACTOR, Math.max(MIN_FACTOR, this.factor * Math.exp(rate * seconds)));
 	}
 
-	/** Returns the shortest target that requests had lately. */
 	private double shortestTargetMillis() {
 		return Math.min(this.targetMillis, this.lastTargetMillis);
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
@@ -1,10 +1,12 @@
 package io.mulberrylift.core.forwarding;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import io.mulberrylift.core.admission.AdmissionControl;
@@ -24,7 +26,8 @@
  * <p>
  * Not thread-safe; owned by the reducer. A place of an engine service is an engine, one
  * of another service a slot. Each request is decided on once, by the instance that
- * received it from its caller.
+ * received it from its caller. All are admitted if the configuration states a single
+ * priority and a single workspace.
  * </p>
  */
 final class Admissions {
@@ -49,13 +52,20 @@
 
 	private ForwardingConfiguration configuration;
 
+	/** Whether there are ranks or workspaces to divide room among. */
+	private boolean divides;
+
 	Admissions(RandomGenerator random) {
 		this.control = new AdmissionControl(Objects.requireNonNull(random, "random"));
 	}
 
 	void setConfiguration(ForwardingConfiguration current) {
 		this.configuration = current;
-		this.control.setWorkspaces(current.workspacesByKey().values());
+		Set<String> workspaces = new HashSet<>(current.workspacesByKey().values());
+		Set<Integer> ranks = new HashSet<>(current.routes().priorities());
+		current.workspaceTerms().values().forEach((terms) -> terms.priority().ifPresent(ranks::add));
+		this.divides = workspaces.size() > 1 || ranks.size() > 1;
+		this.control.setWorkspaces(workspaces);
 	}
 
 	void setInstancePart(double part) {
@@ -106,7 +116,7 @@
 	 */
 	boolean refuses(ForwardState state, Placement placement, List<EndpointWork> endpoints, long nowMillis,
 			List<GatewayEffect> effects) {
-		if (state.admissionDecided || state.request.relayTerms().isPresent()) {
+		if (!this.divides || state.admissionDecided || state.request.relayTerms().isPresent()) {
 			return false;
 		}
 		state.admissionDecided = true;
@@ -163,8 +173,8 @@
 				state.request.fingerprint());
 	}
 
-	/** The priority of the workspace takes precedence over that of the route. */
 	private int rank(ForwardState state) {
+		// The priority of the workspace takes precedence over that of the route.
 		return this.configuration.terms(state.workspace).priority().orElse(state.route.priority());
 	}
 
@@ -214,8 +224,8 @@
 				(engines) ? backlogMillis : excess * costMillis(state), inUse, slots, excess > 0);
 	}
 
-	/** An endpoint also serves instances whose work is not known here. */
 	private static int inUse(EndpointWork endpoint, long nowMillis) {
+		// An endpoint also serves instances whose work is not known here.
 		Optional<ObservedLoad> load = endpoint.health().load(nowMillis, MAX_LOAD_AGE_MILLIS);
 		return Math.max(endpoint.slotsInUse(), load.map((each) -> each.running() + each.waiting()).orElse(0));
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RouteTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/RouteTable.java
@@ -5,6 +5,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Finds the route for a host and path by the longest matching prefix.
@@ -63,6 +65,18 @@
 		return this.size;
 	}
 
+	/**
+	 * Returns the priorities of the routes.
+	 * @return the priorities, each once
+	 */
+	Set<Integer> priorities() {
+		return this.byHost.values()
+			.stream()
+			.flatMap((routes) -> routes.values().stream())
+			.map(Route::priority)
+			.collect(Collectors.toSet());
+	}
+
 	private static String withoutPort(String host) {
 		int colon = host.lastIndexOf(':');
 		return (colon > 0 && host.indexOf(']', colon) < 0) ? host.substring(0, colon) : host;
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayAdmissionTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayAdmissionTests.java
@@ -129,6 +129,15 @@
 		});
 	}
 
+	@Test
+	void configurationWithASinglePriorityAndWorkspaceDividesNothing() {
+		this.fixture.reduce(new GatewayEvent.ConfigurationRead(
+				GatewayFixture.configuration(2, List.of(route("/urgent/", 0), route("/late/", 0)))));
+		play(2, List.of("/urgent/x", "/late/x"), List.of("key-1", "key-1"), 5);
+		assertThat(this.fixture.logged("room-scarce")).isEmpty();
+		assertThat(this.fixture.gateway.fleetFigures(this.fixture.nowMillis).demand()).isEmpty();
+	}
+
 	@Test
 	void fewFiguresAreToldToPeers() {
 		play(0.5, List.of("/urgent/x", "/late/x"), List.of("key-1", "key-2"), 3);
