--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
@@ -27,6 +27,7 @@
  * Not thread-safe; owned by the reducer. A place of an engine service is an engine, one
  * of another service a slot. Each request is decided on once, by the instance that
  * received it from its caller. All are admitted if the configuration states a single
+ * priority and a single workspace. All are admitted if the configuration states a single
  * priority and a single workspace.
  * </p>
  */
