Admit requests that must stay in regions while room is scarce

Cause: the demand is known for a service as a whole; compared with the endpoints of a few regions, it would have refused restricted requests too often. Change: such requests are admitted; the note says so. Tests: GatewayAdmissionTests, GatewayRegionTests, AdmissionControlTests (Maven).

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ServiceRoom.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/admission/ServiceRoom.java
@@ -25,7 +25,7 @@
 	 * or something waits.
 	 * @return false if the service has room for any request
 	 */
-	public boolean isBusy() {
+	boolean isBusy() {
 		return this.waiting || 2 * this.slotsInUse >= this.slots;
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Admissions.java
@@ -27,8 +27,8 @@
  * Not thread-safe; owned by the reducer. A place of an engine service is an engine, one
  * of another service a slot. Each request is decided on once, by the instance that
  * received it from its caller. All are admitted if the configuration states a single
- * priority and a single workspace. All are admitted if the configuration states a single
- * priority and a single workspace.
+ * priority and a single workspace. Requests that must stay in regions are admitted, since
+ * the demand for the endpoints there is not known.
  * </p>
  */
 final class Admissions {
@@ -117,7 +117,8 @@
 	 */
 	boolean refuses(ForwardState state, Placement placement, List<EndpointWork> endpoints, long nowMillis,
 			List<GatewayEffect> effects) {
-		if (!this.divides || state.admissionDecided || state.request.relayTerms().isPresent()) {
+		if (!this.divides || state.admissionDecided || state.request.relayTerms().isPresent()
+				|| state.allowedRegions.isRestricted()) {
 			return false;
 		}
 		state.admissionDecided = true;
@@ -156,17 +157,6 @@
 				nowMillis);
 	}
 
-	/**
-	 * Returns whether a refusal for lack of room can be justified.
-	 * @param state the request
-	 * @param endpoints the candidates
-	 * @param nowMillis the current time
-	 * @return false while under half of the slots are in use and nothing waits
-	 */
-	boolean isBusy(ForwardState state, List<EndpointWork> endpoints, long nowMillis) {
-		return room(state, endpoints, nowMillis).isBusy();
-	}
-
 	private AdmissionRequest request(ForwardState state, double ownMillis, double expectedMillis, long nowMillis) {
 		return new AdmissionRequest(state.service, state.route.name(), state.workspace.orElse(""), rank(state),
 				costMillis(state), ownMillis, expectedMillis,
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayAdmissionTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayAdmissionTests.java
@@ -138,6 +138,21 @@
 		assertThat(this.fixture.gateway.fleetFigures(this.fixture.nowMillis).demand()).isEmpty();
 	}
 
+	/** The demand for the endpoints of some regions is not known. */
+	@Test
+	void requestsThatMustStayInRegionsAreNotRefused() {
+		this.fixture.reduce(new GatewayEvent.LimitsRead(
+				new GatewayIdentity("instance-1", "zone-a", new RetryBounds(0.2, 10_000, 100), 2600, 4000,
+						new GatewayTerms(Optional.empty(), Optional.empty(), Map.of("zone-a", "north")))));
+		ForwardingConfiguration base = GatewayFixture.configuration(2, List.of(route("/late/", 2)));
+		this.fixture.reduce(new GatewayEvent.ConfigurationRead(new ForwardingConfiguration(2, base.routes(),
+				base.services(), Map.of("key-1", "w1", "key-2", "w2"), true, ClientLimits.DEFAULT,
+				Map.of("w1", new WorkspaceTerms(Optional.empty(), List.of("north"))))));
+		play(1.2, List.of("/late/x", "/late/x"), List.of("key-1", "key-2"), 10);
+		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).isNotEmpty()
+			.noneMatch((refusal) -> this.pathByRequest.get(refusal.requestId()).endsWith("key-1"));
+	}
+
 	@Test
 	void fewFiguresAreToldToPeers() {
 		play(0.5, List.of("/urgent/x", "/late/x"), List.of("key-1", "key-2"), 3);
