--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -366,6 +366,7 @@
 		figures.coldEndpoints()
 			.forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
 		this.costs.applyFromPeer(figures.costs(), nowMillis);
+		this.forwarder.admissions().apply(digest.sender(), figures.demand(), nowMillis);
 		for (AvoidedEndpoint avoided : digest.fullState().get().avoided()) {
 			this.endpoints.findByHash(avoided.endpointHash())
 				.filter((id) -> !this.endpoints.starts()
@@ -571,7 +572,8 @@
 	public FleetFigures fleetFigures(long nowMillis) {
 		List<CostFigure> learned = (this.identity.terms().learnedCosts())
 				? this.costs.pollPublished((this.partialView) ? MAX_COSTS_PARTIAL : MAX_COSTS) : List.of();
-		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis), List.of(), learned);
+		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis),
+				this.forwarder.admissions().pollPublished(nowMillis), learned);
 	}
 
 	/**
@@ -632,6 +634,7 @@
 		state.put("limits", this.limits.all().toString());
 		state.put("back-offs", this.backOffs.all(nowMillis).toString());
 		state.put("evacuated", evacuatedZones().toString());
+		state.put("refused-for-scarce-room", this.forwarder.admissions().refused());
 		state.put("suspects", this.suspects.suspectCount());
 		state.put("isolated", isolatedAttributes(nowMillis));
 		state.put("cost-estimates", this.costs.size());
