--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/cost/LearnedCosts.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/cost/LearnedCosts.java
@@ -138,21 +138,22 @@
 		for (OwnAttempt attempt : this.attemptsByEndpoint.getOrDefault(hash, Map.of()).values()) {
 			removeOwn(items, attempt);
 		}
+		double[] running = new double[items.size()];
 		double[] remaining = new double[items.size()];
 		double toldRequests = 0;
 		for (int index = 0; index < remaining.length; index++) {
 			WorkItem item = items.get(index);
-			double running = runningShare(item, ratios, nowMillis);
-			toldRequests += running;
-			remaining[index] = running * remainingMillis(item, ratios, residualMillis, nowMillis);
+			running[index] = runningShare(item, ratios, nowMillis);
+			toldRequests += running[index];
+			remaining[index] = remainingMillis(item, ratios, residualMillis, nowMillis);
 		}
 		ReportedLoad load = this.loads.get(hash);
 		if (load == null || load.otherRequests() <= toldRequests) {
-			return new OthersWork(remaining, 0);
+			return new OthersWork(running, remaining, 0);
 		}
 		// The endpoint reported more requests than peers told of.
 		double trust = Math.exp((load.receivedMillis() - nowMillis) / (LOAD_AGE_DURATIONS * residualMillis));
-		return new OthersWork(remaining, trust * (load.otherRequests() - toldRequests) * residualMillis);
+		return new OthersWork(running, remaining, trust * (load.otherRequests() - toldRequests) * residualMillis);
 	}
 
 	private static void removeOwn(List<WorkItem> items, OwnAttempt attempt) {
@@ -167,7 +168,7 @@
 	}
 
 	private static double runningShare(WorkItem item, Optional<DurationSketch> ratios, long nowMillis) {
-		double expectedMillis = item.expectedFirstTokenMillis() - item.firstTokenDueMillis();
+		double expectedMillis = expectedMillis(item);
 		double elapsedMillis = nowMillis - item.firstTokenDueMillis();
 		if (ratios.isEmpty() || expectedMillis <= 0 || elapsedMillis <= 0) {
 			// The last two: it waits, or the peer did not know such requests.
@@ -179,9 +180,14 @@
 		return (before > 0) ? ratios.get().shareOver(elapsedMillis / unit) / before : 0.5;
 	}
 
+	private static double expectedMillis(WorkItem item) {
+		// The times of prompts, which hold memory, have another meaning.
+		return (item.memoryTokens() > 0) ? 0 : item.expectedFirstTokenMillis() - item.firstTokenDueMillis();
+	}
+
 	private static double remainingMillis(WorkItem item, Optional<DurationSketch> ratios, double residualMillis,
 			long nowMillis) {
-		double expectedMillis = item.expectedFirstTokenMillis() - item.firstTokenDueMillis();
+		double expectedMillis = expectedMillis(item);
 		if (expectedMillis <= 0 || ratios.isEmpty()) {
 			return residualMillis;
 		}
@@ -373,14 +379,19 @@
 	/**
 	 * Work of others at an endpoint.
 	 *
-	 * @param remaining expected remaining times of the requests that peers told of
+	 * @param running probabilities that the requests that peers told of have not ended
+	 * @param remaining expected remaining times of those that have not
 	 * @param correctionMillis work that the endpoint reported in addition, negative for
 	 * less
 	 */
-	private record OthersWork(double[] remaining, double correctionMillis) {
+	private record OthersWork(double[] running, double[] remaining, double correctionMillis) {
 
 		double sum(double longest) {
-			return Math.max(0, LearnedCosts.sum(this.remaining, longest) + this.correctionMillis);
+			double sum = this.correctionMillis;
+			for (int index = 0; index < this.running.length; index++) {
+				sum += this.running[index] * Math.min(this.remaining[index], longest);
+			}
+			return sum;
 		}
 
 	}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/cost/LearnedCostsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/cost/LearnedCostsTests.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.gossip.CostFigure;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EndpointWork;
 import io.mulberrylift.core.placement.ObservedLoad;
+import io.mulberrylift.core.placement.RequestWork;
 import io.mulberrylift.core.placement.WorkTable;
 import org.junit.jupiter.api.Test;
 
@@ -142,6 +144,19 @@
 		assertThat(this.costs.pollPublished(Integer.MAX_VALUE)).hasSizeLessThanOrEqualTo(128);
 	}
 
+	@Test
+	void requestOfAPeerCountsLessOnceItsExpectedEndHasPassedAndAPromptCountsAsOne() {
+		complete("e2", ROUTE, 10, 30);
+		this.work.replacePeerWork("peer", Map.of(1L, new RequestWork(false, 0, 0, 0, 0, this.nowMillis,
+				this.nowMillis + 30, 1, WorkTable.hash(new EndpointId("e1")), List.of())), this.nowMillis);
+		double fresh = estimate("e1").cost();
+		this.nowMillis += 100;
+		assertThat(estimate("e1").cost()).isLessThan(0.6 * fresh);
+		this.work.replacePeerWork("peer", Map.of(1L, new RequestWork(false, 20, 500, 0, 200, this.nowMillis - 900,
+				this.nowMillis + 900, 1, WorkTable.hash(new EndpointId("e1")), List.of())), this.nowMillis);
+		assertThat(estimate("e1").cost()).isCloseTo(1 / 6.0, within(0.01));
+	}
+
 	@Test
 	void attemptsThatFailedTeachNothing() {
 		for (int index = 0; index < 20; index++) {
