--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.mulberrylift.core.cost.CompletionEstimate;
+import io.mulberrylift.core.cost.CostSubject;
 import io.mulberrylift.core.gossip.RequestAttribute;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.Placement;
@@ -56,8 +58,20 @@
 	/** Regions that the request may be in. */
 	AllowedRegions allowedRegions = AllowedRegions.ANY;
 
+	/** Whether its admission while room is scarce has been decided. */
+	boolean admissionDecided;
+
+	/** Whether a slot of its endpoint was free as far as was known. */
+	boolean sentToFreeSlot;
+
+	/** Time after which its caller should return if it is refused for lack of room. */
+	Optional<Long> returnMillis = Optional.empty();
+
 	Placement placement;
 
+	/** What the placement rests on, empty if it does not rest on learned costs. */
+	Optional<CompletionEstimate> estimate = Optional.empty();
+
 	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
 	Optional<String> relayPeer = Optional.empty();
 
@@ -118,6 +132,10 @@
 		return this.deadlineMillis - nowMillis;
 	}
 
+	CostSubject costSubject() {
+		return CostSubject.of(this.service, this.route.name());
+	}
+
 	boolean isPrompt() {
 		return this.request.promptTokens() > 0;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -8,6 +8,9 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import io.mulberrylift.core.cost.CompletionEstimate;
+import io.mulberrylift.core.cost.ExpectedCompletionPlacement;
+import io.mulberrylift.core.cost.LearnedCosts;
 import io.mulberrylift.core.gossip.RelayPeer;
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
@@ -68,6 +71,10 @@
 
 	private final LeastLoadedPlacement leastLoadedPlacement;
 
+	private final LearnedCosts costs;
+
+	private final ExpectedCompletionPlacement completionPlacement;
+
 	private final RequestLimits limits;
 
 	private final MemoryReservations reservations;
@@ -78,6 +85,8 @@
 
 	private final Relays relays;
 
+	private final Admissions admissions;
+
 	private final Map<Long, ForwardState> byRequestId = new HashMap<>();
 
 	private final Map<Long, ForwardState> byAttemptId = new HashMap<>();
@@ -92,8 +101,10 @@
 	private long nextAttemptId = 1;
 
 	Forwarder(GatewayIdentity identity, RandomGenerator random, EndpointTable endpoints, WorkTable work,
-			CrashEvidence crashEvidence, RequestLimits limits, EndpointBackOffs backOffs) {
+			CrashEvidence crashEvidence, RequestLimits limits, EndpointBackOffs backOffs, LearnedCosts costs) {
 		this.identity = identity;
+		this.costs = costs;
+		this.completionPlacement = new ExpectedCompletionPlacement(costs, random);
 		this.random = random;
 		this.endpoints = endpoints;
 		this.candidates = new EndpointCandidates(endpoints, work, limits, backOffs);
@@ -101,6 +112,8 @@
 		this.crashEvidence = crashEvidence;
 		this.promptPlacement = new PromptPlacement(random);
 		this.relays = new Relays(random);
+		this.admissions = new Admissions(random);
+		this.admissions.setTerms(identity.terms());
 		this.linkEvidence = new LinkEvidence(this.links, endpoints);
 		this.leastLoadedPlacement = new LeastLoadedPlacement(random);
 		this.limits = limits;
@@ -113,19 +126,26 @@
 		this.relays.setRegions(terms.regionsByZone());
 	}
 
+	Admissions admissions() {
+		return this.admissions;
+	}
+
 	void setConfiguration(ForwardingConfiguration current) {
 		this.configuration = current;
+		this.admissions.setConfiguration(current);
 	}
 
 	void setIdentity(GatewayIdentity current) {
 		this.identity = current;
 		setRegions(current.terms());
+		this.admissions.setTerms(current.terms());
 		this.reservations.setFreeMillis(current.memoryFreeMillis());
 		this.retryBudgets.values().forEach((budget) -> budget.setBounds(current.retryBounds()));
 	}
 
 	void setRetryPart(double part) {
 		this.retryPart = part;
+		this.admissions.setInstancePart(part);
 	}
 
 	void setRelayPeers(List<RelayPeer> peers) {
@@ -203,15 +223,22 @@
 		}
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		if (model.isEmpty() || !state.isPrompt()) {
-			send(state, this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow(), nowMillis,
-					effects);
+			Placement least = placePlain(state, available, nowMillis);
+			if (this.admissions.refuses(state, least, available, nowMillis, effects)) {
+				giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
+			}
+			else {
+				send(state, least, nowMillis, effects);
+			}
 			return;
 		}
 		PromptDemand demand = demand(state, nowMillis);
 		Optional<Placement> placement = this.promptPlacement.place(demand, available, model.get(), this.identity.zone(),
 				nowMillis);
 		if (placement.isPresent()) {
-			admitUnlessTooCostly(state, demand, placement.get(), nowMillis, effects);
+			if (!refusedForCost(state, demand, placement.get(), available, nowMillis, effects)) {
+				admit(state, placement.get(), nowMillis, effects);
+			}
 			return;
 		}
 		Optional<Placement> sharded = placementAcrossMemories(demand, available, model.get(), nowMillis);
@@ -219,7 +246,7 @@
 			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
 			return;
 		}
-		if (refusedForCost(state, demand, sharded.get(), nowMillis, effects)) {
+		if (refusedForCost(state, demand, sharded.get(), available, nowMillis, effects)) {
 			return;
 		}
 		state.placement = sharded.get();
@@ -227,6 +254,17 @@
 		recordWork(state, demand, nowMillis);
 	}
 
+	private Placement placePlain(ForwardState state, List<EndpointWork> available, long nowMillis) {
+		if (!this.identity.terms().learnedCosts()) {
+			return this.leastLoadedPlacement.place(available, this.identity.zone()).orElseThrow();
+		}
+		ExpectedCompletionPlacement.Choice choice = this.completionPlacement
+			.place(available, this.identity.zone(), state.costSubject(), nowMillis)
+			.orElseThrow();
+		state.estimate = Optional.of(choice.estimate());
+		return choice.placement();
+	}
+
 	/**
 	 * Hands a request to a peer or refuses it if the link to the service is cut.
 	 * @param state the request
@@ -310,15 +348,12 @@
 				state.timeLeftMillis(nowMillis), state.route.gapTargetMillis());
 	}
 
-	private void admitUnlessTooCostly(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
-			List<GatewayEffect> effects) {
-		if (!refusedForCost(state, demand, placement, nowMillis, effects)) {
-			admit(state, placement, nowMillis, effects);
+	private boolean refusedForCost(ForwardState state, PromptDemand demand, Placement placement,
+			List<EndpointWork> available, long nowMillis, List<GatewayEffect> effects) {
+		if (this.admissions.refuses(state, placement, available, nowMillis, effects)) {
+			giveUp(state, RefusalCause.OVERLOADED, nowMillis, effects);
+			return true;
 		}
-	}
-
-	private boolean refusedForCost(ForwardState state, PromptDemand demand, Placement placement, long nowMillis,
-			List<GatewayEffect> effects) {
 		if (state.sends > 0 || this.promptPlacement.admits(demand, placement)) {
 			return false;
 		}
@@ -345,6 +380,8 @@
 		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
 		state.triedEndpoints.add(placement.endpoint().id());
 		recordWork(state, demand(state, nowMillis), nowMillis);
+		state.estimate.ifPresent((estimate) -> this.costs.sent(state.requestId, placement.endpoint(),
+				state.costSubject(), estimate, nowMillis));
 		this.limits.recordRequest(placement.endpoint().id(), nowMillis);
 		if (state.reservations.isEmpty()) {
 			placement.helpers().forEach((helper) -> this.limits.recordRequest(helper.id(), nowMillis));
@@ -359,6 +396,11 @@
 				placement.helpers().stream().map((each) -> each.id().value()).collect(Collectors.joining(" ")),
 				"prompt", state.request.promptTokens(), "expected-first-token-millis",
 				(long) placement.expectedFirstTokenMillis(), "cost", Math.round(placement.cost() * 100) / 100.0,
+				"expected-millis", state.estimate.map((each) -> (long) each.totalMillis()).orElse(-1L),
+				"expected-wait-millis", state.estimate.map((each) -> (long) each.waitMillis()).orElse(-1L),
+				"observations", state.estimate.map(CompletionEstimate::observations).orElse(-1L),
+				"observation-age-millis", state.estimate.map(CompletionEstimate::ageMillis).orElse(-1L), "pace",
+				state.estimate.map((each) -> Math.round(each.paceFactor() * 100) / 100.0).orElse(1.0),
 				"remaining-millis", state.timeLeftMillis(nowMillis));
 		effects.add(new GatewayEffect.Send(state.requestId, state.attemptId, placement.endpoint(), helpers,
 				state.timeLeftMillis(nowMillis), rank(state), state.route.kind(), state.workspace));
@@ -372,8 +414,10 @@
 		Placement placement = state.placement;
 		int endpointHash = WorkTable.hash(placement.endpoint().id());
 		if (!state.isPrompt()) {
-			this.work.put(state.requestId, new RequestWork(false, 0, 0, 0, 0, state.deadlineMillis,
-					state.deadlineMillis, 1, endpointHash, List.of()));
+			// Peers read the two times as those of the start and the end of the work.
+			long start = state.estimate.map((each) -> each.startMillis(nowMillis)).orElse(state.deadlineMillis);
+			long end = state.estimate.map((each) -> each.endMillis(nowMillis)).orElse(state.deadlineMillis);
+			this.work.put(state.requestId, new RequestWork(false, 0, 0, 0, 0, start, end, 1, endpointHash, List.of()));
 			return;
 		}
 		long due = nowMillis + demand.firstTokenTimeLeftMillis();
@@ -460,11 +504,13 @@
 		// Endpoints cut off streams that are not read.
 		if (!state.readingPaused || outcome != AttemptOutcome.BROKEN_MIDWAY) {
 			recordOutcome(state, outcome, nowMillis);
+			this.costs.ended(state.requestId, nowMillis);
 			if (!this.linkEvidence.attemptEnded(state, event, nowMillis, effects)) {
 				this.crashEvidence.attemptEnded(state, event, nowMillis, effects);
 			}
 		}
 		if (outcome.isCompleted()) {
+			this.admissions.answered(state, nowMillis - state.sentMillis);
 			finish(state, nowMillis, effects);
 			effects.add(new GatewayEffect.Deliver(state.requestId));
 			return;
@@ -577,6 +623,9 @@
 		EndpointHealth health = health(state);
 		if (outcome.isCompleted()) {
 			health.recordSuccess();
+			if (!state.readingPaused) {
+				this.costs.completed(state.requestId, nowMillis);
+			}
 		}
 		else if (outcome == AttemptOutcome.NOT_CONNECTED || outcome == AttemptOutcome.MISDIRECTED
 				|| outcome == AttemptOutcome.SILENT || outcome == AttemptOutcome.BROKEN
@@ -643,6 +692,7 @@
 	}
 
 	void tick(long nowMillis, List<GatewayEffect> effects) {
+		this.admissions.expire(nowMillis);
 		for (ForwardState state : List.copyOf(this.byRequestId.values())) {
 			if (nowMillis >= state.deadlineMillis) {
 				expire(state, nowMillis, effects);
@@ -661,6 +711,7 @@
 	}
 
 	private void expire(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		this.costs.expired(state.requestId, nowMillis);
 		log(effects, "expired", "request", state.requestId, "attempt", state.attemptId, "millis",
 				nowMillis - state.arrivalMillis, "answer-started", state.answerStarted);
 		if (state.attemptId != 0) {
@@ -750,7 +801,8 @@
 		long timeoutMillis = (state.attemptStarted) ? stallMillis
 				: firstChunkTimeoutMillis(state.route, state.placement);
 		return new StallDetector.StreamSilence(state.lastChunkMillis, state.attemptStarted, timeoutMillis, stallMillis,
-				StallTimeouts.lastMillis(state.route), isMovable(state));
+				StallTimeouts.lastMoveMillis(state.route, state.placement.expectedFirstTokenMillis()),
+				isMovable(state));
 	}
 
 	private static boolean isMovable(ForwardState state) {
@@ -817,6 +869,13 @@
 	}
 
 	private Optional<Long> retryAfterMillis(ForwardState state, RefusalCause cause, long nowMillis) {
+		if (cause == RefusalCause.OVERLOADED || cause == RefusalCause.NOT_RUN) {
+			Optional<Long> returnMillis = this.admissions.returnMillis(state, this.candidates.find(state, nowMillis),
+					nowMillis);
+			if (returnMillis.isPresent()) {
+				return returnMillis;
+			}
+		}
 		long acceptedInMillis = this.candidates.acceptedInMillis(state, nowMillis);
 		boolean untilAccepted = switch (cause) {
 			case ENDPOINTS_LIMITED, ENDPOINTS_BACKING_OFF -> true;
@@ -844,6 +903,7 @@
 			this.byAttemptId.remove(state.attemptId);
 		}
 		this.work.remove(state.requestId);
+		this.costs.ended(state.requestId, nowMillis);
 		this.reservations.release(state, nowMillis, effects);
 	}
 
