Divide engines between short answers and long prompts by demand

Change: demand by kind is metered, told in full states and divides the engines of each zone in a rendezvous order; using the other side costs what that side is expected to lose and nothing while it idles or the engines do not suffice for both. Long prompts are told at once to all zones up to 40 instances, else to the own zone, and repeated in full states. Parts follow the free engines of long prompts. Predictions of long prompts are corrected by what was seen.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -12,6 +12,7 @@
 import io.mulberrylift.core.cost.CostSubject;
 import io.mulberrylift.core.gossip.RequestAttribute;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.placement.EngineDivision;
 import io.mulberrylift.core.placement.Placement;
 
 /**
@@ -72,6 +73,9 @@
 	/** What the placement rests on, empty if it does not rest on learned costs. */
 	Optional<CompletionEstimate> estimate = Optional.empty();
 
+	/** How the engines were divided when they were chosen; empty for other endpoints. */
+	Optional<EngineDivision> division = Optional.empty();
+
 	/** Address of the peer that has the attempt in progress, empty for an endpoint. */
 	Optional<String> relayPeer = Optional.empty();
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -15,10 +15,14 @@
 import io.mulberrylift.core.limit.EndpointBackOffs;
 import io.mulberrylift.core.limit.RequestLimits;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.core.placement.DemandKind;
 import io.mulberrylift.core.placement.EndpointHealth;
 import io.mulberrylift.core.placement.EndpointWork;
 import io.mulberrylift.core.placement.EngineCostModel;
+import io.mulberrylift.core.placement.EngineDivision;
+import io.mulberrylift.core.placement.EngineRoom;
 import io.mulberrylift.core.placement.LeastLoadedPlacement;
+import io.mulberrylift.core.placement.ObservedFirstTokens;
 import io.mulberrylift.core.placement.Placement;
 import io.mulberrylift.core.placement.PromptDemand;
 import io.mulberrylift.core.placement.PromptPlacement;
@@ -69,6 +73,10 @@
 
 	private final PromptPlacement promptPlacement;
 
+	private final EngineRoom room = new EngineRoom();
+
+	private final ObservedFirstTokens firstTokens = new ObservedFirstTokens();
+
 	private final LeastLoadedPlacement leastLoadedPlacement;
 
 	private final LearnedCosts costs;
@@ -174,6 +182,11 @@
 
 	void setPartialView(boolean partial) {
 		this.promptPlacement.setOtherZonesUnknown(partial);
+		this.room.setPartialView(partial);
+	}
+
+	EngineRoom room() {
+		return this.room;
 	}
 
 	/**
@@ -233,6 +246,7 @@
 			return;
 		}
 		PromptDemand demand = demand(state, nowMillis);
+		divide(state, demand, available, model.get(), nowMillis);
 		Optional<Placement> placement = this.promptPlacement.place(demand, available, model.get(), this.identity.zone(),
 				nowMillis);
 		if (placement.isPresent()) {
@@ -338,8 +352,27 @@
 
 	private Optional<Placement> placement(ForwardState state, long nowMillis) {
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
-		return model.flatMap((engine) -> this.promptPlacement.place(demand(state, nowMillis),
-				this.candidates.find(state, nowMillis), engine, this.identity.zone(), nowMillis));
+		if (model.isEmpty()) {
+			return Optional.empty();
+		}
+		List<EndpointWork> available = this.candidates.find(state, nowMillis);
+		PromptDemand demand = demand(state, nowMillis);
+		divide(state, demand, available, model.get(), nowMillis);
+		return this.promptPlacement.place(demand, available, model.get(), this.identity.zone(), nowMillis);
+	}
+
+	private void divide(ForwardState state, PromptDemand demand, List<EndpointWork> available, EngineCostModel model,
+			long nowMillis) {
+		boolean first = state.division.isEmpty();
+		EngineDivision division = this.room.division(state.service, this.endpoints.available(state.service), available,
+				model, this.identity.zone(), nowMillis);
+		state.division = Optional.of(division);
+		this.promptPlacement.setDivision(division);
+		this.firstTokens.setNow(nowMillis);
+		this.promptPlacement.setFirstTokenFactor((parts) -> this.firstTokens.factor(state.service, parts));
+		if (first && !available.isEmpty()) {
+			this.room.recordArrival(state.service, demand, model, available.get(0).endpoint().slots(), nowMillis);
+		}
 	}
 
 	private PromptDemand demand(ForwardState state, long nowMillis) {
@@ -401,11 +434,29 @@
 				"observations", state.estimate.map(CompletionEstimate::observations).orElse(-1L),
 				"observation-age-millis", state.estimate.map(CompletionEstimate::ageMillis).orElse(-1L), "pace",
 				state.estimate.map((each) -> Math.round(each.paceFactor() * 100) / 100.0).orElse(1.0),
-				"remaining-millis", state.timeLeftMillis(nowMillis));
+				"remaining-millis", state.timeLeftMillis(nowMillis), "room", room(state, nowMillis));
 		effects.add(new GatewayEffect.Send(state.requestId, state.attemptId, placement.endpoint(), helpers,
 				state.timeLeftMillis(nowMillis), rank(state), state.route.kind(), state.workspace));
 	}
 
+	private void recordFirstToken(ForwardState state, long nowMillis) {
+		if (state.relayPeer.isPresent() || state.division.isEmpty()) {
+			return;
+		}
+		if (state.division.get().kind(state.route.gapTargetMillis()) == DemandKind.LONG_PROMPT) {
+			this.firstTokens.setNow(nowMillis);
+			this.firstTokens.record(state.service, state.placement.parts(), state.placement.expectedFirstTokenMillis(),
+					nowMillis - state.sentMillis);
+		}
+	}
+
+	private String room(ForwardState state, long nowMillis) {
+		return state.division
+			.map((division) -> this.room.recordPlacement(division, state.placement, state.route.gapTargetMillis(),
+					nowMillis))
+			.orElse("");
+	}
+
 	private static String promptParts(ForwardState state) {
 		return state.request.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(" "));
 	}
@@ -428,6 +479,9 @@
 						(reservedTokens > 0) ? reservedTokens : demand.memoryTokens(), reservedTokens,
 						demand.gapTargetMillis(), due, expected, demand.weight(), endpointHash,
 						placement.helpers().stream().map((helper) -> WorkTable.hash(helper.id())).toList()));
+		if (state.division.isPresent() && this.room.isPublishedIndividually(state.division.get(), demand)) {
+			this.work.publishIndividually(state.requestId);
+		}
 	}
 
 	private static int rank(ForwardState state) {
@@ -448,6 +502,7 @@
 			state.answerStarted = true;
 			state.firstChunkMillis = nowMillis;
 			this.work.markDecoding(state.requestId);
+			recordFirstToken(state, nowMillis);
 		}
 		else {
 			state.longestGapMillis = Math.max(state.longestGapMillis, nowMillis - state.lastChunkMillis);
@@ -496,6 +551,8 @@
 		}
 		EndpointId endpoint = state.placement.endpoint().id();
 		long firstChunkMillis = (state.attemptStarted) ? state.firstChunkMillis - state.sentMillis : -1;
+		state.division.ifPresent((division) -> this.room.recordGap(division.kind(state.route.gapTargetMillis()),
+				state.longestGapMillis > state.route.gapTargetMillis()));
 		log(effects, "attempt-ended", "request", state.requestId, "attempt", event.attemptId(), "endpoint", endpoint,
 				"outcome", outcome, "status", event.status(), "millis", nowMillis - state.sentMillis,
 				"expected-first-token-millis", (long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis",
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -14,6 +14,7 @@
 import io.mulberrylift.core.gossip.AvoidedEndpoint;
 import io.mulberrylift.core.gossip.CostFigure;
 import io.mulberrylift.core.gossip.CrashObservation;
+import io.mulberrylift.core.gossip.DemandFigure;
 import io.mulberrylift.core.gossip.EndpointLimit;
 import io.mulberrylift.core.gossip.EvacuationKnowledge;
 import io.mulberrylift.core.gossip.FleetFigures;
@@ -356,12 +357,14 @@
 		this.forwarder.peerHeard(digest.sender(), nowMillis);
 		this.work.applyPeerSummaries(digest.sender(), digest.summaries(), nowMillis);
 		digest.work().forEach((request, each) -> shifted.put(request, each.shifted(nowMillis)));
+		recordTold(this.work.newPrefills(digest.sender(), shifted), nowMillis);
 		if (digest.fullState().isEmpty()) {
 			this.work.applyPeerChanges(digest.sender(), shifted, digest.ended(), nowMillis);
 			return;
 		}
 		this.work.replacePeerWork(digest.sender(), shifted, nowMillis);
 		FleetFigures figures = digest.fullState().get().figures();
+		this.forwarder.room().applyPeer(digest.sender(), figures.demand(), nowMillis);
 		figures.evacuations().ifPresent((knowledge) -> evacuationsRead(knowledge, digest.sender(), nowMillis));
 		figures.coldEndpoints()
 			.forEach((each) -> this.cold.reportedByPeer(each, digest.sender(), nowMillis, this.effects));
@@ -381,8 +384,17 @@
 		}
 	}
 
+	private void recordTold(List<RequestWork> work, long nowMillis) {
+		for (RequestWork each : work) {
+			this.endpoints.findByHash(each.endpointHash())
+				.flatMap(this.endpoints::find)
+				.ifPresent((endpoint) -> this.forwarder.room().recordTold(endpoint.service(), each, nowMillis));
+		}
+	}
+
 	private void tick(long nowMillis) {
 		this.work.expire(nowMillis);
+		this.forwarder.room().expire(nowMillis);
 		this.crashEvidence.tick(nowMillis);
 		this.limits.expire(nowMillis);
 		this.backOffs.expire(nowMillis);
@@ -398,6 +410,7 @@
 	 */
 	public void setLiveInstances(int instances) {
 		this.liveInstances = instances;
+		this.forwarder.room().setLiveInstances(instances);
 	}
 
 	/**
@@ -572,8 +585,11 @@
 	public FleetFigures fleetFigures(long nowMillis) {
 		List<CostFigure> learned = (this.identity.terms().learnedCosts())
 				? this.costs.pollPublished((this.partialView) ? MAX_COSTS_PARTIAL : MAX_COSTS) : List.of();
-		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis),
-				this.forwarder.admissions().pollPublished(nowMillis), learned);
+		List<DemandFigure> demand = new ArrayList<>(this.forwarder.admissions().pollPublished(nowMillis));
+		if (this.partialView) {
+			demand.addAll(this.forwarder.room().figures(nowMillis));
+		}
+		return new FleetFigures(this.evacuations.published(), this.cold.published(nowMillis), demand, learned);
 	}
 
 	/**
@@ -584,6 +600,35 @@
 		return this.cold.count();
 	}
 
+	/**
+	 * Returns the division of engines between short answers and long prompts, for
+	 * operators.
+	 * @return counts by name
+	 */
+	public Map<String, Long> engineRoom() {
+		return this.forwarder.room().counts();
+	}
+
+	/**
+	 * Returns whether instances of all zones are told of each long prompt.
+	 * @return false if only those of the own zone are
+	 */
+	public boolean tellsAllZones() {
+		return this.forwarder.room().tellsAllZones();
+	}
+
+	/**
+	 * Returns the work of this instance that all peers are told at once, with times
+	 * relative to the current time.
+	 * @param nowMillis the current time
+	 * @return work by request; empty while all work is published individually
+	 */
+	public Map<Long, RequestWork> individualWork(long nowMillis) {
+		Map<Long, RequestWork> shifted = new HashMap<>();
+		this.work.individualWork().forEach((request, each) -> shifted.put(request, each.shifted(-nowMillis)));
+		return shifted;
+	}
+
 	/**
 	 * Returns the evacuated availability zones, for operators.
 	 * @return number of requests still in progress there by zone
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/gossip/Membership.java
@@ -249,6 +249,14 @@
 			.toList();
 	}
 
+	/**
+	 * Returns all other known members.
+	 * @return distinct addresses
+	 */
+	public List<String> peers() {
+		return List.copyOf(this.members.keySet());
+	}
+
 	/**
 	 * Removes members that have timed out and returns the recipients of the next full
 	 * state.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineCostModel.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/EngineCostModel.java
@@ -65,6 +65,15 @@
 				+ contextTokens / THOUSAND * this.perThousandContextTokensMillis);
 	}
 
+	/**
+	 * Returns the time of an iteration that generates one answer and prefills as many
+	 * tokens as it may, without attention.
+	 * @return the time in milliseconds
+	 */
+	public double fullIterationMillis() {
+		return iterationDecodeMillis(1, 0) + prefillTokensPerIteration() / this.prefillTokensPerMilli;
+	}
+
 	/**
 	 * Returns the maximum prefill time that a prompt adds to one iteration with decoding
 	 * requests.
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/PromptPlacement.java
@@ -1,13 +1,16 @@
 package io.mulberrylift.core.placement;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.IntToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
+import io.mulberrylift.core.model.EndpointId;
 
 /**
  * Places prompts on engines such that the predicted loss of benefit is least.
@@ -61,6 +64,12 @@
 	 */
 	private static final double LATENCY_COST = 0.1;
 
+	/**
+	 * The same for long prompts, by weight, while the engines are divided and those of
+	 * other zones are not told at once: a zone's long prompts stay on its engines.
+	 */
+	private static final double UNKNOWN_ZONE_LONG_COST = 1;
+
 	/**
 	 * Cost of placing the first short answer on an engine, in units of a short answer's
 	 * benefit.
@@ -90,8 +99,11 @@
 	/** Cost of another availability zone whose work is not known. */
 	private static final double UNKNOWN_ZONE_COST = 0.4;
 
-	/** Largest inter-token gap target that identifies a short answer, in milliseconds. */
-	private static final long SHORT_GAP_MILLIS = 300;
+	/**
+	 * The same for short answers while the engines are divided: those of other zones fill
+	 * the engines of their side.
+	 */
+	private static final double UNKNOWN_ZONE_SHORT_COST = 1;
 
 	/**
 	 * Delay for each request in excess of an engine's slots, in milliseconds.
@@ -141,12 +153,40 @@
 	 */
 	private static final double UNKNOWN_WORK_JITTER_COST = 3;
 
+	/** The same while the engines are divided: the side of short answers is small. */
+	private static final double DIVIDED_JITTER_COST = 0.05;
+
+	/** Random engines of each side and zone that a short answer chooses from. */
+	private static final int CHOICES = 2;
+
+	/**
+	 * Cost of a part of a long prompt for each short answer that is expected at an engine
+	 * and not known yet.
+	 */
+	private static final double OTHER_SIDE_COST = 1;
+
+	/**
+	 * Maximum number of parts relative to the engines of long prompts that are expected
+	 * to be free.
+	 */
+	private static final double MAX_PARTS_PER_FREE_ENGINE = 2;
+
+	/**
+	 * Share of the time until its first token is due in which a long prompt is to be
+	 * prefilled; it is split across that many engines even if they are not free.
+	 */
+	private static final double PREFILL_SHARE = 0.5;
+
 	private final RandomGenerator random;
 
 	private double refusalCredit = MAX_REFUSAL_CREDIT;
 
 	private boolean otherZonesUnknown;
 
+	private EngineDivision division = EngineDivision.NONE;
+
+	private IntToDoubleFunction firstTokenFactor = (parts) -> 1;
+
 	/**
 	 * Creates the policy.
 	 * @param random source of randomness for breaking ties
@@ -164,6 +204,22 @@
 		this.otherZonesUnknown = unknown;
 	}
 
+	/**
+	 * Sets how the engines of the next prompt's service are divided.
+	 * @param division the division
+	 */
+	public void setDivision(EngineDivision division) {
+		this.division = Objects.requireNonNull(division, "division");
+	}
+
+	/**
+	 * Sets how predicted first tokens of the next long prompt are corrected.
+	 * @param factorByParts factor by number of parts
+	 */
+	public void setFirstTokenFactor(IntToDoubleFunction factorByParts) {
+		this.firstTokenFactor = Objects.requireNonNull(factorByParts, "factorByParts");
+	}
+
 	/**
 	 * Chooses the engines for a prompt.
 	 * @param demand demand of the prompt
@@ -177,8 +233,9 @@
 	public Optional<Placement> place(PromptDemand demand, List<EndpointWork> engines, EngineCostModel model,
 			String zone, long nowMillis) {
 		Optional<Placement> best = Optional.empty();
+		int maxParts = maxParts(demand, model);
 		for (int parts : PART_COUNTS) {
-			if (parts > 1 && (parts > engines.size() || isTooSmallToSplit(demand, model, parts))) {
+			if (parts > 1 && (parts > engines.size() || parts > maxParts || isTooSmallToSplit(demand, model, parts))) {
 				break;
 			}
 			Optional<Placement> candidate = place(demand, engines, model, zone, parts, demand.memoryTokens(),
@@ -209,7 +266,7 @@
 			List<EndpointWork> withMemory = engines.stream()
 				.filter((engine) -> engine.memoryTokens() + tokensPerEngine <= model.memoryTokens())
 				.toList();
-			if (withMemory.size() < parts) {
+			if (withMemory.size() < parts || (best.isPresent() && parts > maxParts(demand, model))) {
 				continue;
 			}
 			PromptDemand part = new PromptDemand(demand.promptTokens(), 0, demand.firstTokenTimeLeftMillis(),
@@ -252,7 +309,8 @@
 			String zone, int parts, long memoryTokens, long nowMillis) {
 		double partMillis = model.partPrefillMillis(demand.promptTokens(), parts);
 		List<Candidate> candidates = new ArrayList<>(engines.size());
-		for (EndpointWork engine : engines) {
+		List<EndpointWork> considered = considered(demand, engines, model, zone);
+		for (EndpointWork engine : considered) {
 			candidates.add(candidate(demand, engine, model, zone, parts, partMillis, nowMillis));
 		}
 		Optional<Candidate> first = candidates.stream()
@@ -276,6 +334,7 @@
 			cost += helper.addedDelayCost();
 		}
 		cost += latenessCost(demand, firstMillis);
+		firstMillis *= firstTokenFactor(demand, model, parts);
 		List<ForwardEndpoint> endpoints = helpers.stream().map((helper) -> helper.engine().endpoint()).toList();
 		return Optional.of(new Placement(first.get().engine().endpoint(), endpoints, partMillis, firstMillis, cost));
 	}
@@ -295,22 +354,120 @@
 		double firstMillis = prefillEndMillis + queuedMillis + engine.endpoint().warmUpLeftMillis();
 		double addedDelayCost = tokenGapDelayCost(engine, model, parts, partMillis, nowMillis);
 		addedDelayCost += (parts > 1) ? prefillDelayCost(engine, partMillis, nowMillis) : 0;
-		double otherCost = (zone.equals(engine.endpoint().zone())) ? 0 : otherZoneCost();
+		double otherCost = (zone.equals(engine.endpoint().zone())) ? 0 : otherZoneCost(demand, model);
+		otherCost += otherSideCost(demand, engine, model, partMillis, parts);
 		otherCost += FAILURE_COST * engine.health().failureRate() * demand.weight();
-		otherCost += this.random.nextDouble() * maxJitterCost(demand);
+		otherCost += this.random.nextDouble() * maxJitterCost(demand, model);
 		double lateness = latenessCost(demand, firstMillis);
-		double asFirst = addedDelayCost + otherCost + lateness + firstShortAnswerCost(demand, engine)
-				+ slotPressureCost(demand, slotsInUse, slots) + ownTokenGapCost(demand, engine, model, nowMillis);
+		double asFirst = addedDelayCost + otherCost + lateness + firstShortAnswerCost(demand, engine, model)
+				+ slotPressureCost(demand, model, slotsInUse, slots)
+				+ ownTokenGapCost(demand, engine, model, nowMillis);
 		return new Candidate(engine, firstMillis, prefillEndMillis, addedDelayCost, lateness, asFirst,
 				addedDelayCost + otherCost + HELPER_DELAY_COST * prefillEndMillis / MILLIS_PER_SECOND);
 	}
 
-	private double maxJitterCost(PromptDemand demand) {
-		return (this.otherZonesUnknown && isShortAnswer(demand)) ? UNKNOWN_WORK_JITTER_COST : JITTER_COST;
+	/**
+	 * Returns the expected cost of work that is not known yet and belongs to the engine's
+	 * side.
+	 * @param demand demand of the prompt
+	 * @param engine the engine with its known work
+	 * @param model cost model of the engine
+	 * @param partMillis prefill time of the part
+	 * @param parts number of parts of the prompt
+	 * @return the cost, 0 on an engine of the prompt's own side
+	 */
+	private double otherSideCost(PromptDemand demand, EndpointWork engine, EngineCostModel model, double partMillis,
+			int parts) {
+		EndpointId id = engine.endpoint().id();
+		if (!this.otherZonesUnknown) {
+			return 0;
+		}
+		if (isShortAnswer(demand, model)) {
+			return LATENESS_COST * demand.weight() * this.division.collisionProbability(id);
+		}
+		double expected = this.division.expectedShortAnswers(id, engine.endpoint().slots());
+		double answers = (expected > 0) ? Math.max(expected, shortAnswers(engine, model)) : 0;
+		double gapMillis = model.iterationDecodeMillis(1, 0)
+				+ Math.min(model.iterationPrefillMillis(partMillis * parts), partMillis);
+		return OTHER_SIDE_COST * answers * this.division.shortGapLateness(gapMillis);
+	}
+
+	private static long shortAnswers(EndpointWork engine, EngineCostModel model) {
+		return engine.items()
+			.stream()
+			.filter((item) -> item.phase() != WorkPhase.HELPER_PREFILL
+					&& DemandKind.of(item.gapTargetMillis(), model) == DemandKind.SHORT_ANSWER)
+			.count();
+	}
+
+	/**
+	 * Returns the engines that are considered for a prompt. For a short answer, these are
+	 * a few random ones of each side and zone if the work of other zones is unknown: many
+	 * instances that know the same late figures would otherwise choose the same engine.
+	 * @param demand demand of the prompt
+	 * @param engines all candidates
+	 * @param model their cost model
+	 * @param zone availability zone of this instance
+	 * @return at least one engine unless there are none
+	 */
+	private List<EndpointWork> considered(PromptDemand demand, List<EndpointWork> engines, EngineCostModel model,
+			String zone) {
+		if (!this.otherZonesUnknown || !this.division.isDivided() || !isShortAnswer(demand, model)) {
+			return engines;
+		}
+		List<EndpointWork> shuffled = new ArrayList<>(engines);
+		for (int index = shuffled.size() - 1; index > 0; index--) {
+			Collections.swap(shuffled, index, this.random.nextInt(index + 1));
+		}
+		int[] counts = new int[2 * DemandKind.values().length];
+		return shuffled.stream().filter((each) -> {
+			int group = 2 * this.division.side(each.endpoint().id()).ordinal()
+					+ (zone.equals(each.endpoint().zone()) ? 1 : 0);
+			return ++counts[group] <= CHOICES;
+		}).toList();
 	}
 
-	private double otherZoneCost() {
-		return (this.otherZonesUnknown) ? UNKNOWN_ZONE_COST : OTHER_ZONE_COST;
+	private int maxParts(PromptDemand demand, EngineCostModel model) {
+		if (!this.otherZonesUnknown || !this.division.isDivided()) {
+			return MAX_HELPERS + 1;
+		}
+		double prefillMillis = model.partPrefillMillis(demand.promptTokens(), 1);
+		double timeMillis = Math.max(1, PREFILL_SHARE * demand.firstTokenTimeLeftMillis());
+		return (int) Math.max(Math.ceil(prefillMillis / timeMillis),
+				MAX_PARTS_PER_FREE_ENGINE * this.division.freeLongEngines());
+	}
+
+	/**
+	 * Returns the correction of a predicted first token. It does not affect the choice,
+	 * for which only differences between engines matter.
+	 * @param demand demand of the prompt
+	 * @param model cost model of the engines
+	 * @param parts number of parts of the prompt
+	 * @return the factor, 1 while all work is known
+	 */
+	private double firstTokenFactor(PromptDemand demand, EngineCostModel model, int parts) {
+		boolean corrected = this.otherZonesUnknown && !isShortAnswer(demand, model);
+		return (corrected) ? this.firstTokenFactor.applyAsDouble(parts) : 1;
+	}
+
+	private double maxJitterCost(PromptDemand demand, EngineCostModel model) {
+		if (!this.otherZonesUnknown || !isShortAnswer(demand, model)) {
+			return JITTER_COST;
+		}
+		return (this.division.isDivided()) ? DIVIDED_JITTER_COST : UNKNOWN_WORK_JITTER_COST;
+	}
+
+	private double otherZoneCost(PromptDemand demand, EngineCostModel model) {
+		if (!this.otherZonesUnknown) {
+			return OTHER_ZONE_COST;
+		}
+		if (!this.division.isDivided()) {
+			return UNKNOWN_ZONE_COST;
+		}
+		if (isShortAnswer(demand, model)) {
+			return UNKNOWN_ZONE_SHORT_COST;
+		}
+		return (this.division.isLongWorkKnown()) ? UNKNOWN_ZONE_COST : UNKNOWN_ZONE_LONG_COST * demand.weight();
 	}
 
 	private static double prefillEnd(double prefillMillis, double decodeMillis, double iterationPrefillMillis) {
@@ -414,25 +571,22 @@
 		return (gapTargetMillis == 0) ? 0 : ramp(gapMillis / gapTargetMillis, GAP_SAFE_SHARE, GAP_LATE_SHARE);
 	}
 
-	private double firstShortAnswerCost(PromptDemand demand, EndpointWork engine) {
+	private double firstShortAnswerCost(PromptDemand demand, EndpointWork engine, EngineCostModel model) {
 		if (this.otherZonesUnknown) {
 			return 0;
 		}
-		boolean hasShortAnswer = engine.items()
-			.stream()
-			.anyMatch((item) -> item.gapTargetMillis() > 0 && item.gapTargetMillis() <= SHORT_GAP_MILLIS
-					&& item.phase() != WorkPhase.HELPER_PREFILL);
-		return (isShortAnswer(demand) && !hasShortAnswer) ? FIRST_SHORT_ANSWER_COST : 0;
+		boolean hasShortAnswer = shortAnswers(engine, model) > 0;
+		return (isShortAnswer(demand, model) && !hasShortAnswer) ? FIRST_SHORT_ANSWER_COST : 0;
 	}
 
-	private static double slotPressureCost(PromptDemand demand, int slotsInUse, int slots) {
+	private static double slotPressureCost(PromptDemand demand, EngineCostModel model, int slotsInUse, int slots) {
 		double share = (slotsInUse + 1.0) / slots;
-		double coLocationGain = isShortAnswer(demand) ? 0 : CO_LOCATION_GAIN * share;
+		double coLocationGain = isShortAnswer(demand, model) ? 0 : CO_LOCATION_GAIN * share;
 		return SLOT_PRESSURE_COST * Math.max(0, share - COMFORTABLE_SLOT_SHARE) - coLocationGain;
 	}
 
-	private static boolean isShortAnswer(PromptDemand demand) {
-		return demand.gapTargetMillis() > 0 && demand.gapTargetMillis() <= SHORT_GAP_MILLIS;
+	private static boolean isShortAnswer(PromptDemand demand, EngineCostModel model) {
+		return DemandKind.of(demand.gapTargetMillis(), model) == DemandKind.SHORT_ANSWER;
 	}
 
 	private static double ramp(double value, double from, double to) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkItem.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkItem.java
@@ -55,7 +55,10 @@
 			return 0;
 		}
 		double remaining = Math.min(this.prefillMillis, this.expectedFirstTokenMillis - nowMillis);
-		double minimum = (this.phase == WorkPhase.HELPER_PREFILL) ? 0 : OVERDUE_REMAINING_SHARE * this.prefillMillis;
+		// Peers tell the end of a prompt's prefill; the end of a summary of helpers
+		// expires.
+		boolean summary = this.phase == WorkPhase.HELPER_PREFILL && this.parts == 1;
+		double minimum = (summary) ? 0 : OVERDUE_REMAINING_SHARE * this.prefillMillis;
 		return Math.max((this.expectedFirstTokenMillis < nowMillis) ? minimum : 0, remaining);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/placement/WorkTable.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -36,6 +38,9 @@
 
 	private final Map<Long, RequestWork> ownWork = new HashMap<>();
 
+	/** Requests whose work is published individually, not in summaries. */
+	private final Set<Long> individual = new HashSet<>();
+
 	private final Map<String, PeerReport> peers = new HashMap<>();
 
 	/** Summaries received from peers, by peer and endpoint key. */
@@ -56,6 +61,26 @@
 		this.changedRequests.add(requestId);
 	}
 
+	/**
+	 * Publishes the work of a request individually even in fleets where other work is
+	 * published in summaries: it is so large that all instances are to know it at once.
+	 * @param requestId the request
+	 */
+	public void publishIndividually(long requestId) {
+		this.individual.add(requestId);
+	}
+
+	/**
+	 * Returns the work of this instance that is published individually.
+	 * @return work by request
+	 */
+	public Map<Long, RequestWork> individualWork() {
+		Map<Long, RequestWork> work = new HashMap<>();
+		this.individual.forEach((request) -> work.put(request, this.ownWork.get(request)));
+		work.values().removeIf(Objects::isNull);
+		return work;
+	}
+
 	/**
 	 * Moves the work of a request of this instance to its decode phase.
 	 * @param requestId the request
@@ -73,6 +98,7 @@
 		if (this.ownWork.remove(requestId) != null) {
 			this.changedRequests.add(requestId);
 		}
+		this.individual.remove(requestId);
 	}
 
 	/**
@@ -118,6 +144,23 @@
 		this.peers.put(peer, new PeerReport(merged, nowMillis));
 	}
 
+	/**
+	 * Returns the work of a peer whose prefill has begun and that was not reported
+	 * before.
+	 * @param peer name of the peer
+	 * @param reported reported work by request
+	 * @return the new work
+	 */
+	public List<RequestWork> newPrefills(String peer, Map<Long, RequestWork> reported) {
+		PeerReport known = this.peers.get(peer);
+		return reported.entrySet()
+			.stream()
+			.filter((each) -> !each.getValue().decoding() && each.getValue().partPrefillMillis() > 0
+					&& (known == null || !known.work().containsKey(each.getKey())))
+			.map(Map.Entry::getValue)
+			.toList();
+	}
+
 	/**
 	 * Applies summaries of a peer's work at some endpoints. Its summaries for other
 	 * endpoints are kept.
@@ -145,14 +188,18 @@
 	}
 
 	/**
-	 * Returns summaries of this instance's work.
+	 * Returns summaries of this instance's work, except for what is published
+	 * individually.
 	 * @param nowMillis the current time
 	 * @return summaries by endpoint key, only of endpoints with work
 	 */
 	public Map<Integer, EndpointSummary> ownSummaries(long nowMillis) {
 		Map<Integer, List<WorkItem>> byKey = new LinkedHashMap<>();
-		for (RequestWork each : this.ownWork.values()) {
-			for (WorkItem item : each.items()) {
+		for (Map.Entry<Long, RequestWork> each : this.ownWork.entrySet()) {
+			if (this.individual.contains(each.getKey())) {
+				continue;
+			}
+			for (WorkItem item : each.getValue().items()) {
 				byKey.computeIfAbsent(EndpointSummary.key(item.endpointHash()), (key) -> new ArrayList<>()).add(item);
 			}
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -614,6 +614,13 @@
 				+ this.gateway.coldEndpoints() + "\n";
 	}
 
+	private String roomMetrics() {
+		StringBuilder text = new StringBuilder();
+		this.gateway.engineRoom()
+			.forEach((name, count) -> text.append("mulberrylift_").append(name).append(' ').append(count).append('\n'));
+		return text.toString();
+	}
+
 	private Page page(String path, String query) {
 		return switch (path) {
 			case "/ready" -> Page.text((this.gateway.isReady()) ? 200 : 503, this.gateway.isReady() + "\n");
@@ -627,7 +634,7 @@
 					+ this.pressure.held().rejected() + "\nmulberrylift_waiting_connections "
 					+ this.pressure.waiting().count() + "\nmulberrylift_cost_estimates " + this.gateway.costs().size()
 					+ "\nmulberrylift_cost_median_error " + this.gateway.costs().medianErrorFactor() + "\n"
-					+ zoneMetrics());
+					+ zoneMetrics() + roomMetrics());
 			case SNAPSHOT_PATH -> new Page(200, "application/json", this.platform.snapshot(query));
 			default -> Page.NOT_FOUND;
 		};
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GossipScheduler.java
@@ -124,6 +124,8 @@
 
 	private final SummaryQueue summaries = new SummaryQueue();
 
+	private final IndividualWork individualWork = new IndividualWork();
+
 	private long sequence;
 
 	private long lastSummaryMillis;
@@ -162,12 +164,12 @@
 	 * @param nowMillis the current time
 	 */
 	void requestPlaced(long nowMillis) {
-		if (this.membership.isPartial()) {
-			return;
-		}
 		collectChanges(nowMillis);
 		replenish(nowMillis);
-		if (this.allowedBytes > 0) {
+		if (this.membership.isPartial()) {
+			sendIndividualWork(nowMillis);
+		}
+		else if (this.allowedBytes > 0) {
 			sendChanges(nowMillis);
 		}
 	}
@@ -185,6 +187,7 @@
 			sendFullState(nowMillis);
 		}
 		else if (this.membership.isPartial()) {
+			sendIndividualWork(nowMillis);
 			sendSummaries(nowMillis);
 		}
 		else if (!this.changedRequests.isEmpty() && this.allowedBytes > 0
@@ -215,7 +218,30 @@
 		if (this.changedRequests.isEmpty()) {
 			this.changedSinceMillis = nowMillis;
 		}
-		this.changedRequests.addAll(this.gateway.drainChangedWork());
+		Set<Long> drained = this.gateway.drainChangedWork();
+		this.changedRequests.addAll(drained);
+		if (this.membership.isPartial()) {
+			this.individualWork.collect(drained, this.gateway.individualWork(nowMillis).keySet());
+		}
+	}
+
+	/**
+	 * Tells the work of long prompts at once: to all peers if the byte rate permits, else
+	 * to those of the own zone.
+	 * @param nowMillis the current time
+	 */
+	private void sendIndividualWork(long nowMillis) {
+		if (this.individualWork.isEmpty() || this.allowedBytes <= 0) {
+			return;
+		}
+		Map<Long, RequestWork> work = this.gateway.individualWork(nowMillis);
+		InstanceDigest digest = digest(this.individualWork.changed(work), this.individualWork.ended(work), List.of(),
+				List.of(), Optional.empty());
+		List<String> peers = this.membership.peers();
+		int bytes = DigestCodec.encode(digest, DigestCodec.MAX_BYTES).length + PeerLink.DATAGRAM_OVERHEAD_BYTES;
+		boolean toAll = this.gateway.tellsAllZones() && (double) bytes * peers.size() <= this.allowedBytes;
+		this.individualWork.clear(work);
+		send((toAll) ? peers : this.membership.trackedPeers(), digest, DigestCodec.MAX_BYTES);
 	}
 
 	private void replenish(long nowMillis) {
@@ -240,18 +266,20 @@
 		}
 		FullState state = state(MAX_LIMITS_PARTIAL, this.membership.sample(nowMillis), nowMillis);
 		List<CrashObservation> crashes = this.gateway.pollPublishedCrashes(MAX_CRASHES_PARTIAL, nowMillis);
-		int fixedBytes = DigestCodec.encode(digest(Map.of(), List.of(), List.of(), crashes, Optional.of(state)),
+		Map<Long, RequestWork> individual = this.gateway.individualWork(nowMillis);
+		this.individualWork.clear(individual);
+		int fixedBytes = DigestCodec.encode(digest(individual, List.of(), List.of(), crashes, Optional.of(state)),
 				DigestCodec.MAX_BYTES).length;
 		List<EndpointSummary> selected = this.summaries.pollDue(this.gateway.ownSummaries(nowMillis),
 				maxBytes - fixedBytes, nowMillis);
 		List<String> tracked = this.membership.trackedPeers();
-		send(tracked, digest(Map.of(), List.of(), selected, crashes, Optional.of(state)), DigestCodec.MAX_BYTES);
+		send(tracked, digest(individual, List.of(), selected, crashes, Optional.of(state)), DigestCodec.MAX_BYTES);
 		for (String target : targets) {
 			if (!tracked.contains(target)) {
 				FullState other = new FullState(state.zone(), state.configurationVersion(), state.storeRevision(),
 						state.storeKnowledge(), state.endpointsReachable(), state.avoided(), state.limits(),
 						this.membership.sampleFor(target, nowMillis), state.figures());
-				send(List.of(target), digest(Map.of(), List.of(), selected, crashes, Optional.of(other)),
+				send(List.of(target), digest(individual, List.of(), selected, crashes, Optional.of(other)),
 						DigestCodec.MAX_BYTES);
 			}
 		}
