--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementRule.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PlacementRule.java
@@ -9,12 +9,14 @@
 
 import io.mulberrylift.core.placement.EndpointWork;
 import io.mulberrylift.core.placement.EngineCostModel;
+import io.mulberrylift.core.placement.EngineDivision;
+import io.mulberrylift.core.placement.FirstTokenCorrection;
 import io.mulberrylift.core.placement.Placement;
 import io.mulberrylift.core.placement.PromptDemand;
 import io.mulberrylift.core.placement.PromptPlacement;
 
 /**
- * Rules for placing prompts. All but the last are baselines: they know the work of all
+ * Rules for placing prompts. The first three are baselines: they know the work of all
  * instances with the same delay and refuse prompts larger than the memory of an engine.
  */
 public enum PlacementRule {
@@ -28,8 +30,41 @@
 	/** The engine with the fewest tokens of engine memory in use. */
 	LEAST_TOKENS,
 
+	/**
+	 * The prompt placement policy without a division of the engines and with long prompts
+	 * in summaries.
+	 */
+	UNDIVIDED,
+
 	/** The prompt placement policy of the product. */
-	PREDICTED_LOSS;
+	PREDICTED_LOSS,
+
+	/** The same policy, where each instance knows all work at once. */
+	ALL_KNOWING;
+
+	/**
+	 * Returns whether this is the policy of the product, also in other conditions.
+	 * @return false for the baselines
+	 */
+	boolean isPolicy() {
+		return this == UNDIVIDED || isDivided();
+	}
+
+	/**
+	 * Returns whether instances share their demand and publish long prompts individually.
+	 * @return true for the product
+	 */
+	boolean isDivided() {
+		return this == PREDICTED_LOSS || this == ALL_KNOWING;
+	}
+
+	/**
+	 * Returns whether instances know the work of all others without delay.
+	 * @return true for the limit
+	 */
+	boolean isAllKnowing() {
+		return this == ALL_KNOWING;
+	}
 
 	/**
 	 * Creates the placer of one instance.
@@ -43,16 +78,20 @@
 		PromptPlacement policy = new PromptPlacement(random);
 		policy.setOtherZonesUnknown(otherZonesUnknown);
 		Random ties = new Random(seed);
-		return (demand, engines, model, now) -> switch (this) {
+		return (demand, engines, model, division, correction, now) -> switch (this) {
 			case RANDOM -> enginesThatFit(demand, engines, model)
 				.map((list) -> onSingleEngine(demand, list.get(ties.nextInt(list.size())), model));
 			case LEAST_REQUESTS -> enginesThatFit(demand, engines, model).map((list) -> onSingleEngine(demand,
 					leastLoaded(list, Comparator.comparingInt(EndpointWork::slotsInUse), ties), model));
 			case LEAST_TOKENS -> enginesThatFit(demand, engines, model).map((list) -> onSingleEngine(demand,
 					leastLoaded(list, Comparator.comparingLong(EndpointWork::memoryTokens), ties), model));
-			case PREDICTED_LOSS -> policy.place(demand, engines, model, zone, now)
-				.or(() -> policy.placeAcrossMemories(demand, engines, model, zone, now))
-				.filter((placement) -> policy.admits(demand, placement));
+			case UNDIVIDED, PREDICTED_LOSS, ALL_KNOWING -> {
+				policy.setDivision(division);
+				policy.setFirstTokenFactor((parts) -> correction.factor("", parts));
+				yield policy.place(demand, engines, model, zone, now)
+					.or(() -> policy.placeAcrossMemories(demand, engines, model, zone, now))
+					.filter((placement) -> policy.admits(demand, placement));
+			}
 		};
 	}
 
@@ -83,7 +122,7 @@
 	interface Placer {
 
 		Optional<Placement> place(PromptDemand demand, List<EndpointWork> engines, EngineCostModel model,
-				long nowMillis);
+				EngineDivision division, FirstTokenCorrection correction, long nowMillis);
 
 	}
 
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PromptKind.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/PromptKind.java
@@ -25,7 +25,16 @@
 	 * Hundreds of thousands of tokens; the largest quarter exceeds the memory of one
 	 * engine.
 	 */
-	VERY_LONG(300_000, 0.55, 1_000_000, 16.5, 0.5, 4000, 800, 15_000, 30, 7.5);
+	VERY_LONG(300_000, 0.55, 1_000_000, 16.5, 0.5, 4000, 800, 15_000, 30, 7.5),
+
+	/** A short question of a member, with a larger gap target than other short ones. */
+	QUESTION(4960, 0.9, 23_800, 35.7, 0.7, 300, 250, 10_000, 1.3, 0.34),
+
+	/** Annual accounts. */
+	ACCOUNTS(45_000, 0.5, 110_000, 21.4, 0.6, 1500, 600, 10_000, 3.3, 0.82),
+
+	/** Grant files; the largest quarter exceeds the memory of one engine. */
+	DOSSIER(260_000, 0.55, 1_000_000, 18, 0.5, 4000, 1000, 15_000, 34, 8.6);
 
 	private static final double BASE_SHARE = 0.3;
 
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/SimulatedPrompt.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/placement/SimulatedPrompt.java
@@ -17,6 +17,10 @@
 
 	private final double arrivalMillis;
 
+	private final double placedMillis;
+
+	private final double expectedFirstTokenMillis;
+
 	private final double partPrefillMillis;
 
 	private final long memoryTokens;
@@ -37,6 +41,11 @@
 
 	SimulatedPrompt(PromptKind kind, long tokens, int events, int parts, double partMillis, long memoryTokens,
 			boolean memoryReserved, double arrivedMillis) {
+		this(kind, tokens, events, parts, partMillis, memoryTokens, memoryReserved, arrivedMillis, arrivedMillis, 0);
+	}
+
+	SimulatedPrompt(PromptKind kind, long tokens, int events, int parts, double partMillis, long memoryTokens,
+			boolean memoryReserved, double arrivedMillis, double placedMillis, double expectedFirstTokenMillis) {
 		this.kind = Objects.requireNonNull(kind, "kind");
 		this.tokens = tokens;
 		this.remainingEvents = events;
@@ -46,6 +55,8 @@
 		this.memoryTokens = memoryTokens;
 		this.memoryReserved = memoryReserved;
 		this.arrivalMillis = arrivedMillis;
+		this.placedMillis = placedMillis;
+		this.expectedFirstTokenMillis = expectedFirstTokenMillis;
 	}
 
 	double partPrefillMillis() {
@@ -130,7 +141,9 @@
 		boolean served = nowMillis - this.arrivalMillis <= this.kind.deadlineMillis();
 		boolean timely = served && this.firstTokenMillis <= this.kind.firstTokenTargetMillis()
 				&& this.longestGapMillis <= this.kind.gapTargetMillis();
-		return new PromptOutcome(this.kind, this.tokens, served, timely);
+		return new PromptOutcome(this.kind, this.tokens, this.arrivalMillis, served, timely,
+				this.longestGapMillis > this.kind.gapTargetMillis(), this.expectedFirstTokenMillis,
+				this.firstTokenMillis + this.arrivalMillis - this.placedMillis);
 	}
 
 	PromptKind kind() {
