Divide engines only in fleets whose instances are all told of each long prompt

Cause, not traced further: above 40 instances long prompts are told to the own zone alone and kept on its engines.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -363,6 +363,13 @@
 
 	private void divide(ForwardState state, PromptDemand demand, List<EndpointWork> available, EngineCostModel model,
 			long nowMillis) {
+		if (!this.room.tellsAllZones()) {
+			// The views of a large fleet differ too much for a common boundary.
+			state.division = Optional.empty();
+			this.promptPlacement.setDivision(EngineDivision.NONE);
+			this.promptPlacement.setFirstTokenFactor((parts) -> 1);
+			return;
+		}
 		boolean first = state.division.isEmpty();
 		EngineDivision division = this.room.division(state.service, this.endpoints.available(state.service), available,
 				model, this.identity.zone(), nowMillis);
