Count the fleet by its zones when engines are not divided in large fleets

Cause, by reading: the bound of 40 instances counted those heard within 3.5 s, about 30 of 75, so it did not act. Change: the part of the fleet that an instance is, from its zone and the number of zones, decides as well.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -59,6 +59,12 @@
 	 */
 	private static final double ADMISSION_SHARE = 0.8;
 
+	/**
+	 * Part of the fleet that an instance is in the largest fleets whose engines are
+	 * divided. In larger ones, the number of instances heard lately is far too low.
+	 */
+	private static final double MIN_DIVIDED_PART = 1.0 / 40;
+
 	private GatewayIdentity identity;
 
 	private final RandomGenerator random;
@@ -363,7 +369,7 @@
 
 	private void divide(ForwardState state, PromptDemand demand, List<EndpointWork> available, EngineCostModel model,
 			long nowMillis) {
-		if (!this.room.tellsAllZones()) {
+		if (!this.room.tellsAllZones() || this.retryPart < MIN_DIVIDED_PART) {
 			// The views of a large fleet differ too much for a common boundary.
 			state.division = Optional.empty();
 			this.promptPlacement.setDivision(EngineDivision.NONE);
