--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipLongPromptTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/GossipLongPromptTests.java
@@ -1,9 +1,11 @@
 package io.mulberrylift.gateway.loop;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import io.mulberrylift.core.forwarding.ClientLimits;
@@ -26,6 +28,7 @@
 import io.mulberrylift.core.gossip.StoreKnowledge;
 import io.mulberrylift.core.gossip.StoreRevision;
 import io.mulberrylift.core.gossip.StoreRole;
+import io.mulberrylift.core.limit.FleetView;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.core.placement.EngineCostModel;
 import io.mulberrylift.gateway.http.NetAddress;
@@ -138,6 +141,21 @@
 		assertThat(this.gateway.engineRoom()).containsEntry("short_engines", 0L).containsEntry("long_engines", 0L);
 	}
 
+	/** Failure: an instance of a large fleet hears few of the others within seconds. */
+	@Test
+	void largeFleetOfWhichFewInstancesAreHeardIsNotDivided() {
+		start(29);
+		Set<String> zone = new HashSet<>(Set.of(this.self.toString()));
+		for (int index = 1; index < 25; index++) {
+			zone.add("10.0.1." + index + ":7340");
+		}
+		this.gateway.setFleet(
+				new FleetView(this.self.toString(), "zone-a", zone, Set.of("zone-a", "zone-b", "zone-c"), true), 3000);
+		place(1, "/l/", 200_000, 3010);
+		assertThat(this.sent).isEmpty();
+		assertThat(this.gateway.individualWork(3010)).isEmpty();
+	}
+
 	@Test
 	void shortAnswerIsNotToldIndividually() {
 		start(24);
