--- a/review/standins/PipelinedRequests.java
+++ b/review/standins/PipelinedRequests.java
@@ -23,10 +23,13 @@
 
 	private static final int WAITING = 6;
 
-	private static final long DURATION_MILLIS = 30_000;
+	private static final long DURATION_MILLIS = 25_000;
 
 	private static final long WORK_MILLIS = 4;
 
+	/** Time until a client whose channel has ended connects again. */
+	private static final long RECONNECT_MILLIS = 1000;
+
 	/** Number of foreign answers that the record lists. */
 	private static final int MAX_LINES = 200;
 
@@ -67,6 +70,12 @@
 			Thread client = new Thread(() -> {
 				while (!this.ended.get()) {
 					client(deployment, gateway, (trouble) ? WAITING : 1);
+					try {
+						Thread.sleep(RECONNECT_MILLIS);
+					}
+					catch (InterruptedException ex) {
+						return;
+					}
 				}
 			});
 			client.setDaemon(true);
