--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac -encoding UTF-8 -d target/review review/standins/*.java
+javac -encoding UTF-8 -d target/review review/*.java
