Count an answer without a length as whole only if its end was read

Cause: EndpointConnection took the end of a connection for an orderly one unless exceptionCaught had run. While part of the body waits to be sent, the event loop writes first; the write fails with the reset, and the transport closes the channel without exceptionCaught. The decoder then ends the answer.

Evidence: a trial on with prints showed the failed promise ("Connection reset by peer"), no call of exceptionCaught, and the last content on the inactive channel with the body unsent.

Fix: EndpointChannel records that the end of the peer's bytes was read; without this sign such an answer counts as broken off, whatever closed the channel.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -5,7 +5,6 @@
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.gateway.pressure.BodyWriter;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
@@ -36,7 +35,7 @@
 
 	private final EndpointResponseDecoder decoder;
 
-	private Channel channel;
+	private EndpointChannel channel;
 
 	private EndpointAttempt attempt;
 
@@ -56,8 +55,6 @@
 
 	private boolean requestWritten;
 
-	private boolean failed;
-
 	private long maxIdleMillis = KeepAliveTimeout.DEFAULT_MILLIS;
 
 	private long idleSinceMillis;
@@ -69,7 +66,7 @@
 
 	@Override
 	public void handlerAdded(ChannelHandlerContext context) {
-		this.channel = context.channel();
+		this.channel = (EndpointChannel) context.channel();
 	}
 
 	boolean isUsable(long nowMillis) {
@@ -195,7 +192,7 @@
 			return;
 		}
 		if (content instanceof LastHttpContent) {
-			if (this.failed) {
+			if (isCutOff()) {
 				return;
 			}
 			EndpointAttempt done = this.attempt;
@@ -214,6 +211,15 @@
 		}
 	}
 
+	/**
+	 * Returns whether the decoder ended an answer without a length only because the
+	 * connection was reset or failed.
+	 * @return {@code true} if the end of the answer was not received
+	 */
+	private boolean isCutOff() {
+		return !this.framed && !this.channel.isActive() && !this.channel.isEndOfStream();
+	}
+
 	private void fail(AttemptOutcome outcome) {
 		EndpointAttempt failing = this.attempt;
 		this.attempt = null;
@@ -235,7 +241,6 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-		this.failed = true;
 		context.close();
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -141,7 +141,7 @@
 		this.openedConnections++;
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
 		EndpointConnection connection = new EndpointConnection(this, decoder);
-		HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS)
+		HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS, EndpointChannel::new)
 			.option(ChannelOption.SO_SNDBUF, Pressure.SEND_BUFFER_BYTES)
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, Pressure.WATER_MARK)
 			.option(ChannelOption.RCVBUF_ALLOCATOR, Pressure.readAllocator())
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/HttpChannels.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/HttpChannels.java
@@ -3,6 +3,8 @@
 import java.net.SocketOption;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
@@ -36,8 +38,21 @@
 	 * @return the bootstrap, without a handler
 	 */
 	public static Bootstrap clientBootstrap(EventLoopGroup group, int connectTimeoutMillis) {
+		return clientBootstrap(group, connectTimeoutMillis, NioSocketChannel::new);
+	}
+
+	/**
+	 * Returns a bootstrap for connections of a certain type that detect an unreachable
+	 * peer by TCP keep-alive.
+	 * @param group the event loop
+	 * @param connectTimeoutMillis maximum time to establish a connection
+	 * @param channels creates the connections
+	 * @return the bootstrap, without a handler
+	 */
+	public static Bootstrap clientBootstrap(EventLoopGroup group, int connectTimeoutMillis,
+			ChannelFactory<? extends Channel> channels) {
 		return new Bootstrap().group(group)
-			.channel(NioSocketChannel.class)
+			.channelFactory(channels)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
