Break off or resume a stream whose resumption is rejected

Cause: EndpointAttempt.completeValid handled such a status as an answer to deliver. The answer was dropped, as the caller had the head of the stream already, but the attempt ended as COMPLETED, and the begun stream was finished. It now ends as ENDPOINT_ERROR, so the stream is resumed elsewhere within its attempts and the retry budget, or broken off.

Evidence: each of 302, 404 and 499 shows the fault on in a test, with all resumptions rejected; 500 does not, so that it is no race with the reset. The same holds for a stream that a peer resumes.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -14,7 +14,10 @@
 	 */
 	COMPLETED_AT_CLOSE(true, false, false),
 
-	/** A complete answer was received that reports a failure of the endpoint. */
+	/**
+	 * A complete answer was received that reports a failure of the endpoint, or that does
+	 * not continue the stream which the attempt was to resume.
+	 */
 	ENDPOINT_ERROR(true, false, true),
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -231,8 +231,9 @@
 
 	private void completeValid(AttemptOutcome completed) {
 		if (!isStreamed()) {
+			boolean resumptionFailed = this.answer.isBegun();
 			deliverBuffered();
-			end(completed);
+			end((resumptionFailed) ? AttemptOutcome.ENDPOINT_ERROR : completed);
 		}
 		else {
 			end((this.splitter.hasPartialEvent()) ? AttemptOutcome.BROKEN_MIDWAY : completed);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
@@ -54,8 +54,16 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns whether part of a stream was forwarded, which only events can continue.
+	 * @return {@code true} once the caller has the head of the answer
+	 */
+	boolean isBegun() {
+		return this.exchange.isAnswerBegun();
+	}
+
 	void bufferHead(int bufferedStatus, HttpHeaders bufferedHeaders) {
-		if (!this.exchange.isAnswerBegun()) {
+		if (!isBegun()) {
 			discard();
 			this.status = bufferedStatus;
 			this.headers = bufferedHeaders;
@@ -63,7 +71,7 @@
 	}
 
 	void buffer(int bufferedStatus, HttpHeaders bufferedHeaders, BodyBuffer bufferedBody) {
-		if (this.exchange.isAnswerBegun()) {
+		if (isBegun()) {
 			bufferedBody.lease().release();
 			return;
 		}
@@ -82,7 +90,7 @@
 	}
 
 	void forward(StreamEvent event) {
-		if (!this.exchange.isAnswerBegun()) {
+		if (!isBegun()) {
 			this.exchange.beginAnswer(this.status, this.headers);
 		}
 		if (event.id().isPresent()) {
@@ -95,7 +103,7 @@
 	 * Sends the buffered answer, or completes the stream if its head was sent.
 	 */
 	public void deliver() {
-		if (this.exchange.isAnswerBegun()) {
+		if (isBegun()) {
 			this.exchange.finish();
 		}
 		else {
