Reject addresses whose parts are out of range

An entry of the store with the address 999.7.100.91:80 was listed as an endpoint. A request sent to it was neither answered nor refused until its time was up (15.9 s in the test), although nothing could serve it.

Cause: NetAddress checked the number of digits, not the range. The resolver takes such a text for a host name and fails when the attempt connects.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/NetAddress.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/NetAddress.java
@@ -14,7 +14,10 @@
  */
 public record NetAddress(String host, int port) {
 
-	private static final Pattern IPV4 = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}");
+	/** Without leading zeros, which some systems read as octal. */
+	private static final String OCTET = "(25[0-5]|2[0-4]\\d|1\\d\\d|[1-9]?\\d)";
+
+	private static final Pattern IPV4 = Pattern.compile(OCTET + "(\\." + OCTET + "){3}");
 
 	/**
 	 * Creates the address.
