Accept the connections of the queue before the listening socket closes

Cause: the socket was closed while registered with the selector. The event loop accepts 16 connections a turn at most, and the kernel closes the socket when the loop selects next; whatever waits in the queue is reset.

Fix: the socket is deregistered from the selector first. At a later tick, all connections of the queue are accepted and the socket is closed at once.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
@@ -18,7 +18,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 
 /**
  * Accepts callers' connections.
@@ -43,7 +42,7 @@
 	/** Open connections; confined to the event loop. */
 	private final Set<CallerConnection> connections = new HashSet<>();
 
-	private Channel listening;
+	private ListeningChannel listening;
 
 	/**
 	 * Creates a server that does not listen yet.
@@ -76,8 +75,8 @@
 	 * @return the listening channel
 	 */
 	public Channel listen(NetAddress address, Predicate<String> admits) {
-		this.listening = new ServerBootstrap().group(this.group)
-			.channel(NioServerSocketChannel.class)
+		this.listening = (ListeningChannel) new ServerBootstrap().group(this.group)
+			.channelFactory(ListeningChannel::new)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -104,15 +103,25 @@
 	}
 
 	/**
-	 * Stops to accept connections. To be called on the event loop; the operating system
-	 * closes the listening socket when the loop selects next.
+	 * Stops to accept connections as they come: the operating system queues them until
+	 * {@link #stopListening}. To be called on the event loop.
 	 * @throws IllegalStateException if the server does not listen yet
 	 */
 	public void stopAccepting() {
 		if (this.listening == null) {
 			throw new IllegalStateException("The server does not listen; call listen first");
 		}
-		this.listening.close();
+		this.listening.deregister();
+	}
+
+	/**
+	 * Accepts the queued connections, which would be reset otherwise, and closes the
+	 * listening socket. To be called on the event loop, repeatedly, after
+	 * {@link #stopAccepting}.
+	 * @return {@code false} if the loop has to select before
+	 */
+	public boolean stopListening() {
+		return this.listening.acceptAllAndClose();
 	}
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -346,8 +346,15 @@
 			this.closingMillis = now;
 			this.log.write("closing-connections", "open", openCallerConnections());
 			this.callerServers.forEach(CallerServer::stopAccepting);
-			// A caller whose connection is closed may connect again at once: the
-			// listening sockets are closed by the next tick.
+			return;
+		}
+		// A caller whose connection is closed may connect again at once, so the listening
+		// sockets are closed first.
+		boolean listening = false;
+		for (CallerServer server : this.callerServers) {
+			listening |= !server.stopListening();
+		}
+		if (listening) {
 			return;
 		}
 		this.callerServers.forEach(CallerServer::closeConnections);
