Read what came during a suspension before timers act on connections

Cause: overdue timers run before the sockets are read once the process goes on, so that the idle timer closes a connection whose request is in the kernel's buffer already.

Evidence: SuspendedInstanceTests stops a process by SIGSTOP past the idle limit, sends a request and continues it; on the first of five tries ends without an answer, with one more turn of the event loop before the timer acts all five are answered.

Fix: timers of callers' connections act one turn of the event loop later, which reads first, and 300 ms later if they are more than 200 ms late.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
@@ -77,6 +77,14 @@
 	 */
 	private static final long LINGER_MILLIS = 300;
 
+	/** Delay of a timer from which the process counts as having been suspended. */
+	private static final long SUSPENSION_MILLIS = 200;
+
+	/**
+	 * Time after a suspension to wait for bytes whose packets were lost or held up by it.
+	 */
+	private static final long ARRIVAL_MILLIS = 300;
+
 	/**
 	 * Time to wait for a request on a connection when the instance stops, if there was
 	 * none on it or part of one has been received.
@@ -171,9 +179,21 @@
 		scheduleTimeout(this.listener.limits().idleTimeoutMillis(), this.context::close);
 	}
 
+	/**
+	 * Schedules an action unless something ends the wait. After the process was
+	 * suspended, timers run before the bytes that came meanwhile are read, so the event
+	 * loop reads once more before the action.
+	 * @param millis time to wait
+	 * @param action what to do if nothing has ended the wait
+	 */
 	private void scheduleTimeout(long millis, Runnable action) {
 		cancelTimer();
-		this.timer = this.context.executor().schedule(action, millis, TimeUnit.MILLISECONDS);
+		long startNanos = System.nanoTime();
+		this.timer = this.context.executor().schedule(() -> {
+			long lateMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI - millis;
+			long waitMillis = (lateMillis > SUSPENSION_MILLIS) ? ARRIVAL_MILLIS : 0;
+			this.timer = this.context.executor().schedule(action, waitMillis, TimeUnit.MILLISECONDS);
+		}, millis, TimeUnit.MILLISECONDS);
 	}
 
 	private void cancelTimer() {
