Answer all requests before the process ends

Requests taken in the first seconds of a planned stop whose runners outlasted the stop were cut without an answer, among them requests that may not be repeated (reported by an operator of a similar system).

Cause: nothing bounded a request by the end of its process. Such requests waited for their own deadlines, which the process did not live to see.

Fix: from a request to stop on, no deadline is later than 200 ms before the end of the process. Endpoints are told the time that is left, and what has no answer then is refused: as not run, or with 504 where it may have run.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -40,10 +40,10 @@
 	final long arrivalMillis;
 
 	/**
-	 * When the final answer is due: the earlier of the caller's deadline and the route's
-	 * timeout.
+	 * When the final answer is due: the earliest of the caller's deadline, the route's
+	 * timeout and the end of the process.
 	 */
-	final long deadlineMillis;
+	long deadlineMillis;
 
 	final Set<EndpointId> triedEndpoints = new HashSet<>();
 
@@ -132,6 +132,14 @@
 				this.request.relayTerms().map(RelayTerms::attemptsLeft).orElse(Integer.MAX_VALUE));
 	}
 
+	/**
+	 * Moves the deadline to the end of the process if that is earlier.
+	 * @param endMillis when the process ends
+	 */
+	void endBy(long endMillis) {
+		this.deadlineMillis = Math.min(this.deadlineMillis, endMillis);
+	}
+
 	long timeLeftMillis(long nowMillis) {
 		return this.deadlineMillis - nowMillis;
 	}
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Gateway.java
@@ -91,6 +91,9 @@
 
 	private long shutdownMillis = Long.MAX_VALUE;
 
+	/** When all requests must have ended. */
+	private long endMillis = Long.MAX_VALUE;
+
 	private int liveInstances = 1;
 
 	private boolean partialView;
@@ -192,8 +195,10 @@
 					read.identity().retryBounds().extra(), "drain-grace", read.identity().drainGraceMillis(),
 					"memory-free", read.identity().memoryFreeMillis());
 		}
-		else if (event instanceof GatewayEvent.ShutdownRequested) {
+		else if (event instanceof GatewayEvent.ShutdownRequested requested) {
 			this.shutdownMillis = Math.min(this.shutdownMillis, nowMillis);
+			this.endMillis = Math.min(this.endMillis, nowMillis + requested.timeoutMillis());
+			this.forwarder.requests().forEach((state) -> state.endBy(this.endMillis));
 			log("shutdown-began", "requests", this.forwarder.inProgress());
 		}
 	}
@@ -231,6 +236,7 @@
 		String service = route.get().chooseService(this.random.nextDouble());
 		ForwardState state = new ForwardState(event.requestId(), request, route.get(), service, workspace, nowMillis);
 		state.allowedRegions = AllowedRegions.of(route.get(), current.terms(workspace));
+		state.endBy(this.endMillis);
 		this.forwarder.start(state, current, nowMillis, this.effects);
 	}
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -170,8 +170,12 @@
 	record Tick() implements GatewayEvent {
 	}
 
-	/** A shutdown of the process was requested. */
-	record ShutdownRequested() implements GatewayEvent {
+	/**
+	 * A shutdown of the process was requested.
+	 *
+	 * @param timeoutMillis time within which all requests must have ended
+	 */
+	record ShutdownRequested(long timeoutMillis) implements GatewayEvent {
 	}
 
 }
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayTests.java
@@ -366,7 +366,7 @@
 		this.fixture.started();
 		this.fixture.arrive("/read/x", 0);
 		long attemptId = this.fixture.last(GatewayEffect.Send.class).attemptId();
-		this.fixture.reduce(new GatewayEvent.ShutdownRequested());
+		this.fixture.reduce(new GatewayEvent.ShutdownRequested(8000));
 		assertThat(this.fixture.gateway.isReady()).isFalse();
 		this.fixture.arrive("/read/x", 0);
 		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).isEmpty();
@@ -379,6 +379,31 @@
 		assertThat(this.fixture.gateway.mayExit(this.fixture.nowMillis)).isTrue();
 	}
 
+	/**
+	 * Failure: requests in progress at the end of a shutdown were cut without an answer.
+	 */
+	@Test
+	void requestsAreAnsweredBeforeTheProcessEnds() {
+		this.fixture.started();
+		long running = this.fixture.arrive("/stream/x", 5000);
+		this.fixture.advance(100);
+		long begun = this.fixture.arrive("/stream/x", 5000);
+		this.fixture.reduce(new GatewayEvent.AnswerChunk(this.fixture.last(GatewayEffect.Send.class).attemptId()));
+		this.fixture.reduce(new GatewayEvent.ShutdownRequested(400));
+		this.fixture.arrive("/stream/x", 5000);
+		GatewayEffect.Send late = this.fixture.last(GatewayEffect.Send.class);
+		assertThat(late.timeLeftMillis()).isEqualTo(400);
+		this.fixture.advance(399);
+		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).isEmpty();
+		this.fixture.advance(1);
+		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).extracting(GatewayEffect.Refuse::requestId)
+			.containsExactlyInAnyOrder(running, late.requestId());
+		assertThat(this.fixture.all(GatewayEffect.Refuse.class)).extracting(GatewayEffect.Refuse::cause)
+			.containsOnly(RefusalCause.EXPIRED);
+		assertThat(this.fixture.last(GatewayEffect.AbortAnswer.class).requestId()).isEqualTo(begun);
+		assertThat(this.fixture.gateway.inProgress()).isZero();
+	}
+
 	@Test
 	void promptLargerThanAnyEnginesMemoryReservesAndReleasesMemoryOnSeveral() {
 		this.fixture.started();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -80,6 +80,9 @@
 	 */
 	private static final long MAX_CLOSING_MILLIS = 1200;
 
+	/** Part of the shutdown timeout that is left to send the last answers. */
+	private static final long LAST_ANSWER_MILLIS = 200;
+
 	/** Interval at which the view of the fleet and of the platform is updated. */
 	private static final long VIEW_INTERVAL_MILLIS = 100;
 
@@ -214,11 +217,12 @@
 
 	/**
 	 * Starts an orderly shutdown: requests in progress are completed within the shutdown
-	 * timeout.
+	 * timeout, and refused if that is not possible.
 	 */
 	public void shutDown() {
 		this.group.execute(() -> {
-			run(new GatewayEvent.ShutdownRequested());
+			run(new GatewayEvent.ShutdownRequested(
+					Math.max(0, this.settings.shutdownTimeoutMillis() - LAST_ANSWER_MILLIS)));
 			endIdleness();
 			this.group.schedule(this.terminated::countDown, this.settings.shutdownTimeoutMillis(),
 					TimeUnit.MILLISECONDS);
