Send answers that callers read slowly before the process ends

Cause: a request is no longer in progress once its answer is handed to the caller's connection. From then on, all connections had 1.2 s to close, also those whose answers were being sent.

Fix: that limit holds while no connection is busy; answers end by their callers' deadlines, the stop by its timeout. A connection that is told to stop closes after its answer, also if the head of the answer promised to stay open.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
@@ -374,6 +374,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether a request is in progress or its answer is not sent completely.
+	 * @return {@code true} if closing the connection would cut an answer
+	 */
+	boolean isBusy() {
+		return this.exchange != null;
+	}
+
 	boolean isWritable() {
 		this.outOfTurn = this.streamLease.size() > 0 && !this.pressure.held().mayReadAhead();
 		return this.context.channel().isWritable() && !this.outOfTurn;
@@ -462,7 +470,7 @@
 		this.exchange = null;
 		this.answered = true;
 		cancelTimer();
-		if (close) {
+		if (close || (this.stopping && this.queuedMessages.isEmpty())) {
 			this.closed = true;
 			closeOutput();
 			return;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerServer.java
@@ -140,6 +140,15 @@
 		return this.connections.size();
 	}
 
+	/**
+	 * Returns the number of connections on which a request is in progress or its answer
+	 * is being sent. To be called on the event loop.
+	 * @return the number
+	 */
+	public int busyConnections() {
+		return (int) this.connections.stream().filter(CallerConnection::isBusy).count();
+	}
+
 	static CallerConnection configurePipeline(ChannelPipeline pipeline, CallerProtocol protocol,
 			CallerListener listener, LongSupplier ids) {
 		CallerResponseEncoder encoder = new CallerResponseEncoder();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -76,7 +76,8 @@
 	private static final long IDLE_TICK_MILLIS = 100;
 
 	/**
-	 * Maximum time to close the connections of callers when the process ends.
+	 * Maximum time to close the connections of callers when the process ends, apart from
+	 * those whose answers are being sent.
 	 */
 	private static final long MAX_CLOSING_MILLIS = 1200;
 
@@ -362,7 +363,8 @@
 			return;
 		}
 		this.callerServers.forEach(CallerServer::closeConnections);
-		if (openCallerConnections() == 0 || now - this.closingMillis >= MAX_CLOSING_MILLIS) {
+		boolean busy = this.callerServers.stream().anyMatch((server) -> server.busyConnections() > 0);
+		if (openCallerConnections() == 0 || (!busy && now - this.closingMillis >= MAX_CLOSING_MILLIS)) {
 			this.terminated.countDown();
 		}
 	}
