Keep what is read behind the requests that are queued

Cause: after an answer, the queue is handled in a later task. What the event loop reads of the connection before that task runs found no exchange and was handled at once, ahead of the queue; the end of a request that was queued in part was lost.

Fix: what is read is queued as long as anything is. A stop no longer closes a connection whose requests are queued.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/caller/CallerConnection.java
@@ -209,7 +209,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.exchange != null) {
+		if (this.exchange != null || !this.queuedMessages.isEmpty()) {
 			this.queuedMessages.addLast((HttpObject) message);
 			this.queuedLease.set(this.queuedLease.size() + size((HttpObject) message));
 			if (this.queuedMessages.size() > MAX_QUEUED_MESSAGES || this.queuedLease.size() > MAX_QUEUED_BYTES) {
@@ -367,7 +367,7 @@
 	}
 
 	private void closeIdle() {
-		if (!this.closed && this.exchange == null) {
+		if (!this.closed && this.exchange == null && this.queuedMessages.isEmpty()) {
 			this.closed = true;
 			cancelTimer();
 			closeOutput();
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/caller/CallerConnectionTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/caller/CallerConnectionTests.java
@@ -132,6 +132,40 @@
 		assertThat(sent()).matches("(?s).*one.*two");
 	}
 
+	/**
+	 * Failure: a request that was read between the end of an answer and the next queued
+	 * request was handled first and got its answer first.
+	 */
+	@Test
+	void pipelinedRequestThatIsReadAfterAnAnswerWaitsForThoseBeforeIt() {
+		send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPOST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe");
+		answer(this.received.get(0), "one");
+		send("lloGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+		this.channel.runPendingTasks();
+		answer(this.received.get(1), "two");
+		send("GET /4 HTTP/1.1\r\nHost: h\r\n\r\n");
+		this.channel.runPendingTasks();
+		answer(this.received.get(2), "three");
+		this.channel.runPendingTasks();
+		assertThat(this.received).extracting((exchange) -> exchange.request().target())
+			.containsExactly("/1", "/2", "/3", "/4");
+		assertThat(new String(this.received.get(1).request().body(), StandardCharsets.US_ASCII)).isEqualTo("hello");
+	}
+
+	/** Failure that must not occur: a stop closes a connection whose requests wait. */
+	@Test
+	void queuedRequestsAreAnsweredBeforeAStopClosesTheirConnection() {
+		send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+		this.channel.pipeline().get(CallerConnection.class).stop();
+		answer(this.received.get(0), "one");
+		advanceTime(601);
+		assertThat(sent()).contains("one");
+		this.closing = true;
+		answer(this.received.get(1), "two");
+		assertThat(sent()).contains("connection: close").contains("two");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	@Test
 	void ambiguousLengthIsRejectedAndConnectionClosed() {
 		for (String smuggled : List.of(
