Release answers whose callers left before them

Cause: such attempts go on when their callers leave. ForwardedAnswer, which had been discarded by then, took the body of the completed attempt with its lease, as it asked whether the answer had begun and not whether the exchange had ended; the attempt left the release to it.

Fix: a body whose exchange has ended is released. On a related path, an endpoint that never ends such an answer held it for as long as it lived: these attempts are cancelled once the caller's deadline has passed.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
@@ -71,7 +71,9 @@
 	}
 
 	void buffer(int bufferedStatus, HttpHeaders bufferedHeaders, BodyBuffer bufferedBody) {
-		if (isBegun()) {
+		// The answer of a request that must not be cancelled may come after its caller
+		// left.
+		if (isBegun() || this.exchange.isEnded()) {
 			bufferedBody.lease().release();
 			return;
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -537,7 +537,12 @@
 	public void callerDisconnected(CallerExchange exchange) {
 		this.metrics.count("callers_gone");
 		run(new GatewayEvent.CallerDisconnected(exchange.id()));
+		Optional<Long> abandoned = Optional.ofNullable(this.attemptByRequest.get(exchange.id()));
 		removeRequest(exchange.id()).ifPresent(ForwardedAnswer::discard);
+		// Nothing waits for the answer, but an endpoint that never ends it must not be
+		// waited for either.
+		abandoned.ifPresent((attempt) -> this.group.schedule(() -> this.endpointPool.cancel(attempt),
+				exchange.request().head().deadlineMillis(), TimeUnit.MILLISECONDS));
 	}
 
 	@Override
