Keep a silent stream at its engine until another one has resumed it

Streams were broken off when their engine was silent for a second and the engine that they were moved to refused them or was lost, although the first one was sound and went on.

Cause: the attempt at the silent engine was cancelled before any other engine had taken the stream. With two attempts, nothing was left after that.

Fix: the silent attempt of a begun stream is kept until the next one sends its first event. Whichever sends a chunk first goes on, the other is cancelled; if the next one fails and no attempt is left, the stream waits where it was. When streams are moved is unchanged.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/ForwardState.java
@@ -108,6 +108,12 @@
 	/** When the attempt counts as stalled unless another chunk is received. */
 	long stallDeadlineMillis;
 
+	/**
+	 * The attempt that a begun stream was taken from because of its silence, until the
+	 * attempt that resumes it has begun.
+	 */
+	Optional<SilentAttempt> silentAttempt = Optional.empty();
+
 	/** Number of engines that have not answered a reservation request yet. */
 	int pendingReservations;
 
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -5,10 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
-import io.mulberrylift.core.cost.CompletionEstimate;
 import io.mulberrylift.core.cost.ExpectedCompletionPlacement;
 import io.mulberrylift.core.cost.LearnedCosts;
 import io.mulberrylift.core.gossip.RelayPeer;
@@ -26,7 +24,6 @@
 import io.mulberrylift.core.placement.Placement;
 import io.mulberrylift.core.placement.PromptDemand;
 import io.mulberrylift.core.placement.PromptPlacement;
-import io.mulberrylift.core.placement.RequestWork;
 import io.mulberrylift.core.placement.WorkTable;
 
 /**
@@ -423,7 +420,7 @@
 		beginAttempt(state, nowMillis);
 		state.placement = placement;
 		state.sends++;
-		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
+		state.stallDeadlineMillis = StallDetector.firstCheckMillis(StreamMoves.silence(state));
 		state.triedEndpoints.add(placement.endpoint().id());
 		recordWork(state, demand(state, nowMillis), nowMillis);
 		state.estimate.ifPresent((estimate) -> this.costs.sent(state.requestId, placement.endpoint(),
@@ -435,19 +432,7 @@
 		List<GatewayEffect.Helper> helpers = state.reservations.isEmpty()
 				? placement.helpers().stream().map((each) -> new GatewayEffect.Helper(each, Optional.empty())).toList()
 				: this.reservations.helpers(state);
-		log(effects, "sent", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
-				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "prompt-parts",
-				promptParts(state), "attempt", state.attemptId, "endpoint", placement.endpoint().id(), "parts",
-				placement.parts(), "listed-helpers", helpers.size(), "helpers",
-				placement.helpers().stream().map((each) -> each.id().value()).collect(Collectors.joining(" ")),
-				"prompt", state.request.promptTokens(), "expected-first-token-millis",
-				(long) placement.expectedFirstTokenMillis(), "cost", Math.round(placement.cost() * 100) / 100.0,
-				"expected-millis", state.estimate.map((each) -> (long) each.totalMillis()).orElse(-1L),
-				"expected-wait-millis", state.estimate.map((each) -> (long) each.waitMillis()).orElse(-1L),
-				"observations", state.estimate.map(CompletionEstimate::observations).orElse(-1L),
-				"observation-age-millis", state.estimate.map(CompletionEstimate::ageMillis).orElse(-1L), "pace",
-				state.estimate.map((each) -> Math.round(each.paceFactor() * 100) / 100.0).orElse(1.0),
-				"remaining-millis", state.timeLeftMillis(nowMillis), "room", room(state, nowMillis));
+		effects.add(SentLog.line(state, helpers.size(), room(state, nowMillis), nowMillis));
 		effects.add(new GatewayEffect.Send(state.requestId, state.attemptId, placement.endpoint(), helpers,
 				state.timeLeftMillis(nowMillis), rank(state), state.route.kind(), state.workspace));
 	}
@@ -470,29 +455,10 @@
 			.orElse("");
 	}
 
-	private static String promptParts(ForwardState state) {
-		return state.request.promptParts().stream().map(Long::toHexString).collect(Collectors.joining(" "));
-	}
-
 	private void recordWork(ForwardState state, PromptDemand demand, long nowMillis) {
-		Placement placement = state.placement;
-		int endpointHash = WorkTable.hash(placement.endpoint().id());
-		if (!state.isPrompt()) {
-			// Peers read the two times as those of the start and the end of the work.
-			long start = state.estimate.map((each) -> each.startMillis(nowMillis)).orElse(state.deadlineMillis);
-			long end = state.estimate.map((each) -> each.endMillis(nowMillis)).orElse(state.deadlineMillis);
-			this.work.put(state.requestId, new RequestWork(false, 0, 0, 0, 0, start, end, 1, endpointHash, List.of()));
-			return;
-		}
-		long due = nowMillis + demand.firstTokenTimeLeftMillis();
-		long expected = nowMillis + (long) placement.expectedFirstTokenMillis();
-		long reservedTokens = state.reservations.isEmpty() ? 0 : state.reservedTokensPerEngine;
-		this.work.put(state.requestId,
-				new RequestWork(false, placement.partPrefillMillis(),
-						(reservedTokens > 0) ? reservedTokens : demand.memoryTokens(), reservedTokens,
-						demand.gapTargetMillis(), due, expected, demand.weight(), endpointHash,
-						placement.helpers().stream().map((helper) -> WorkTable.hash(helper.id())).toList()));
-		if (state.division.isPresent() && this.room.isPublishedIndividually(state.division.get(), demand)) {
+		this.work.put(state.requestId, RequestWorkFactory.create(state, demand, nowMillis));
+		if (state.isPrompt() && state.division.isPresent()
+				&& this.room.isPublishedIndividually(state.division.get(), demand)) {
 			this.work.publishIndividually(state.requestId);
 		}
 	}
@@ -501,15 +467,12 @@
 		return SendRank.of(state.route.firstByteTargetMillis()).value();
 	}
 
-	private static long firstChunkTimeoutMillis(Route route, Placement placement) {
-		return Math.max(StallTimeouts.millis(route), (long) (1.5 * placement.expectedFirstTokenMillis()) + 500);
-	}
-
 	void chunkReceived(long attemptId, long nowMillis, List<GatewayEffect> effects) {
 		ForwardState state = this.byAttemptId.get(attemptId);
 		if (state == null) {
 			return;
 		}
+		chooseAttempt(state, attemptId, nowMillis, effects);
 		if (!state.attemptStarted) {
 			state.attemptStarted = true;
 			state.answerStarted = true;
@@ -527,7 +490,45 @@
 		}
 		this.linkEvidence.answerReceived(state.service, nowMillis, effects);
 		health(state).recordActivity(nowMillis);
-		state.stallDeadlineMillis = StallDetector.firstCheckMillis(silence(state));
+		state.stallDeadlineMillis = StallDetector.firstCheckMillis(StreamMoves.silence(state));
+	}
+
+	/**
+	 * Cancels the other attempt of a stream that two endpoints may continue.
+	 * @param state the request
+	 * @param attemptId the attempt that continues the stream
+	 * @param nowMillis the current time
+	 * @param effects receives the effects
+	 */
+	private void chooseAttempt(ForwardState state, long attemptId, long nowMillis, List<GatewayEffect> effects) {
+		if (state.silentAttempt.isEmpty()) {
+			return;
+		}
+		if (attemptId == state.attemptId) {
+			cancelSilent(state, effects);
+			return;
+		}
+		effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
+		this.byAttemptId.remove(state.attemptId);
+		returnToSilent(state, nowMillis, effects);
+	}
+
+	private void returnToSilent(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
+		SilentAttempt silent = state.silentAttempt.orElseThrow();
+		silent.restore(state);
+		this.work.remove(state.requestId);
+		recordWork(state, demand(state, nowMillis), nowMillis);
+		this.work.markDecoding(state.requestId);
+		log(effects, "stream-returned", "request", state.requestId, "attempt", state.attemptId, "endpoint",
+				state.placement.endpoint().id(), "idle-millis", nowMillis - state.lastChunkMillis);
+	}
+
+	private void cancelSilent(ForwardState state, List<GatewayEffect> effects) {
+		state.silentAttempt.ifPresent((silent) -> {
+			effects.add(new GatewayEffect.CancelAttempt(silent.attemptId()));
+			this.byAttemptId.remove(silent.attemptId());
+		});
+		state.silentAttempt = Optional.empty();
 	}
 
 	/**
@@ -539,7 +540,7 @@
 	 */
 	void readingPaused(long attemptId, boolean paused, long nowMillis) {
 		ForwardState state = this.byAttemptId.get(attemptId);
-		if (state == null || state.readingPaused == paused) {
+		if (state == null || attemptId != state.attemptId || state.readingPaused == paused) {
 			return;
 		}
 		state.readingPaused = paused;
@@ -547,7 +548,7 @@
 			state.lastChunkMillis = nowMillis;
 			state.stallDeadlineMillis = (state.relayPeer.isPresent())
 					? nowMillis + StallTimeouts.lastMillis(state.route)
-					: StallDetector.firstCheckMillis(silence(state));
+					: StallDetector.firstCheckMillis(StreamMoves.silence(state));
 		}
 	}
 
@@ -558,6 +559,13 @@
 		if (state == null) {
 			return;
 		}
+		if (event.attemptId() != state.attemptId) {
+			if (!outcome.isCompleted()) {
+				state.silentAttempt = Optional.empty();
+				return;
+			}
+			chooseAttempt(state, event.attemptId(), nowMillis, effects);
+		}
 		if (state.relayPeer.isPresent()) {
 			relayEnded(state, event, nowMillis, effects);
 			return;
@@ -812,7 +820,7 @@
 		}
 		EndpointHealth health = health(state);
 		StallDetector.EngineSigns signs = engineSigns(state, health);
-		StallDetector.Judgement judgement = StallDetector.judge(silence(state), signs, nowMillis);
+		StallDetector.Judgement judgement = StallDetector.judge(StreamMoves.silence(state), signs, nowMillis);
 		state.stallDeadlineMillis = judgement.recheckMillis();
 		switch (judgement.verdict()) {
 			case SOUND -> {
@@ -836,10 +844,10 @@
 		if (dead) {
 			this.linkEvidence.endpointSilent(state, true, nowMillis, effects);
 		}
-		boolean movable = isMovable(state);
+		boolean movable = StreamMoves.isMovable(state);
 		Optional<Placement> placement = (movable) ? placement(state, nowMillis) : Optional.empty();
 		boolean aroundCut = movable && this.links.isCut(state.service) && this.relays.choose(state).isPresent();
-		if (!dead && placement.isPresent() && isTooLate(state, placement.get(), nowMillis)) {
+		if (!dead && placement.isPresent() && StreamMoves.isTooLate(state, placement.get(), nowMillis)) {
 			return;
 		}
 		if ((placement.isEmpty() && !aroundCut) || !mayRetry(state, AttemptOutcome.SILENT, nowMillis)) {
@@ -851,8 +859,13 @@
 				state.placement.endpoint().id(), "verdict", verdict, "idle-millis", nowMillis - state.lastChunkMillis,
 				"begun", state.attemptStarted, "output-age-millis",
 				nowMillis - Math.max(state.sentMillis, signs.outputMillis()), "reading-millis", signs.readingMillis());
-		effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
-		this.byAttemptId.remove(state.attemptId);
+		if (state.attemptStarted && !aroundCut) {
+			state.silentAttempt = Optional.of(SilentAttempt.of(state));
+		}
+		else {
+			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
+			this.byAttemptId.remove(state.attemptId);
+		}
 		if (dead) {
 			health.recordFault(nowMillis);
 		}
@@ -866,20 +879,6 @@
 		}
 	}
 
-	private static StallDetector.StreamSilence silence(ForwardState state) {
-		long stallMillis = StallTimeouts.millis(state.route);
-		long timeoutMillis = (state.attemptStarted) ? stallMillis
-				: firstChunkTimeoutMillis(state.route, state.placement);
-		return new StallDetector.StreamSilence(state.lastChunkMillis, state.attemptStarted, timeoutMillis, stallMillis,
-				StallTimeouts.lastMoveMillis(state.route, state.placement.expectedFirstTokenMillis()),
-				isMovable(state));
-	}
-
-	private static boolean isMovable(ForwardState state) {
-		return state.route.kind() == RequestKind.RESUMABLE_STREAM && state.reservations.isEmpty()
-				&& state.sends < state.maxAttempts();
-	}
-
 	private StallDetector.EngineSigns engineSigns(ForwardState state, EndpointHealth health) {
 		Optional<EngineCostModel> model = this.configuration.service(state.service).flatMap(ForwardedService::engine);
 		EndpointWork endpoint = this.work.view(List.of(state.placement.endpoint())).get(0);
@@ -888,11 +887,6 @@
 				model.map((engine) -> (long) endpoint.maxReadingMillis(engine, state.attemptStarted)).orElse(0L));
 	}
 
-	private static boolean isTooLate(ForwardState state, Placement placement, long nowMillis) {
-		double idleMillis = nowMillis - state.lastChunkMillis + placement.expectedFirstTokenMillis();
-		return idleMillis > StallTimeouts.callerMillis(state.route);
-	}
-
 	/**
 	 * Hands a request whose peer does not answer and is not heard of to another peer. One
 	 * that must not be repeated continues to wait.
@@ -918,6 +912,10 @@
 	}
 
 	private void giveUp(ForwardState state, RefusalCause cause, long nowMillis, List<GatewayEffect> effects) {
+		if (state.silentAttempt.isPresent() && nowMillis < state.deadlineMillis) {
+			returnToSilent(state, nowMillis, effects);
+			return;
+		}
 		if (state.answerStarted) {
 			log(effects, "answer-aborted", "request", state.requestId, "cause", cause);
 			finish(state, nowMillis, effects);
@@ -933,8 +931,8 @@
 		Optional<Long> retryAfterMillis = retryAfterMillis(state, cause, nowMillis);
 		log(effects, "refused", "request", state.requestId, "caller-attempt", state.request.attemptId(), "route",
 				state.route.name(), "fingerprint", Long.toHexString(state.request.fingerprint()), "prompt-parts",
-				promptParts(state), "cause", cause, "sends", state.sends, "retry-after", retryAfterMillis.orElse(-1L),
-				"configuration", this.configuration.version());
+				SentLog.promptParts(state), "cause", cause, "sends", state.sends, "retry-after",
+				retryAfterMillis.orElse(-1L), "configuration", this.configuration.version());
 		effects.add(new GatewayEffect.Refuse(state.requestId, cause, retryAfterMillis));
 	}
 
@@ -969,6 +967,7 @@
 
 	private void finish(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		this.byRequestId.remove(state.requestId);
+		cancelSilent(state, effects);
 		if (state.attemptId != 0) {
 			this.byAttemptId.remove(state.attemptId);
 		}
--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/forwarding/GatewayFixture.java
@@ -120,6 +120,22 @@
 		return fields;
 	}
 
+	/**
+	 * Returns the attempts after which their requests were sent to another endpoint, in
+	 * the order of these later attempts.
+	 */
+	List<Long> movedAttempts() {
+		Map<Long, Long> lastAttempts = new HashMap<>();
+		List<Long> moved = new ArrayList<>();
+		for (GatewayEffect.Send send : all(GatewayEffect.Send.class)) {
+			Long before = lastAttempts.put(send.requestId(), send.attemptId());
+			if (before != null) {
+				moved.add(before);
+			}
+		}
+		return moved;
+	}
+
 	<T extends GatewayEffect> List<T> all(Class<T> type) {
 		return this.effects.stream().filter(type::isInstance).map(type::cast).toList();
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -117,10 +117,7 @@
 
 	private final Map<Long, Long> arrivalMillisByRequest = new HashMap<>();
 
-	/** Request that each attempt belongs to. */
-	private final Map<Long, Long> requestByAttempt = new HashMap<>();
-
-	private final Map<Long, Long> attemptByRequest = new HashMap<>();
+	private final AttemptTable attempts = new AttemptTable();
 
 	/** Numbers the requests of callers and of peers. */
 	private final AtomicLong exchangeIds = new AtomicLong();
@@ -431,7 +428,7 @@
 		}
 		else if (effect instanceof GatewayEffect.CancelAttempt cancel) {
 			this.endpointPool.cancel(cancel.attemptId());
-			removeAttempt(cancel.attemptId());
+			this.attempts.remove(cancel.attemptId());
 		}
 		else if (effect instanceof GatewayEffect.DiscardConnections discard) {
 			this.endpointPool.closeIdle(discard.endpoint());
@@ -449,8 +446,7 @@
 
 	private void send(GatewayEffect.Send send) {
 		ForwardedAnswer answer = this.answersByRequest.get(send.requestId());
-		this.requestByAttempt.put(send.attemptId(), send.requestId());
-		this.attemptByRequest.put(send.requestId(), send.attemptId());
+		this.attempts.add(send.attemptId(), send.requestId());
 		Optional<String> exceededLimit = this.endpointProtocol.exceededLimit(send);
 		if (exceededLimit.isPresent()) {
 			this.log.write("send-rejected", "request", send.requestId(), "attempt", send.attemptId(), "problem",
@@ -464,8 +460,7 @@
 	}
 
 	private void relay(GatewayEffect.Relay relay) {
-		this.requestByAttempt.put(relay.attemptId(), relay.requestId());
-		this.attemptByRequest.put(relay.requestId(), relay.attemptId());
+		this.attempts.add(relay.attemptId(), relay.requestId());
 		this.metrics.count("relays");
 		NetAddress address = GatewaySettings.relayAddress(NetAddress.parse(relay.peer()));
 		ForwardEndpoint peer = new ForwardEndpoint(new EndpointId("peer-" + relay.peer()), "", address.host(),
@@ -482,20 +477,10 @@
 		if (arrived != null) {
 			this.metrics.recordCompleteAnswer(nowMillis() - arrived);
 		}
-		Long attempt = this.attemptByRequest.remove(requestId);
-		if (attempt != null) {
-			this.requestByAttempt.remove(attempt);
-		}
+		this.attempts.removeRequest(requestId);
 		return Optional.ofNullable(this.answersByRequest.remove(requestId));
 	}
 
-	private void removeAttempt(long attemptId) {
-		Long request = this.requestByAttempt.remove(attemptId);
-		if (request != null) {
-			this.attemptByRequest.remove(request, attemptId);
-		}
-	}
-
 	private void refuse(GatewayEffect.Refuse refuse) {
 		this.metrics.countRefusal(refuse.cause());
 		removeRequest(refuse.requestId()).ifPresent((answer) -> {
@@ -537,11 +522,11 @@
 	public void callerDisconnected(CallerExchange exchange) {
 		this.metrics.count("callers_gone");
 		run(new GatewayEvent.CallerDisconnected(exchange.id()));
-		Optional<Long> abandoned = Optional.ofNullable(this.attemptByRequest.get(exchange.id()));
+		List<Long> abandoned = this.attempts.ofRequest(exchange.id());
 		removeRequest(exchange.id()).ifPresent(ForwardedAnswer::discard);
 		// Nothing waits for the answer, but an endpoint that never ends it must not be
 		// waited for either.
-		abandoned.ifPresent((attempt) -> this.group.schedule(() -> this.endpointPool.cancel(attempt),
+		abandoned.forEach((attempt) -> this.group.schedule(() -> this.endpointPool.cancel(attempt),
 				exchange.request().head().deadlineMillis(), TimeUnit.MILLISECONDS));
 	}
 
@@ -554,10 +539,7 @@
 
 	@Override
 	public void becameWritable(CallerExchange exchange) {
-		Long attempt = this.attemptByRequest.get(exchange.id());
-		if (attempt != null) {
-			this.endpointPool.resume(attempt);
-		}
+		this.attempts.ofRequest(exchange.id()).forEach(this.endpointPool::resume);
 	}
 
 	@Override
@@ -597,7 +579,7 @@
 		this.metrics.countAttempt(outcome);
 		this.endpointPool.removeAttempt(attemptId);
 		run(new GatewayEvent.AttemptEnded(attemptId, outcome, status));
-		removeAttempt(attemptId);
+		this.attempts.remove(attemptId);
 	}
 
 	@Override
