Give back what a moved stream reserved if it returns to its engine

Found by reading the change before: a stream that is moved again may wait for reservations of several engines when its silent engine goes on. Their answers would then have sent it a second time beside the attempt in progress. The reservations are released when the stream returns.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -434,7 +434,8 @@
 				: this.reservations.helpers(state);
 		effects.add(SentLog.line(state, helpers.size(), room(state, nowMillis), nowMillis));
 		effects.add(new GatewayEffect.Send(state.requestId, state.attemptId, placement.endpoint(), helpers,
-				state.timeLeftMillis(nowMillis), rank(state), state.route.kind(), state.workspace));
+				state.timeLeftMillis(nowMillis), SendRank.of(state.route.firstByteTargetMillis()).value(),
+				state.route.kind(), state.workspace));
 	}
 
 	private void recordFirstToken(ForwardState state, long nowMillis) {
@@ -463,10 +464,6 @@
 		}
 	}
 
-	private static int rank(ForwardState state) {
-		return SendRank.of(state.route.firstByteTargetMillis()).value();
-	}
-
 	void chunkReceived(long attemptId, long nowMillis, List<GatewayEffect> effects) {
 		ForwardState state = this.byAttemptId.get(attemptId);
 		if (state == null) {
@@ -508,14 +505,17 @@
 			cancelSilent(state, effects);
 			return;
 		}
-		effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
-		this.byAttemptId.remove(state.attemptId);
+		if (state.attemptId != 0) {
+			effects.add(new GatewayEffect.CancelAttempt(state.attemptId));
+			this.byAttemptId.remove(state.attemptId);
+		}
 		returnToSilent(state, nowMillis, effects);
 	}
 
 	private void returnToSilent(ForwardState state, long nowMillis, List<GatewayEffect> effects) {
 		SilentAttempt silent = state.silentAttempt.orElseThrow();
 		silent.restore(state);
+		this.reservations.release(state, nowMillis, effects);
 		this.work.remove(state.requestId);
 		recordWork(state, demand(state, nowMillis), nowMillis);
 		this.work.markDecoding(state.requestId);
