Log how resumptions of streams are answered

The log could not tell the hypotheses of the incident apart: no line named the content type of the answer to a resumption, nor the event after which it was to go on. There is one line for each resumption that is answered, with texts of endpoints cut to 80 characters.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.gateway.endpoint;
 
+import java.util.Optional;
+
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
@@ -17,6 +19,17 @@
 	 */
 	void chunkReceived(long attemptId);
 
+	/**
+	 * Called when the head of the answer to an attempt was received that is to resume a
+	 * begun stream.
+	 * @param attemptId the attempt
+	 * @param afterEvent identifier of the last event that the caller has, empty if it has
+	 * none
+	 * @param status status code of the answer
+	 * @param contentType content type of the answer, empty if it has none
+	 */
+	void resumptionAnswered(long attemptId, Optional<String> afterEvent, int status, Optional<String> contentType);
+
 	/**
 	 * Called when the stream of an attempt isn't read any more, since its caller reads
 	 * slowly, and when it is read again.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -157,6 +157,10 @@
 		this.status = response.status().code();
 		this.headers = this.protocol.answerHeaders(response);
 		this.headRead = true;
+		if (this.answer.isBegun()) {
+			this.listener.resumptionAnswered(id(), this.resumeAfter, this.status,
+					Optional.ofNullable(response.headers().get(HttpHeaderNames.CONTENT_TYPE)));
+		}
 		if (classified == AnswerClass.VALID && isStreamed()) {
 			this.answer.bufferHead(this.status, this.headers);
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/AttemptTable.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/AttemptTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * The attempts in progress of each request: mostly one, two while a stream may go on at
@@ -55,6 +56,15 @@
 		}
 	}
 
+	/**
+	 * Returns the request of an attempt.
+	 * @param attemptId the attempt
+	 * @return the request, empty if the attempt is not listed
+	 */
+	Optional<Long> requestOf(long attemptId) {
+		return Optional.ofNullable(this.requestByAttempt.get(attemptId));
+	}
+
 	/**
 	 * Returns the attempts of a request.
 	 * @param requestId the request
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -87,6 +87,9 @@
 	/** Interval at which the view of the fleet and of the platform is updated. */
 	private static final long VIEW_INTERVAL_MILLIS = 100;
 
+	/** Maximum length of a text of an endpoint in a log line. */
+	private static final int MAX_LOGGED_CHARACTERS = 80;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final EventLoopGroup group = new NioEventLoopGroup(1);
@@ -569,6 +572,18 @@
 		run(new GatewayEvent.AnswerChunk(attemptId));
 	}
 
+	@Override
+	public void resumptionAnswered(long attemptId, Optional<String> afterEvent, int status,
+			Optional<String> contentType) {
+		this.log.write("resumption-answered", "request", this.attempts.requestOf(attemptId).orElse(-1L), "attempt",
+				attemptId, "after-event", abbreviated(afterEvent), "status", status, "content-type",
+				abbreviated(contentType));
+	}
+
+	private static String abbreviated(Optional<String> text) {
+		return text.map((all) -> all.substring(0, Math.min(all.length(), MAX_LOGGED_CHARACTERS))).orElse("");
+	}
+
 	@Override
 	public void readingPaused(long attemptId, boolean paused) {
 		run(new GatewayEvent.ReadingPaused(attemptId, paused));
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/AttemptTableTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/AttemptTableTests.java
@@ -22,6 +22,14 @@
 		assertThat(this.table.ofRequest(200)).containsExactly(2L);
 	}
 
+	@Test
+	void requestOfAnAttemptIsKnownUntilItEnds() {
+		this.table.add(1, 100);
+		assertThat(this.table.requestOf(1)).contains(100L);
+		this.table.remove(1);
+		assertThat(this.table.requestOf(1)).isEmpty();
+	}
+
 	@Test
 	void attemptsOfARequestThatEndedAreNotListedAgain() {
 		this.table.add(1, 100);
