Take only event streams for streams

Callers of a stream that was resumed at an endpoint which answered with a success of another type found its text in the middle of their stream (up to its last empty line), or the stream ended as complete before its last event. Without a stream before it, such a success was sent on up to its last empty line and then repeated elsewhere.

Cause: whether an answer is a stream was decided by the kind of the request and a status below 300, not by the answer. Now it is one if its status is 200 and its type text/event-stream, as for any reader of event streams. Another success is delivered whole if nothing was sent before it. If a stream was begun, its resumption has failed with the head: the rest isn't waited for, and the stream is resumed elsewhere within its attempts and the retry budget, or broken off.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 
 /**
  * An attempt to have a request answered by one endpoint.
@@ -24,6 +26,8 @@
  */
 public final class EndpointAttempt {
 
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	/** Maximum size of an event of a stream. */
 	private static final int MAX_EVENT_BYTES = 1024 * 1024;
 
@@ -57,6 +61,9 @@
 
 	private boolean headRead;
 
+	/** Whether the answer is an event stream, as its head says. */
+	private boolean streamed;
+
 	/** Whether the answer accounts for the buffered body from now on. */
 	private boolean delivered;
 
@@ -161,14 +168,27 @@
 			this.listener.resumptionAnswered(id(), this.resumeAfter, this.status,
 					Optional.ofNullable(response.headers().get(HttpHeaderNames.CONTENT_TYPE)));
 		}
-		if (classified == AnswerClass.VALID && isStreamed()) {
+		this.streamed = classified == AnswerClass.VALID && this.send.kind().isStream() && isEventStream(response);
+		if (this.streamed) {
 			this.answer.bufferHead(this.status, this.headers);
 		}
 		return true;
 	}
 
-	private boolean isStreamed() {
-		return this.send.kind().isStream() && this.status < 300;
+	private static boolean isEventStream(HttpResponse response) {
+		CharSequence mediaType = HttpUtil.getMimeType(response);
+		return response.status().code() == HttpResponseStatus.OK.code() && mediaType != null
+				&& EVENT_STREAM.equalsIgnoreCase(mediaType.toString().trim());
+	}
+
+	/**
+	 * Returns whether the answer cannot continue the stream that the caller has the
+	 * beginning of. Its status may be one of a success all the same.
+	 * @return {@code true} if the rest of the answer is of no use
+	 */
+	boolean failsToResume() {
+		boolean answered = this.answerClass == AnswerClass.VALID || this.answerClass == AnswerClass.FAILURE;
+		return answered && !this.streamed && this.answer.isBegun();
 	}
 
 	/**
@@ -178,7 +198,7 @@
 	 * exceed their maximum size
 	 */
 	boolean bodyReceived(ByteBuf bytes) {
-		if (this.answerClass == AnswerClass.VALID && isStreamed()) {
+		if (this.streamed) {
 			return forwardEvents(bytes);
 		}
 		return this.bufferedBody.append(bytes);
@@ -234,10 +254,9 @@
 	}
 
 	private void completeValid(AttemptOutcome completed) {
-		if (!isStreamed()) {
-			boolean resumptionFailed = this.answer.isBegun();
+		if (!this.streamed) {
 			deliverBuffered();
-			end((resumptionFailed) ? AttemptOutcome.ENDPOINT_ERROR : completed);
+			end(completed);
 		}
 		else {
 			end((this.splitter.hasPartialEvent()) ? AttemptOutcome.BROKEN_MIDWAY : completed);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -163,7 +163,12 @@
 			this.skippingAnswer = true;
 			return true;
 		}
-		this.skippingAnswer = !this.attempt.headReceived(response);
+		EndpointAttempt current = this.attempt;
+		this.skippingAnswer = !current.headReceived(response);
+		if (!this.skippingAnswer && current.failsToResume()) {
+			fail(AttemptOutcome.ENDPOINT_ERROR);
+			return false;
+		}
 		if (!this.skippingAnswer) {
 			this.headRead = true;
 			this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
