Break off a begun stream whose last data have no identifier

Callers of a stream whose events have no identifiers got events twice: when its endpoint broke off, the stream was sent again without Last-Event-Id, and the whole second run followed the beginning of the first one.

Cause: whether a begun stream may be resumed was decided by its route alone. A resumption now needs an identifier of the last data that the caller has; comments may come again. Without one the attempt isn't sent, neither to an endpoint nor to a peer, and the stream is broken off, or goes on where it was silent. The Forwarder is unchanged: the attempt ends as others that are not sent.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
@@ -25,6 +25,9 @@
 
 	private Optional<String> lastEventId = Optional.empty();
 
+	/** Whether data without an identifier was forwarded since the last identifier. */
+	private boolean endsUnidentified;
+
 	private int status = 502;
 
 	private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
@@ -54,6 +57,16 @@
 		return this.lastEventId;
 	}
 
+	/**
+	 * Returns why no further attempt can continue the stream.
+	 * @return the problem, empty if nothing was forwarded or the last data have an
+	 * identifier
+	 */
+	public Optional<String> resumptionProblem() {
+		return (this.endsUnidentified) ? Optional.of("the last data of the begun stream has no identifier")
+				: Optional.empty();
+	}
+
 	/**
 	 * Returns whether part of a stream was forwarded, which only events can continue.
 	 * @return {@code true} once the caller has the head of the answer
@@ -97,6 +110,10 @@
 		}
 		if (event.id().isPresent()) {
 			this.lastEventId = event.id();
+			this.endsUnidentified = false;
+		}
+		else if (event.isUnidentifiedData()) {
+			this.endsUnidentified = true;
 		}
 		this.exchange.write(Unpooled.wrappedBuffer(event.bytes()));
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -450,11 +450,8 @@
 	private void send(GatewayEffect.Send send) {
 		ForwardedAnswer answer = this.answersByRequest.get(send.requestId());
 		this.attempts.add(send.attemptId(), send.requestId());
-		Optional<String> exceededLimit = this.endpointProtocol.exceededLimit(send);
-		if (exceededLimit.isPresent()) {
-			this.log.write("send-rejected", "request", send.requestId(), "attempt", send.attemptId(), "problem",
-					exceededLimit.get());
-			attemptEnded(send.attemptId(), AttemptOutcome.REJECTED, 0);
+		if (rejects(send.requestId(), send.attemptId(),
+				answer.resumptionProblem().or(() -> this.endpointProtocol.exceededLimit(send)))) {
 			return;
 		}
 		this.metrics.count("sends");
@@ -462,8 +459,21 @@
 		this.gossip.requestPlaced(nowMillis());
 	}
 
+	private boolean rejects(long requestId, long attemptId, Optional<String> problem) {
+		if (problem.isEmpty()) {
+			return false;
+		}
+		this.log.write("send-rejected", "request", requestId, "attempt", attemptId, "problem", problem.get());
+		attemptEnded(attemptId, AttemptOutcome.REJECTED, 0);
+		return true;
+	}
+
 	private void relay(GatewayEffect.Relay relay) {
+		ForwardedAnswer answer = this.answersByRequest.get(relay.requestId());
 		this.attempts.add(relay.attemptId(), relay.requestId());
+		if (rejects(relay.requestId(), relay.attemptId(), answer.resumptionProblem())) {
+			return;
+		}
 		this.metrics.count("relays");
 		NetAddress address = GatewaySettings.relayAddress(NetAddress.parse(relay.peer()));
 		ForwardEndpoint peer = new ForwardEndpoint(new EndpointId("peer-" + relay.peer()), "", address.host(),
@@ -471,8 +481,7 @@
 		this.endpointPool.send(
 				new GatewayEffect.Send(relay.requestId(), relay.attemptId(), peer, List.of(), relay.timeLeftMillis(), 0,
 						relay.kind(), Optional.empty()),
-				this.answersByRequest.get(relay.requestId()),
-				new RelayEndpointProtocol(this.endpointProtocol, relay.terms()));
+				answer, new RelayEndpointProtocol(this.endpointProtocol, relay.terms()));
 	}
 
 	private Optional<ForwardedAnswer> removeRequest(long requestId) {
