Attribute answers without an identifier to first requests only

Callers were told that a request has not run, or it ran at a second endpoint, when a faulty endpoint wrote a refusal without an identifier once more on a kept connection and then ran the next request there.

Cause: an answer without an identifier was taken for the answer to whatever request was pending. After an earlier request on the same connection it may be a further answer to that one, so it is now no valid answer: the request may have run, and is sent again only if its kind may be repeated. A first request on its connection can't be confused, and is answered as before.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -141,16 +141,18 @@
 	/**
 	 * Handles the head of an answer.
 	 * @param response the head
+	 * @param earlierRequests whether the connection has carried other requests
 	 * @return {@code false} if the answer belongs to another request and must be skipped
 	 */
-	boolean headReceived(HttpResponse response) {
+	boolean headReceived(HttpResponse response, boolean earlierRequests) {
 		this.protocol.reportedLoad(response)
 			.ifPresent((load) -> this.listener.loadReported(this.send.endpoint().id(), load));
 		AnswerClass classified = this.protocol.classify(response, request());
 		if (classified == AnswerClass.OTHER_REQUEST) {
 			return false;
 		}
-		if (response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
+		boolean unattributed = earlierRequests && !this.protocol.namesRequest(response);
+		if (unattributed || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
 			classified = AnswerClass.INVALID;
 		}
 		if (classified.isFromExpectedEndpoint()) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -41,6 +41,9 @@
 
 	private Optional<BodyWriter> requestWriter = Optional.empty();
 
+	/** Number of requests that the connection has carried. */
+	private long requests;
+
 	private boolean headRead;
 
 	private boolean skippingAnswer;
@@ -83,6 +86,7 @@
 
 	void send(EndpointAttempt next) {
 		this.attempt = next;
+		this.requests++;
 		this.headRead = false;
 		this.skippingAnswer = false;
 		this.skippedBytes = 0;
@@ -164,7 +168,7 @@
 			return true;
 		}
 		EndpointAttempt current = this.attempt;
-		this.skippingAnswer = !current.headReceived(response);
+		this.skippingAnswer = !current.headReceived(response, this.requests > 1);
 		if (!this.skippingAnswer && current.failsToResume()) {
 			fail(AttemptOutcome.ENDPOINT_ERROR);
 			return false;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -51,6 +51,14 @@
 	 */
 	AnswerClass classify(HttpResponse answer, BufferedRequest request);
 
+	/**
+	 * Returns whether an answer states which request it belongs to. One that does not can
+	 * be a further answer to an earlier request of its connection.
+	 * @param answer the head
+	 * @return false if the answer has no identifier
+	 */
+	boolean namesRequest(HttpResponse answer);
+
 	/**
 	 * Returns the headers of an answer that are forwarded to the caller.
 	 * @param answer the head
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
@@ -81,6 +81,11 @@
 		return (mayHaveRun) ? AnswerClass.INVALID : AnswerClass.NOT_RUN;
 	}
 
+	@Override
+	public boolean namesRequest(HttpResponse answer) {
+		return this.endpoints.namesRequest(answer);
+	}
+
 	@Override
 	public HttpHeaders answerHeaders(HttpResponse answer) {
 		return this.endpoints.answerHeaders(answer);
