Pass on no promise that a request has not run which may run once

Callers of a non-idempotent request that an endpoint ran and failed with 408, 429 or 503 got that status, which tells them to send it again.

Cause: the status of an endpoint was passed on whatever it says to callers. Only an answer that states that the request has not run promises it; for kinds that may run once the others are now no valid answers, so that callers get 502 without the endpoint's signature. What such an answer says of the endpoint (its limit, its back-off) is read as before, and kinds that may be repeated get the endpoint's answer unchanged.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -162,7 +162,7 @@
 		if (classified == AnswerClass.NOT_RUN) {
 			this.protocol.reportedFault(response).ifPresent(this.listener::faultReported);
 		}
-		this.answerClass = classified;
+		this.answerClass = (promisesTooMuch(classified, response)) ? AnswerClass.INVALID : classified;
 		this.status = response.status().code();
 		this.headers = this.protocol.answerHeaders(response);
 		this.headRead = true;
@@ -170,13 +170,25 @@
 			this.listener.resumptionAnswered(id(), this.resumeAfter, this.status,
 					Optional.ofNullable(response.headers().get(HttpHeaderNames.CONTENT_TYPE)));
 		}
-		this.streamed = classified == AnswerClass.VALID && this.send.kind().isStream() && isEventStream(response);
+		this.streamed = this.answerClass == AnswerClass.VALID && this.send.kind().isStream() && isEventStream(response);
 		if (this.streamed) {
 			this.answer.bufferHead(this.status, this.headers);
 		}
 		return true;
 	}
 
+	/**
+	 * Returns whether callers would take an answer that doesn't state it for the promise
+	 * that a request has not run which may run only once.
+	 * @param classified meaning of the answer
+	 * @param response its head
+	 * @return {@code true} if its status must not be passed on
+	 */
+	private boolean promisesTooMuch(AnswerClass classified, HttpResponse response) {
+		boolean passedOn = classified == AnswerClass.VALID || classified == AnswerClass.FAILURE;
+		return passedOn && !this.send.kind().isRepeatable() && this.protocol.promisesNotRun(response.status().code());
+	}
+
 	private static boolean isEventStream(HttpResponse response) {
 		CharSequence mediaType = HttpUtil.getMimeType(response);
 		return response.status().code() == HttpResponseStatus.OK.code() && mediaType != null
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -59,6 +59,14 @@
 	 */
 	boolean namesRequest(HttpResponse answer);
 
+	/**
+	 * Returns whether callers take a status as the promise that their request has not
+	 * run. An endpoint may give it to a request that has run.
+	 * @param status a status code
+	 * @return true if callers send the request again, whatever its kind
+	 */
+	boolean promisesNotRun(int status);
+
 	/**
 	 * Returns the headers of an answer that are forwarded to the caller.
 	 * @param answer the head
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
@@ -86,6 +86,11 @@
 		return this.endpoints.namesRequest(answer);
 	}
 
+	@Override
+	public boolean promisesNotRun(int status) {
+		return this.endpoints.promisesNotRun(status);
+	}
+
 	@Override
 	public HttpHeaders answerHeaders(HttpResponse answer) {
 		return this.endpoints.answerHeaders(answer);
