Take no text for an identifier that no header can state

An endpoint whose event has the identifier "1<CR>x-injected: 1" could add a header to the request that resumes the stream elsewhere; an empty identifier was sent as an empty Last-Event-Id, so that the second run came whole behind the first one.

Cause: all that follows "id:" went into a header. Empty identifiers and those with control characters are none now, so a stream that ends with one is broken off as one without identifiers. What callers get of the event is unchanged.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EventSplitter.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EventSplitter.java
@@ -13,7 +13,8 @@
  *
  * <p>
  * Not thread-safe; each attempt has its own instance. An event ends with an empty line;
- * lines end with LF or CR LF.
+ * lines end with LF or CR LF. An identifier that is empty or has control characters is
+ * none, since no header of a request can state it.
  * </p>
  */
 public final class EventSplitter {
@@ -111,11 +112,15 @@
 		return new StreamEvent(bytes, id(bytes));
 	}
 
+	private static boolean isIdentifier(String text) {
+		return !text.isEmpty() && text.chars().noneMatch(Character::isISOControl);
+	}
+
 	private static Optional<String> id(byte[] event) {
 		Optional<String> id = Optional.empty();
 		for (String line : new String(event, StandardCharsets.ISO_8859_1).split("\r?\n")) {
 			if (line.startsWith(ID_FIELD)) {
-				id = Optional.of(line.substring(ID_FIELD.length()).trim());
+				id = Optional.of(line.substring(ID_FIELD.length()).trim()).filter(EventSplitter::isIdentifier);
 			}
 		}
 		return id;
