Place the events of a resumed stream before they are joined

Callers of a resumed stream got events twice, if the second run did not name them, named them with identifiers that are no numbers or too large ones, or if identifiers of the first run went back; a run that ended before the last event that the caller has completed the stream.

Cause: each event was taken for a new one unless its identifier was a number up to the last one. ResumedEvents places an event after what the caller has only if it comes after the last event or after one of a later number. Data before any identifier have no place: the resumption has failed, and the stream is resumed elsewhere or broken off. A run that has only seen earlier events continues nothing. The latest identifier is kept, not the last one sent.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -49,6 +49,8 @@
 
 	private final Optional<String> resumeAfter;
 
+	private final Optional<ResumedEvents> resumedEvents;
+
 	private final EventSplitter splitter = new EventSplitter(MAX_EVENT_BYTES);
 
 	private final BodyBuffer bufferedBody;
@@ -81,6 +83,7 @@
 		this.eventLease = pressure.held().lease();
 		this.bufferedBody = new BodyBuffer(pressure.held().lease(), MAX_ANSWER_BYTES);
 		this.resumeAfter = answer.lastEventId();
+		this.resumedEvents = this.resumeAfter.map(ResumedEvents::new);
 	}
 
 	long id() {
@@ -208,43 +211,38 @@
 	/**
 	 * Handles part of the body.
 	 * @param bytes the bytes, read to their end
-	 * @return {@code false} if the answer, one of its events or all buffered answers
-	 * exceed their maximum size
+	 * @return the outcome with which the rest of the answer is given up: the answer, one
+	 * of its events or all buffered answers exceed their maximum size, or it doesn't
+	 * continue the stream that the caller has; empty to read on
 	 */
-	boolean bodyReceived(ByteBuf bytes) {
+	Optional<AttemptOutcome> bodyReceived(ByteBuf bytes) {
 		if (this.streamed) {
 			return forwardEvents(bytes);
 		}
-		return this.bufferedBody.append(bytes);
+		return (this.bufferedBody.append(bytes)) ? Optional.empty() : Optional.of(AttemptOutcome.OVERSIZED);
 	}
 
-	private boolean forwardEvents(ByteBuf bytes) {
+	private Optional<AttemptOutcome> forwardEvents(ByteBuf bytes) {
 		try {
 			for (StreamEvent event : this.splitter.split(bytes)) {
 				if (this.ended) {
-					return true;
+					return Optional.empty();
+				}
+				ResumedEvents.Place place = this.resumedEvents.map((events) -> events.next(event))
+					.orElse(ResumedEvents.Place.NEW);
+				if (place == ResumedEvents.Place.UNKNOWN) {
+					return Optional.of(AttemptOutcome.ENDPOINT_ERROR);
 				}
-				if (!isAlreadyForwarded(event)) {
+				if (place == ResumedEvents.Place.NEW) {
 					this.answer.forward(event);
 				}
 				this.listener.chunkReceived(id());
 			}
-			return this.ended || this.eventLease.resize(this.splitter.bufferedBytes());
+			boolean held = this.ended || this.eventLease.resize(this.splitter.bufferedBytes());
+			return (held) ? Optional.empty() : Optional.of(AttemptOutcome.OVERSIZED);
 		}
 		catch (IllegalStateException ex) {
-			return false;
-		}
-	}
-
-	private boolean isAlreadyForwarded(StreamEvent event) {
-		if (this.resumeAfter.isEmpty() || event.id().isEmpty()) {
-			return false;
-		}
-		try {
-			return Long.parseLong(event.id().get()) <= Long.parseLong(this.resumeAfter.get());
-		}
-		catch (NumberFormatException ex) {
-			return false;
+			return Optional.of(AttemptOutcome.OVERSIZED);
 		}
 	}
 
@@ -272,8 +270,12 @@
 			deliverBuffered();
 			end(completed);
 		}
+		else if (this.splitter.hasPartialEvent()) {
+			end(AttemptOutcome.BROKEN_MIDWAY);
+		}
 		else {
-			end((this.splitter.hasPartialEvent()) ? AttemptOutcome.BROKEN_MIDWAY : completed);
+			boolean tooEarly = this.resumedEvents.map(ResumedEvents::endsTooEarly).orElse(false);
+			end((tooEarly) ? AttemptOutcome.ENDPOINT_ERROR : completed);
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -193,8 +193,9 @@
 			}
 			return;
 		}
-		if (!this.attempt.bodyReceived(content.content())) {
-			fail(AttemptOutcome.OVERSIZED);
+		Optional<AttemptOutcome> failure = this.attempt.bodyReceived(content.content());
+		if (failure.isPresent()) {
+			fail(failure.get());
 			return;
 		}
 		if (this.attempt == null) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/ForwardedAnswer.java
@@ -109,7 +109,10 @@
 			this.exchange.beginAnswer(this.status, this.headers);
 		}
 		if (event.id().isPresent()) {
-			this.lastEventId = event.id();
+			// Only the latest event covers all that the caller has.
+			if (this.lastEventId.isEmpty() || !ResumedEvents.isAtMost(event.id().get(), this.lastEventId.get())) {
+				this.lastEventId = event.id();
+			}
 			this.endsUnidentified = false;
 		}
 		else if (event.isUnidentifiedData()) {
