Give up every resumption that is no stream at its head

Callers of a begun stream waited until their deadline if the endpoint that was to resume it sent the head of a refusal, of an answer of another process or of an invalid answer, and its body didn't come. Such an attempt now ends with the head, as one that is answered by a success without events: the outcome doesn't depend on the body, and the stream is resumed elsewhere.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -199,13 +199,26 @@
 	}
 
 	/**
-	 * Returns whether the answer cannot continue the stream that the caller has the
-	 * beginning of. Its status may be one of a success all the same.
-	 * @return {@code true} if the rest of the answer is of no use
+	 * Returns whether an answer whose head was received can't continue the stream that
+	 * the caller has the beginning of, so that the rest of it isn't waited for.
+	 * @return the outcome of the attempt, empty if the answer is read on
 	 */
-	boolean failsToResume() {
-		boolean answered = this.answerClass == AnswerClass.VALID || this.answerClass == AnswerClass.FAILURE;
-		return answered && !this.streamed && this.answer.isBegun();
+	Optional<AttemptOutcome> failureAtHead() {
+		return (this.streamed || !this.answer.isBegun()) ? Optional.empty() : Optional.of(unstreamedOutcome());
+	}
+
+	/**
+	 * Returns the outcome of an answer that is neither a stream nor passed on.
+	 * @return the outcome, which does not depend on the body
+	 */
+	private AttemptOutcome unstreamedOutcome() {
+		return switch (this.answerClass) {
+			case VALID, FAILURE -> AttemptOutcome.ENDPOINT_ERROR;
+			case NOT_RUN -> AttemptOutcome.REFUSED_FULL;
+			case REJECTED -> AttemptOutcome.REJECTED;
+			case MISDIRECTED -> AttemptOutcome.MISDIRECTED;
+			default -> AttemptOutcome.GARBLED;
+		};
 	}
 
 	/**
@@ -258,10 +271,7 @@
 				deliverBuffered();
 				end(AttemptOutcome.ENDPOINT_ERROR);
 			}
-			case NOT_RUN -> end(AttemptOutcome.REFUSED_FULL);
-			case REJECTED -> end(AttemptOutcome.REJECTED);
-			case MISDIRECTED -> end(AttemptOutcome.MISDIRECTED);
-			default -> end(AttemptOutcome.GARBLED);
+			default -> end(unstreamedOutcome());
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -169,8 +169,9 @@
 		}
 		EndpointAttempt current = this.attempt;
 		this.skippingAnswer = !current.headReceived(response, this.requests > 1);
-		if (!this.skippingAnswer && current.failsToResume()) {
-			fail(AttemptOutcome.ENDPOINT_ERROR);
+		Optional<AttemptOutcome> failure = (this.skippingAnswer) ? Optional.empty() : current.failureAtHead();
+		if (failure.isPresent()) {
+			fail(failure.get());
 			return false;
 		}
 		if (!this.skippingAnswer) {
