Count endpoints that fail with false promises as failing

An endpoint that fails requests which may run once with 503, without stating that they have not run, no longer raised its failure rate since such an answer became an invalid one. It has an outcome of its own now, FALSE_PROMISE, which is a fault of the endpoint, a metric and a word in the log.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AttemptOutcome.java
@@ -15,8 +15,8 @@
 	COMPLETED_AT_CLOSE(true, false, false),
 
 	/**
-	 * A complete answer was received that reports a failure of the endpoint, or that does
-	 * not continue the stream which the attempt was to resume.
+	 * An answer was received that reports a failure of the endpoint, or that does not
+	 * continue the stream which the attempt was to resume.
 	 */
 	ENDPOINT_ERROR(true, false, true),
 
@@ -27,8 +27,8 @@
 
 	/**
 	 * The endpoint reported that it did not run the request because the request is
-	 * invalid, or the request was not sent because it exceeds a limit of the endpoint.
-	 * Other endpoints would reject it as well.
+	 * invalid, or the request was not sent because it exceeds a limit of the endpoint or
+	 * its stream cannot be resumed. Other endpoints would reject it as well.
 	 */
 	REJECTED(false, false, false),
 
@@ -44,6 +44,12 @@
 	/** The connection closed within an answer. */
 	BROKEN_MIDWAY(true, true, true),
 
+	/**
+	 * The endpoint failed a request that may run only once with a status by which callers
+	 * take it as not run, and did not state that.
+	 */
+	FALSE_PROMISE(true, false, true),
+
 	/** The endpoint sent bytes that are not a valid answer to this request. */
 	GARBLED(true, false, false),
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AnswerClass.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AnswerClass.java
@@ -27,6 +27,12 @@
 	/** The endpoint failed; the answer is forwarded if no other attempt follows. */
 	FAILURE,
 
+	/**
+	 * The status tells callers that a request has not run which may run only once, but
+	 * the endpoint does not state it.
+	 */
+	FALSE_PROMISE,
+
 	/** The answer is not a valid answer of the endpoint. */
 	INVALID;
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -165,7 +165,7 @@
 		if (classified == AnswerClass.NOT_RUN) {
 			this.protocol.reportedFault(response).ifPresent(this.listener::faultReported);
 		}
-		this.answerClass = (promisesTooMuch(classified, response)) ? AnswerClass.INVALID : classified;
+		this.answerClass = (isFalsePromise(classified, response)) ? AnswerClass.FALSE_PROMISE : classified;
 		this.status = response.status().code();
 		this.headers = this.protocol.answerHeaders(response);
 		this.headRead = true;
@@ -181,13 +181,13 @@
 	}
 
 	/**
-	 * Returns whether callers would take an answer that doesn't state it for the promise
-	 * that a request has not run which may run only once.
+	 * Returns whether callers would take the status of an answer for the promise that the
+	 * request has not run, though it may run only once and the endpoint promises nothing.
 	 * @param classified meaning of the answer
 	 * @param response its head
 	 * @return {@code true} if its status must not be passed on
 	 */
-	private boolean promisesTooMuch(AnswerClass classified, HttpResponse response) {
+	private boolean isFalsePromise(AnswerClass classified, HttpResponse response) {
 		boolean passedOn = classified == AnswerClass.VALID || classified == AnswerClass.FAILURE;
 		return passedOn && !this.send.kind().isRepeatable() && this.protocol.promisesNotRun(response.status().code());
 	}
@@ -217,6 +217,7 @@
 			case NOT_RUN -> AttemptOutcome.REFUSED_FULL;
 			case REJECTED -> AttemptOutcome.REJECTED;
 			case MISDIRECTED -> AttemptOutcome.MISDIRECTED;
+			case FALSE_PROMISE -> AttemptOutcome.FALSE_PROMISE;
 			default -> AttemptOutcome.GARBLED;
 		};
 	}
