Show that requests after the end of a limit delay those of the next

Callers are refused as ENDPOINTS_LIMITED long after endpoints have stopped naming a limit of 0, if they had named one shortly before.

Requests to an endpoint whose limit has ended count against its share as long as the end is published.

--- a/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
+++ b/mulberrylift-core/src/test/java/io/mulberrylift/core/limit/RequestLimitsTests.java
@@ -75,6 +75,26 @@
 		}
 	}
 
+	/**
+	 * Failure: requests after the end of a limit counted against its share. When the
+	 * endpoint named a limit again soon, they had to be made up for first, and nobody
+	 * noticed the end of the limit for minutes.
+	 */
+	@Test
+	void requestsAfterTheEndOfALimitDoNotDelayThoseOfTheNextLimit() {
+		report(RequestLimitReport.of(0), 0, 100);
+		report(RequestLimitReport.unlimited(), 200, 210);
+		for (long now = 300; now < 5300; now += 10) {
+			assertThat(this.limits.mayUse(ENDPOINT, now)).isTrue();
+			this.limits.recordRequest(ENDPOINT, now);
+		}
+		report(RequestLimitReport.of(0), 5290, 5300);
+		assertThat(this.limits.mayUse(ENDPOINT, 5300)).isFalse();
+		assertThat(this.limits.acceptsInMillis(ENDPOINT, 5300)).isEqualTo(10_000);
+		assertThat(this.limits.mayUse(ENDPOINT, 15_299)).isFalse();
+		assertThat(this.limits.mayUse(ENDPOINT, 15_300)).isTrue();
+	}
+
 	@Test
 	void leastRecentlyPublishedLimitsArePublishedFirst() {
 		for (String name : List.of("e1", "e2", "e3")) {
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetRequestLimitTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/loop/FleetRequestLimitTests.java
@@ -1,5 +1,7 @@
 package io.mulberrylift.gateway.loop;
 
+import java.util.stream.IntStream;
+
 import io.mulberrylift.core.forwarding.RefusalCause;
 import org.junit.jupiter.api.Test;
 
@@ -18,6 +20,15 @@
 	/** Time after which all instances know the limits and their shares. */
 	private static final long SETTLING_MILLIS = 20_000;
 
+	/**
+	 * Time in which the end of a limit of 0 is noticed: 10 s between requests of the
+	 * holder of its only share, and gossip.
+	 */
+	private static final long NOTICE_MILLIS = 12_000;
+
+	/** Time between two limits in which the end of the first one is still published. */
+	private static final long AGAIN_MILLIS = 5000;
+
 	private static final int SEEDS = 10;
 
 	private static SimulatedFleet limitedFleet(int instances, int zones, double limit) {
@@ -167,6 +178,30 @@
 		}
 	}
 
+	/**
+	 * Failure: requests between two limits counted against the shares of the second one,
+	 * so that its end was noticed only by trials of instances without a share.
+	 */
+	@Test
+	void endOfALimitThatIsNamedAgainSoonIsNoticedByAllInstances() {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			SimulatedFleet fleet = new SimulatedFleet(9, 3, 3, 30, seed);
+			fleet.run(START_MILLIS);
+			IntStream.range(0, 3).forEach((runner) -> fleet.limit(runner, 0));
+			fleet.run(LIMITED_MILLIS);
+			IntStream.range(0, 3).forEach(fleet::endLimit);
+			fleet.run(AGAIN_MILLIS);
+			IntStream.range(0, 3).forEach((runner) -> fleet.limit(runner, 0));
+			fleet.run(AGAIN_MILLIS);
+			IntStream.range(0, 3).forEach(fleet::endLimit);
+			fleet.run(NOTICE_MILLIS);
+			int answeredBefore = fleet.answered;
+			fleet.run(LIMITED_MILLIS / 10);
+			assertThat(fleet.answered - answeredBefore).as("seed %s", seed).isGreaterThan(30 * 3 / 2);
+			assertThat(fleet.runners).allMatch((runner) -> runner.maxExcess() <= 0);
+		}
+	}
+
 	@Test
 	void changedLimitIsKept() {
 		for (long seed = 1; seed <= SEEDS; seed++) {
