Begin each limit without the debt of requests sent without one

Callers were refused as ENDPOINTS_LIMITED long after endpoints had stopped naming a limit of 0, if they had named one shortly before.

Cause: the end of a limit is kept for 10 s to publish it, with a rate of 0.1 a second for its share. Each request in that time was counted, also those sent because there was no limit, and the next limit inherited the debt: its holder did not ask for minutes whether the limit had ended.

Without a limit the rate is now 0, so that the next limit begins without a token, as the first limit of an endpoint does. Rates, shares and bounds are unchanged.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/limit/RequestLimits.java
@@ -188,7 +188,12 @@
 	}
 
 	private void updateShare(EndpointId endpoint, NamedLimit named, long nowMillis) {
-		double perSecond = Math.max(MIN_PER_SECOND, named.limit.orElse(0.0));
+		if (named.limit.isEmpty()) {
+			// Requests without a limit must not count against the next one.
+			named.pacer.setRate(0, 0, nowMillis);
+			return;
+		}
+		double perSecond = Math.max(MIN_PER_SECOND, named.limit.get());
 		int held = this.fleet.heldShares(endpoint.value(), named.zone, perSecond);
 		named.pacer.setRate(perSecond * held / FleetView.shareCount(perSecond), held, nowMillis);
 	}
