Test answers that are cut off or doubled on connections for small calls

The client of calls for reserved memory and of the store's reader: an answer that is written twice does not answer a call that is made some time after, and one that ends within its head or its body counts as failed.

--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -41,6 +43,9 @@
 	/** Copies of the answer to each request that are written at once. */
 	private volatile int copies = 1;
 
+	/** What is written in place of an answer before its connection is closed, or null. */
+	private volatile String cutAnswer;
+
 	private SequentialHttpClient client;
 
 	@BeforeEach
@@ -84,6 +89,10 @@
 				if (head.toString().endsWith("\r\n\r\n")) {
 					head.setLength(0);
 					String body = "answer " + this.requests.incrementAndGet();
+					if (this.cutAnswer != null) {
+						socket.getOutputStream().write(this.cutAnswer.getBytes(StandardCharsets.US_ASCII));
+						return;
+					}
 					String answer = "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
 					socket.getOutputStream().write(answer.repeat(this.copies).getBytes(StandardCharsets.US_ASCII));
 				}
@@ -131,6 +140,38 @@
 		assertThat(call(3)).containsExactly("answer 1", "answer 2", "answer 3");
 	}
 
+	/**
+	 * Failure that must not occur: as above, if the next call is made some time after
+	 * the answer.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { 0, 5, 50 })
+	void secondCopyIsNotTheAnswerToALaterCall(long pauseMillis) throws Exception {
+		this.copies = 2;
+		List<String> answers = new ArrayList<>();
+		for (int count = 0; count < 4; count++) {
+			answers.addAll(call(1));
+			Thread.sleep(pauseMillis);
+		}
+		assertThat(answers).containsExactly("answer 1", "answer 2", "answer 3", "answer 4");
+	}
+
+	/** Failure that must not occur: an answer that ends before it is complete counts. */
+	@ParameterizedTest
+	@ValueSource(strings = { "", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n",
+			"HTTP/1.1 200 OK\r\nx-none: 1\r\n", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+			"HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\nansw",
+			"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nansw\r\n" })
+	void answerThatIsCutOffFailsItsCall(String answer) throws Exception {
+		this.cutAnswer = answer;
+		for (int count = 0; count < 2; count++) {
+			CompletableFuture<CallResult> result = new CompletableFuture<>();
+			this.group
+				.execute(() -> this.client.call(HttpMethod.GET, "/", new byte[0], TIMEOUT_MILLIS, result::complete));
+			assertThat(result.get(30, TimeUnit.SECONDS).isAnswered()).isFalse();
+		}
+	}
+
 	@Test
 	void callToAClosedPortFails() throws Exception {
 		this.server.close();
