--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
@@ -141,8 +141,8 @@
 	}
 
 	/**
-	 * Failure that must not occur: as above, if the next call is made some time after
-	 * the answer.
+	 * Failure that must not occur: as above, if the next call is made some time after the
+	 * answer.
 	 */
 	@ParameterizedTest
 	@ValueSource(longs = { 0, 5, 50 })
