--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ServiceAttemptTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ServiceAttemptTests.java
@@ -3,6 +3,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 
 import io.mulberrylift.core.event.AttemptEvent;
 import io.mulberrylift.core.model.AttemptFailure;
@@ -53,6 +55,35 @@
 		}
 	}
 
+	/**
+	 * Failure: a refusal that a service wrote once more on its kept connection was the
+	 * reply to the next call, which then counted as not run.
+	 */
+	@Test
+	void refusalThatIsRepeatedIsNotTheReplyToTheNextCall() throws Exception {
+		AtomicInteger calls = new AtomicInteger();
+		AtomicReference<RawHttpServer> server = new AtomicReference<>();
+		try (RawHttpServer service = new RawHttpServer((request, out) -> {
+			int call = calls.incrementAndGet();
+			if (server.get().connections() == 1) {
+				RawHttpServer.reply(out, 503, "Not-Run: true\r\n", "busy");
+			}
+			if (call > 1) {
+				RawHttpServer.reply(out, 200, "", "ran");
+			}
+		}); AttemptHandlerFixture fixture = new AttemptHandlerFixture(service.address())) {
+			server.set(service);
+			fixture.dispatch(this.exchange);
+			fixture.expectFailure(AttemptFailure.TURNED_AWAY);
+			FakeExchange next = FakeExchange
+				.service(new ServiceCall("POST", "tickets/2", Map.of(), "body".getBytes(StandardCharsets.UTF_8)));
+			fixture.dispatch(next);
+			fixture.events.next(AttemptEvent.Started.class);
+			fixture.events.next(AttemptEvent.Finished.class);
+			assertThat(next.reply().body()).asString().isEqualTo("ran");
+		}
+	}
+
 	@Test
 	void unavailableWithoutNotRunIsAReply() throws Exception {
 		try (RawHttpServer service = new RawHttpServer((request, out) -> RawHttpServer.reply(out, 503, "", "busy"));
