Take back the connection for each call for reserved memory

Calls that wait for the same engine share a connection again.

The fault that it mended is back: a repeated answer of an engine answers the next call.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
@@ -91,8 +91,6 @@
 		queue.waiting
 			.addLast(() -> queue.client.call(HttpMethod.POST, call.target(), call.body(), TIMEOUT_MILLIS, (result) -> {
 				queue.busy = false;
-				// Answers name no call: a copy of this one must not answer the next.
-				queue.client.close();
 				if (result.isAnswered()) {
 					this.listener.noticesReceived(endpoint.id(),
 							this.protocol.notices(result.status(), result.headers()));
