Log where the answer to an attempt was read and which answers were skipped

The logs of an incident could not tell which of two answers of an endpoint a caller got: a skipped answer left no line, and neither the connection of an attempt nor the run that its answer names was logged.

attempt-ended and relay-ended name the connection, the number of the request on it, the number of answers that were skipped before and the receipt. answer-skipped names status, request and receipt of an answer that nothing waits for, at most once for an attempt or a connection.

--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/Forwarder.java
@@ -570,14 +570,9 @@
 			relayEnded(state, event, nowMillis, effects);
 			return;
 		}
-		EndpointId endpoint = state.placement.endpoint().id();
-		long firstChunkMillis = (state.attemptStarted) ? state.firstChunkMillis - state.sentMillis : -1;
 		state.division.ifPresent((division) -> this.room.recordGap(division.kind(state.route.gapTargetMillis()),
 				state.longestGapMillis > state.route.gapTargetMillis()));
-		log(effects, "attempt-ended", "request", state.requestId, "attempt", event.attemptId(), "endpoint", endpoint,
-				"outcome", outcome, "status", event.status(), "millis", nowMillis - state.sentMillis,
-				"expected-first-token-millis", (long) state.placement.expectedFirstTokenMillis(), "first-chunk-millis",
-				firstChunkMillis, "longest-gap-millis", state.longestGapMillis);
+		effects.add(EndedLog.line(state, event, nowMillis));
 		state.attemptId = 0;
 		// Endpoints cut off streams that are not read.
 		if (!state.readingPaused || outcome != AttemptOutcome.BROKEN_MIDWAY) {
@@ -631,9 +626,7 @@
 	private void relayEnded(ForwardState state, GatewayEvent.AttemptEnded event, long nowMillis,
 			List<GatewayEffect> effects) {
 		AttemptOutcome outcome = event.outcome();
-		log(effects, "relay-ended", "request", state.requestId, "attempt", event.attemptId(), "peer",
-				state.relayPeer.get(), "outcome", outcome, "status", event.status(), "millis",
-				nowMillis - state.sentMillis, "longest-gap-millis", state.longestGapMillis);
+		effects.add(EndedLog.line(state, event, nowMillis));
 		state.attemptId = 0;
 		state.relayPeer = Optional.empty();
 		if (outcome.isCompleted() || (outcome == AttemptOutcome.ENDPOINT_ERROR && !state.answerStarted)) {
--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/GatewayEvent.java
@@ -57,8 +57,21 @@
 	 * @param attemptId the attempt
 	 * @param outcome outcome of the attempt
 	 * @param status status code of the endpoint's answer, 0 if none was received
+	 * @param origin where the answer was read
 	 */
-	record AttemptEnded(long attemptId, AttemptOutcome outcome, int status) implements GatewayEvent {
+	record AttemptEnded(long attemptId, AttemptOutcome outcome, int status,
+			AnswerOrigin origin) implements GatewayEvent {
+
+		/**
+		 * Creates the end of an attempt whose answer was read nowhere.
+		 * @param attemptId the attempt
+		 * @param outcome outcome of the attempt
+		 * @param status status code of the endpoint's answer, 0 if none was received
+		 */
+		public AttemptEnded(long attemptId, AttemptOutcome outcome, int status) {
+			this(attemptId, outcome, status, AnswerOrigin.NONE);
+		}
+
 	}
 
 	/**
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/AttemptListener.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.mulberrylift.core.forwarding.AnswerOrigin;
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.limit.EndpointNotices;
 import io.mulberrylift.core.model.EndpointId;
@@ -43,8 +44,17 @@
 	 * @param attemptId the attempt
 	 * @param outcome how it ended
 	 * @param status status code of the endpoint's answer, 0 if none was received
+	 * @param origin where the answer was read
 	 */
-	void attemptEnded(long attemptId, AttemptOutcome outcome, int status);
+	void attemptEnded(long attemptId, AttemptOutcome outcome, int status, AnswerOrigin origin);
+
+	/**
+	 * Called when the head of an answer was received that is not the answer to the
+	 * request that its connection carries, once for each attempt and once for a
+	 * connection that carries no request.
+	 * @param answer what was received
+	 */
+	void answerSkipped(SkippedAnswer answer);
 
 	/**
 	 * Called when a connection to an endpoint was established.
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -3,9 +3,11 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import io.mulberrylift.core.forwarding.AnswerOrigin;
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.gateway.caller.BufferedRequest;
+import io.mulberrylift.gateway.logging.EventLog;
 import io.mulberrylift.gateway.pressure.BodyBuffer;
 import io.mulberrylift.gateway.pressure.HeldBytes;
 import io.mulberrylift.gateway.pressure.Pressure;
@@ -61,6 +63,15 @@
 
 	private HttpHeaders headers;
 
+	/** Number of the connection that carries the attempt, 0 before it is sent. */
+	private long connection;
+
+	private int requestOnConnection;
+
+	private int skippedAnswers;
+
+	private Optional<String> receipt = Optional.empty();
+
 	private boolean headRead;
 
 	/** Whether the answer is an event stream, as its head says. */
@@ -102,6 +113,16 @@
 		return this.protocol.requestHeaders(request(), this.send, this.resumeAfter);
 	}
 
+	/**
+	 * Records which connection carries the attempt.
+	 * @param number number of the connection in this process
+	 * @param request number of the attempt among those that it has carried, from 1
+	 */
+	void setConnection(long number, int request) {
+		this.connection = number;
+		this.requestOnConnection = request;
+	}
+
 	boolean isEnded() {
 		return this.ended;
 	}
@@ -152,9 +173,10 @@
 			.ifPresent((load) -> this.listener.loadReported(this.send.endpoint().id(), load));
 		AnswerClass classified = this.protocol.classify(response, request());
 		if (classified == AnswerClass.OTHER_REQUEST) {
+			answerSkipped(response);
 			return false;
 		}
-		boolean unattributed = earlierRequests && !this.protocol.namesRequest(response);
+		boolean unattributed = earlierRequests && this.protocol.namedRequest(response).isEmpty();
 		if (unattributed || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
 			classified = AnswerClass.INVALID;
 		}
@@ -168,6 +190,7 @@
 		this.answerClass = (isFalsePromise(classified, response)) ? AnswerClass.FALSE_PROMISE : classified;
 		this.status = response.status().code();
 		this.headers = this.protocol.answerHeaders(response);
+		this.receipt = this.protocol.receipt(response);
 		this.headRead = true;
 		if (this.answer.isBegun()) {
 			this.listener.resumptionAnswered(id(), this.resumeAfter, this.status,
@@ -180,6 +203,20 @@
 		return true;
 	}
 
+	/**
+	 * Records the head of an answer that is not the final answer to this attempt.
+	 * @param response the head
+	 */
+	void answerSkipped(HttpResponse response) {
+		this.skippedAnswers++;
+		// An endpoint that writes such answers without end must not fill the log.
+		if (this.skippedAnswers == 1) {
+			this.listener.answerSkipped(new SkippedAnswer(this.send.endpoint().id(), this.connection,
+					this.requestOnConnection, Optional.of(id()), response.status().code(),
+					this.protocol.namedRequest(response), this.protocol.receipt(response)));
+		}
+	}
+
 	/**
 	 * Returns whether callers would take the status of an answer for the promise that the
 	 * request has not run, though it may run only once and the endpoint promises nothing.
@@ -302,7 +339,8 @@
 	void end(AttemptOutcome outcome) {
 		if (!this.ended) {
 			abandon();
-			this.listener.attemptEnded(id(), outcome, this.status);
+			this.listener.attemptEnded(id(), outcome, this.status, new AnswerOrigin(this.connection,
+					this.requestOnConnection, this.skippedAnswers, EventLog.abbreviated(this.receipt)));
 		}
 	}
 
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
+import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.pressure.BodyWriter;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -35,6 +36,11 @@
 
 	private final EndpointResponseDecoder decoder;
 
+	private final EndpointId endpoint;
+
+	/** Number of the connection in this process. */
+	private final long number;
+
 	private EndpointChannel channel;
 
 	private EndpointAttempt attempt;
@@ -42,7 +48,7 @@
 	private Optional<BodyWriter> requestWriter = Optional.empty();
 
 	/** Number of requests that the connection has carried. */
-	private long requests;
+	private int requests;
 
 	private boolean headRead;
 
@@ -62,9 +68,11 @@
 
 	private long idleSinceMillis;
 
-	EndpointConnection(EndpointPool pool, EndpointResponseDecoder decoder) {
+	EndpointConnection(EndpointPool pool, EndpointResponseDecoder decoder, EndpointId endpoint, long number) {
 		this.pool = Objects.requireNonNull(pool, "pool");
 		this.decoder = Objects.requireNonNull(decoder, "decoder");
+		this.endpoint = Objects.requireNonNull(endpoint, "endpoint");
+		this.number = number;
 	}
 
 	@Override
@@ -87,6 +95,7 @@
 	void send(EndpointAttempt next) {
 		this.attempt = next;
 		this.requests++;
+		next.setConnection(this.number, this.requests);
 		this.headRead = false;
 		this.skippingAnswer = false;
 		this.skippedBytes = 0;
@@ -146,7 +155,7 @@
 
 	private void handleMessage(HttpObject message) {
 		if (this.attempt == null) {
-			this.channel.close();
+			handleUnawaited(message);
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
@@ -162,9 +171,17 @@
 		}
 	}
 
+	private void handleUnawaited(HttpObject message) {
+		if (this.channel.isActive()) {
+			this.pool.answeredIdle(this.endpoint, this.number, this.requests, message);
+			this.channel.close();
+		}
+	}
+
 	private boolean handleHead(HttpResponse response) {
 		if (response.status().code() < HttpResponseStatus.OK.code()) {
 			this.skippingAnswer = true;
+			this.attempt.answerSkipped(response);
 			return true;
 		}
 		EndpointAttempt current = this.attempt;
@@ -209,7 +226,7 @@
 			EndpointAttempt done = this.attempt;
 			this.attempt = null;
 			if (this.reusable && this.requestWritten && this.channel.isActive()) {
-				this.pool.release(this, done.send().endpoint().id());
+				this.pool.release(this, this.endpoint);
 			}
 			else {
 				this.channel.close();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -21,7 +21,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 
 /**
  * Pool of connections to endpoints, together with the attempts in progress.
@@ -140,7 +142,7 @@
 	private void open(ForwardEndpoint endpoint, Consumer<Optional<EndpointConnection>> done) {
 		this.openedConnections++;
 		EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-		EndpointConnection connection = new EndpointConnection(this, decoder);
+		EndpointConnection connection = new EndpointConnection(this, decoder, endpoint.id(), this.openedConnections);
 		HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS, EndpointChannel::new)
 			.option(ChannelOption.SO_SNDBUF, Pressure.SEND_BUFFER_BYTES)
 			.option(ChannelOption.WRITE_BUFFER_WATER_MARK, Pressure.WATER_MARK)
@@ -234,6 +236,14 @@
 		}
 	}
 
+	void answeredIdle(EndpointId endpoint, long connection, int requests, HttpObject message) {
+		Optional<HttpResponse> head = (message instanceof HttpResponse response && message.decoderResult().isSuccess())
+				? Optional.of(response) : Optional.empty();
+		this.listener.answerSkipped(new SkippedAnswer(endpoint, connection, requests, Optional.empty(),
+				head.map((response) -> response.status().code()).orElse(0), head.flatMap(this.protocol::namedRequest),
+				head.flatMap(this.protocol::receipt)));
+	}
+
 	void connectionClosed(EndpointConnection connection) {
 		this.idleConnections.values().forEach((connections) -> connections.remove(connection));
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointProtocol.java
@@ -52,12 +52,19 @@
 	AnswerClass classify(HttpResponse answer, BufferedRequest request);
 
 	/**
-	 * Returns whether an answer states which request it belongs to. One that does not can
-	 * be a further answer to an earlier request of its connection.
+	 * Returns which request an answer states that it belongs to. One that does not can be
+	 * a further answer to an earlier request of its connection.
 	 * @param answer the head
-	 * @return false if the answer has no identifier
+	 * @return the caller's identifier of the request, empty if the answer has none
 	 */
-	boolean namesRequest(HttpResponse answer);
+	Optional<String> namedRequest(HttpResponse answer);
+
+	/**
+	 * Returns what an answer states about the run that it is the answer of.
+	 * @param answer the head
+	 * @return the statement of the endpoint, empty if there is none
+	 */
+	Optional<String> receipt(HttpResponse answer);
 
 	/**
 	 * Returns whether callers take a status as the promise that their request has not
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/logging/EventLog.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/logging/EventLog.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.LoggerContext;
@@ -21,6 +22,9 @@
 
 	private static final Logger LOGGER = LoggerFactory.getLogger("mulberrylift.gateway");
 
+	/** Maximum number of characters of a text from outside in a line. */
+	private static final int MAX_EXTERNAL_CHARACTERS = 80;
+
 	private final String instance;
 
 	/**
@@ -48,6 +52,16 @@
 		return appender;
 	}
 
+	/**
+	 * Returns the beginning of a text that a caller or an endpoint has sent.
+	 * @param text the text
+	 * @return its first {@value #MAX_EXTERNAL_CHARACTERS} characters, empty if there is
+	 * none
+	 */
+	public static String abbreviated(Optional<String> text) {
+		return text.map((all) -> all.substring(0, Math.min(all.length(), MAX_EXTERNAL_CHARACTERS))).orElse("");
+	}
+
 	/**
 	 * Writes an event.
 	 * @param event name of the event
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/loop/GatewayLoop.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.mulberrylift.core.forwarding.AnswerOrigin;
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.ClientLimits;
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
@@ -38,6 +39,7 @@
 import io.mulberrylift.gateway.endpoint.EndpointProtocol;
 import io.mulberrylift.gateway.endpoint.ForwardedAnswer;
 import io.mulberrylift.gateway.endpoint.MemoryReservationClient;
+import io.mulberrylift.gateway.endpoint.SkippedAnswer;
 import io.mulberrylift.gateway.http.NetAddress;
 import io.mulberrylift.gateway.http.Page;
 import io.mulberrylift.gateway.http.PageServer;
@@ -87,9 +89,6 @@
 	/** Interval at which the view of the fleet and of the platform is updated. */
 	private static final long VIEW_INTERVAL_MILLIS = 100;
 
-	/** Maximum length of a text of an endpoint in a log line. */
-	private static final int MAX_LOGGED_CHARACTERS = 80;
-
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final EventLoopGroup group = new NioEventLoopGroup(1);
@@ -464,7 +463,7 @@
 			return false;
 		}
 		this.log.write("send-rejected", "request", requestId, "attempt", attemptId, "problem", problem.get());
-		attemptEnded(attemptId, AttemptOutcome.REJECTED, 0);
+		attemptEnded(attemptId, AttemptOutcome.REJECTED, 0, AnswerOrigin.NONE);
 		return true;
 	}
 
@@ -585,12 +584,8 @@
 	public void resumptionAnswered(long attemptId, Optional<String> afterEvent, int status,
 			Optional<String> contentType) {
 		this.log.write("resumption-answered", "request", this.attempts.requestOf(attemptId).orElse(-1L), "attempt",
-				attemptId, "after-event", abbreviated(afterEvent), "status", status, "content-type",
-				abbreviated(contentType));
-	}
-
-	private static String abbreviated(Optional<String> text) {
-		return text.map((all) -> all.substring(0, Math.min(all.length(), MAX_LOGGED_CHARACTERS))).orElse("");
+				attemptId, "after-event", EventLog.abbreviated(afterEvent), "status", status, "content-type",
+				EventLog.abbreviated(contentType));
 	}
 
 	@Override
@@ -599,13 +594,22 @@
 	}
 
 	@Override
-	public void attemptEnded(long attemptId, AttemptOutcome outcome, int status) {
+	public void attemptEnded(long attemptId, AttemptOutcome outcome, int status, AnswerOrigin origin) {
 		this.metrics.countAttempt(outcome);
 		this.endpointPool.removeAttempt(attemptId);
-		run(new GatewayEvent.AttemptEnded(attemptId, outcome, status));
+		run(new GatewayEvent.AttemptEnded(attemptId, outcome, status, origin));
 		this.attempts.remove(attemptId);
 	}
 
+	@Override
+	public void answerSkipped(SkippedAnswer answer) {
+		this.metrics.count("answers_skipped");
+		this.log.write("answer-skipped", "endpoint", answer.endpoint(), "connection", answer.connection(),
+				"requests-on-connection", answer.requestsOnConnection(), "attempt", answer.attempt().orElse(0L),
+				"status", answer.status(), "caller-attempt", EventLog.abbreviated(answer.namedRequest()), "receipt",
+				EventLog.abbreviated(answer.receipt()));
+	}
+
 	@Override
 	public void connectionEstablished(EndpointId endpoint) {
 		run(new GatewayEvent.ConnectionEstablished(endpoint));
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/relay/RelayEndpointProtocol.java
@@ -82,8 +82,13 @@
 	}
 
 	@Override
-	public boolean namesRequest(HttpResponse answer) {
-		return this.endpoints.namesRequest(answer);
+	public Optional<String> namedRequest(HttpResponse answer) {
+		return this.endpoints.namedRequest(answer);
+	}
+
+	@Override
+	public Optional<String> receipt(HttpResponse answer) {
+		return this.endpoints.receipt(answer);
 	}
 
 	@Override
