Send no two runs of a request on the same connection to an endpoint

Callers got a success, a failure or a refusal of an earlier run: a request that failed came again under its identifier, the pool handed out the connection released last, and a second, late answer to the first run was taken for the answer to the second one.

The identifier names the attempt of a caller, not the run of an endpoint; on a connection nothing else tells the answers of two runs apart. Now a connection remembers the requests that it has carried, and a request never meets one that has carried it. Answers without an identifier were already believed for the first request of a connection only. Identifiers are held as hashes: a collision costs a connection and never mixes answers.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -5,6 +5,7 @@
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.gateway.caller.BufferedRequest;
 import io.mulberrylift.gateway.pressure.BodyWriter;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -47,8 +48,7 @@
 
 	private Optional<BodyWriter> requestWriter = Optional.empty();
 
-	/** Number of requests that the connection has carried. */
-	private int requests;
+	private final CarriedRequests carried = new CarriedRequests();
 
 	private boolean headRead;
 
@@ -84,6 +84,15 @@
 		return this.channel.isActive() && nowMillis - this.idleSinceMillis < this.maxIdleMillis;
 	}
 
+	/**
+	 * Returns whether a further answer to another run of a request may still come.
+	 * @param request the request
+	 * @return {@code true} if the connection may have carried it
+	 */
+	boolean mayHaveCarried(BufferedRequest request) {
+		return this.carried.mayContain(request.head().attemptId());
+	}
+
 	void markIdle(long nowMillis) {
 		this.idleSinceMillis = nowMillis;
 	}
@@ -94,8 +103,8 @@
 
 	void send(EndpointAttempt next) {
 		this.attempt = next;
-		this.requests++;
-		next.setConnection(this.number, this.requests);
+		this.carried.add(next.request().head().attemptId());
+		next.setConnection(this.number, this.carried.size());
 		this.headRead = false;
 		this.skippingAnswer = false;
 		this.skippedBytes = 0;
@@ -173,7 +182,7 @@
 
 	private void handleUnawaited(HttpObject message) {
 		if (this.channel.isActive()) {
-			this.pool.answeredIdle(this.endpoint, this.number, this.requests, message);
+			this.pool.answeredIdle(this.endpoint, this.number, this.carried.size(), message);
 			this.channel.close();
 		}
 	}
@@ -185,7 +194,7 @@
 			return true;
 		}
 		EndpointAttempt current = this.attempt;
-		this.skippingAnswer = !current.headReceived(response, this.requests > 1);
+		this.skippingAnswer = !current.headReceived(response, this.carried.size() > 1);
 		Optional<AttemptOutcome> failure = (this.skippingAnswer) ? Optional.empty() : current.failureAtHead();
 		if (failure.isPresent()) {
 			fail(failure.get());
@@ -194,7 +203,7 @@
 		if (!this.skippingAnswer) {
 			this.headRead = true;
 			this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-			this.reusable = HttpUtil.isKeepAlive(response) && this.framed;
+			this.reusable = HttpUtil.isKeepAlive(response) && this.framed && !this.carried.isFull();
 			this.maxIdleMillis = KeepAliveTimeout.millis(response);
 		}
 		return true;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -14,6 +15,7 @@
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.core.model.EndpointId;
+import io.mulberrylift.gateway.caller.BufferedRequest;
 import io.mulberrylift.gateway.http.HttpChannels;
 import io.mulberrylift.gateway.http.NetAddress;
 import io.mulberrylift.gateway.pressure.Pressure;
@@ -31,7 +33,9 @@
  * <p>
  * Not thread-safe; confined to the event loop. Idle connections are kept by endpoint
  * identifier, so that a process that reuses the address of another one gets new
- * connections.
+ * connections. No connection carries two requests with the same identifier: an endpoint
+ * may answer twice, and the identifier alone would not tell the answers of two runs
+ * apart.
  * </p>
  */
 public final class EndpointPool {
@@ -100,7 +104,7 @@
 		EndpointAttempt attempt = new EndpointAttempt(send, answer, attemptProtocol, this.listener, this.pressure);
 		ActiveAttempt started = new ActiveAttempt(attempt);
 		this.activeAttempts.put(attempt.id(), started);
-		EndpointConnection pooled = pollIdle(send.endpoint().id());
+		EndpointConnection pooled = pollIdle(send.endpoint().id(), attempt.request());
 		if (pooled != null) {
 			started.connection = pooled;
 			pooled.send(attempt);
@@ -109,15 +113,23 @@
 		connect(send.endpoint(), started);
 	}
 
-	private EndpointConnection pollIdle(EndpointId endpoint) {
+	private EndpointConnection pollIdle(EndpointId endpoint, BufferedRequest request) {
 		Deque<EndpointConnection> connections = this.idleConnections.get(endpoint);
+		if (connections == null) {
+			return null;
+		}
 		long now = this.clockMillis.getAsLong();
-		while (connections != null && !connections.isEmpty()) {
-			EndpointConnection candidate = connections.removeLast();
-			if (candidate.isUsable(now)) {
+		Iterator<EndpointConnection> latestFirst = connections.descendingIterator();
+		while (latestFirst.hasNext()) {
+			EndpointConnection candidate = latestFirst.next();
+			if (!candidate.isUsable(now)) {
+				latestFirst.remove();
+				candidate.close();
+			}
+			else if (!candidate.mayHaveCarried(request)) {
+				latestFirst.remove();
 				return candidate;
 			}
-			candidate.close();
 		}
 		return null;
 	}
