Close idle connections to endpoints that received part of a head

Callers got a success of a run that had failed: an endpoint wrote the beginning of a second answer ("HTTP/1.1 200 ") after its answer, and the connection was kept, since the decoder reports nothing before a head is whole. The answer to the next request was taken for the rest of it: its status line became the reason phrase or the value of a header, and its identifier and receipt stood below the status 200. No identifier has to come again, and the log showed an attempt that had completed, with no skipped answer. Other beginnings failed the next request with 502.

Connections with bytes after their latest answer, decoded or not, are not used again; they are closed and logged as answer-skipped with status 0.

CutSecondAnswerTests, answers of status 504 that are followed by part of a head in the same write, before the change: 8 of 9 cases fail, 6 with 200 and 2 with 502; parts on an idle connection kept it open until the test was ended. After it: 14 of 14 pass, with CutHeadTests, EndlessAnswerTests, IncompleteAnswerTests, SecondAnswerTests and SkippedAnswerLogTests (77).

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -28,7 +28,7 @@
  *
  * <p>
  * Not thread-safe; confined to the event loop. Bytes received while no attempt is in
- * progress close the connection.
+ * progress close the connection: part of a head would be put before the next answer.
  * </p>
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
@@ -81,7 +81,8 @@
 	}
 
 	boolean isUsable(long nowMillis) {
-		return this.channel.isActive() && nowMillis - this.idleSinceMillis < this.maxIdleMillis;
+		return this.channel.isActive() && !this.decoder.hasFurtherBytes()
+				&& nowMillis - this.idleSinceMillis < this.maxIdleMillis;
 	}
 
 	/**
@@ -98,6 +99,9 @@
 	}
 
 	void close() {
+		if (this.decoder.hasFurtherBytes()) {
+			handleUnawaited(Optional.empty());
+		}
 		this.channel.close();
 	}
 
@@ -164,7 +168,7 @@
 
 	private void handleMessage(HttpObject message) {
 		if (this.attempt == null) {
-			handleUnawaited(message);
+			handleUnawaited(Optional.of(message));
 			return;
 		}
 		if (message.decoderResult().isFailure()) {
@@ -180,7 +184,15 @@
 		}
 	}
 
-	private void handleUnawaited(HttpObject message) {
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.attempt == null && this.decoder.hasFurtherBytes()) {
+			handleUnawaited(Optional.empty());
+		}
+		context.fireChannelReadComplete();
+	}
+
+	private void handleUnawaited(Optional<HttpObject> message) {
 		if (this.channel.isActive()) {
 			this.pool.answeredIdle(this.endpoint, this.number, this.carried.size(), message);
 			this.channel.close();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -248,9 +248,10 @@
 		}
 	}
 
-	void answeredIdle(EndpointId endpoint, long connection, int requests, HttpObject message) {
-		Optional<HttpResponse> head = (message instanceof HttpResponse response && message.decoderResult().isSuccess())
-				? Optional.of(response) : Optional.empty();
+	void answeredIdle(EndpointId endpoint, long connection, int requests, Optional<HttpObject> message) {
+		Optional<HttpResponse> head = message.filter((object) -> object.decoderResult().isSuccess())
+			.filter(HttpResponse.class::isInstance)
+			.map(HttpResponse.class::cast);
 		this.listener.answerSkipped(new SkippedAnswer(endpoint, connection, requests, Optional.empty(),
 				head.map((response) -> response.status().code()).orElse(0), head.flatMap(this.protocol::namedRequest),
 				head.flatMap(this.protocol::receipt)));
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointResponseDecoder.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointResponseDecoder.java
@@ -1,8 +1,13 @@
 package io.mulberrylift.gateway.endpoint;
 
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
  * Decodes responses; those to HEAD requests have no body.
@@ -19,6 +24,9 @@
 
 	private boolean bodyless;
 
+	/** Whether bytes were decoded that belong to no complete answer. */
+	private boolean withinAnswer;
+
 	EndpointResponseDecoder() {
 		super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxChunkSize(MAX_CHUNK_BYTES));
 	}
@@ -27,6 +35,28 @@
 		this.bodyless = bodyless;
 	}
 
+	/**
+	 * Returns whether bytes were received after the latest complete answer, even if they
+	 * are less than a head.
+	 * @return {@code false} if the next byte that is received begins an answer
+	 */
+	boolean hasFurtherBytes() {
+		return this.withinAnswer || actualReadableBytes() > 0;
+	}
+
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+		int readableBytes = in.readableBytes();
+		int decoded = out.size();
+		super.decode(context, in, out);
+		if (out.size() > decoded) {
+			this.withinAnswer = !(out.get(out.size() - 1) instanceof LastHttpContent);
+		}
+		else if (in.readableBytes() < readableBytes) {
+			this.withinAnswer = true;
+		}
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.bodyless || super.isContentAlwaysEmpty(message);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/SkippedAnswer.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/SkippedAnswer.java
@@ -13,7 +13,7 @@
  * @param requestsOnConnection number of requests that the connection has carried
  * @param attempt the attempt that it was received before the answer of, empty if the
  * connection carried no request
- * @param status status code, 0 if the bytes are no answer
+ * @param status status code, 0 if the bytes are no whole head
  * @param namedRequest the caller's identifier of the request that it names, empty if it
  * names none
  * @param receipt what the endpoint states about the run that it answers for, empty if it
