Reserve memory only on connections that have carried no other call

Memory that an engine denied counted as granted, or granted memory as denied, if the engine wrote an earlier answer once more before that to the next call: the large prompt was sent to engines that had not reserved memory for it.

Cause: calls that wait for the same engine shared a connection, and answers name no call.

Now only calls that reserve memory need a connection that has carried no call. The answer to a release decides nothing, so a release follows on the connection at hand. The connection for the next reservation is established while the call before it is answered. Calls are still made one at a time, so that a reservation does not overtake the release that frees its memory.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/MemoryReservationClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import io.mulberrylift.core.forwarding.ForwardEndpoint;
 import io.mulberrylift.core.forwarding.GatewayEffect;
@@ -23,6 +24,13 @@
  * in order.
  *
  * <p>
+ * Answers name no call, and an engine may answer twice. Memory is therefore reserved only
+ * on connections that have carried no call before. The answer to a release decides
+ * nothing, so that releases may follow other calls on their connection. The connection
+ * for the next reservation is established while the call before it is answered.
+ * </p>
+ *
+ * <p>
  * Not thread-safe; confined to the event loop.
  * </p>
  */
@@ -65,7 +73,7 @@
 	 * @param effect the reservation
 	 */
 	public void reserve(GatewayEffect.ReserveMemory effect) {
-		enqueue(effect.endpoint(), this.protocol.reserveMemory(effect), (result) -> {
+		enqueue(effect.endpoint(), this.protocol.reserveMemory(effect), true, (result) -> {
 			Optional<Boolean> granted = this.protocol.reservationGranted(result);
 			this.log.write("memory-reserved", "request", effect.requestId(), "endpoint", effect.endpoint().id(), "name",
 					effect.reservationName(), "tokens", effect.tokens(), "status", result.status(), "problem",
@@ -80,29 +88,31 @@
 	 * @param effect the reservation
 	 */
 	public void release(GatewayEffect.ReleaseMemory effect) {
-		enqueue(effect.endpoint(), this.protocol.releaseMemory(effect),
+		enqueue(effect.endpoint(), this.protocol.releaseMemory(effect), false,
 				(result) -> this.log.write("memory-released", "endpoint", effect.endpoint().id(), "name",
 						effect.reservationName(), "status", result.status(), "problem", result.problem()));
 	}
 
-	private void enqueue(ForwardEndpoint endpoint, EndpointCall call, ResultHandler handler) {
-		Queue queue = this.queues.computeIfAbsent(endpoint.id(), (id) -> new Queue(new SequentialHttpClient(this.group,
-				new NetAddress(endpoint.host(), endpoint.port()), MAX_ANSWER_BYTES)));
-		queue.waiting
-			.addLast(() -> queue.client.call(HttpMethod.POST, call.target(), call.body(), TIMEOUT_MILLIS, (result) -> {
-				queue.busy = false;
-				if (result.isAnswered()) {
-					this.listener.noticesReceived(endpoint.id(),
-							this.protocol.notices(result.status(), result.headers()));
-				}
-				handler.handle(result);
-				startNext(endpoint.id(), queue);
-			}));
+	private void enqueue(ForwardEndpoint endpoint, EndpointCall call, boolean answerDecides, ResultHandler handler) {
+		Queue queue = this.queues.computeIfAbsent(endpoint.id(),
+				(id) -> new Queue(() -> new SequentialHttpClient(this.group,
+						new NetAddress(endpoint.host(), endpoint.port()), MAX_ANSWER_BYTES)));
+		queue.waiting.addLast(new WaitingCall(answerDecides,
+				() -> queue.client.call(HttpMethod.POST, call.target(), call.body(), TIMEOUT_MILLIS, (result) -> {
+					queue.busy = false;
+					if (result.isAnswered()) {
+						this.listener.noticesReceived(endpoint.id(),
+								this.protocol.notices(result.status(), result.headers()));
+					}
+					handler.handle(result);
+					startNext(endpoint.id(), queue);
+				})));
 		startNext(endpoint.id(), queue);
 	}
 
 	private void startNext(EndpointId endpoint, Queue queue) {
 		if (queue.busy) {
+			queue.connectAhead();
 			return;
 		}
 		if (queue.waiting.isEmpty()) {
@@ -111,7 +121,12 @@
 			return;
 		}
 		queue.busy = true;
-		queue.waiting.removeFirst().run();
+		WaitingCall next = queue.waiting.removeFirst();
+		if (next.answerDecides()) {
+			queue.useUnusedConnection();
+		}
+		next.start().run();
+		queue.connectAhead();
 	}
 
 	/**
@@ -144,16 +159,50 @@
 
 	}
 
+	/**
+	 * A call that waits for those before it.
+	 *
+	 * @param answerDecides whether something depends on the answer, so that the call
+	 * needs a connection that has carried no call
+	 * @param start starts the call
+	 */
+	private record WaitingCall(boolean answerDecides, Runnable start) {
+	}
+
 	private static final class Queue {
 
-		private final Deque<Runnable> waiting = new ArrayDeque<>();
+		private final Deque<WaitingCall> waiting = new ArrayDeque<>();
+
+		private final Supplier<SequentialHttpClient> clients;
 
-		private final SequentialHttpClient client;
+		private SequentialHttpClient client;
+
+		/** Connected for the next waiting call whose answer decides, or null. */
+		private SequentialHttpClient nextClient;
 
 		private boolean busy;
 
-		Queue(SequentialHttpClient client) {
-			this.client = client;
+		Queue(Supplier<SequentialHttpClient> clients) {
+			this.clients = clients;
+			this.client = clients.get();
+		}
+
+		void useUnusedConnection() {
+			if (this.nextClient != null) {
+				this.client.close();
+				this.client = this.nextClient;
+				this.nextClient = null;
+			}
+			else if (this.client.hasCarriedCall()) {
+				this.client.close();
+			}
+		}
+
+		void connectAhead() {
+			if (this.nextClient == null && this.waiting.stream().anyMatch(WaitingCall::answerDecides)) {
+				this.nextClient = this.clients.get();
+				this.nextClient.connect();
+			}
 		}
 
 	}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
@@ -30,7 +30,8 @@
  * Not thread-safe; confined to the event loop. Each call ends within its timeout and
  * reports exactly one result. A failed call closes the connection, so that a late answer
  * is not taken for the answer to a later call, and so do bytes received while no call is
- * in progress.
+ * in progress. A second answer to an earlier call can still be taken for the answer to
+ * the call in progress, unless the connection has carried no other call.
  * </p>
  */
 public final class SequentialHttpClient {
@@ -45,8 +46,17 @@
 
 	private Channel channel;
 
+	/** Whether the connection is being established. */
+	private boolean connecting;
+
+	/** Whether a request was sent on the connection. */
+	private boolean used;
+
 	private Consumer<CallResult> pendingCallback;
 
+	/** Sends the request of the call in progress once the connection is established. */
+	private Runnable unsentRequest;
+
 	private Future<?> timeout;
 
 	/**
@@ -81,7 +91,31 @@
 			send(method, target, body);
 			return;
 		}
-		ChannelFuture connecting = HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS)
+		this.unsentRequest = () -> send(method, target, body);
+		if (!this.connecting) {
+			open();
+		}
+	}
+
+	/**
+	 * Starts to establish the connection, if there is none, ahead of the next call.
+	 */
+	public void connect() {
+		if (this.channel == null) {
+			open();
+		}
+	}
+
+	/**
+	 * Returns whether the next call would share its connection with an earlier one.
+	 * @return whether the connection has carried a call
+	 */
+	public boolean hasCarriedCall() {
+		return this.channel != null && this.used;
+	}
+
+	private void open() {
+		ChannelFuture opening = HttpChannels.clientBootstrap(this.group, CONNECT_TIMEOUT_MILLIS)
 			.handler(new ChannelInitializer<Channel>() {
 				@Override
 				protected void initChannel(Channel opened) {
@@ -92,18 +126,22 @@
 				}
 			})
 			.connect(this.address.socketAddress());
-		this.channel = connecting.channel();
-		Channel connectingChannel = this.channel;
-		connecting.addListener((future) -> {
-			if (this.channel != connectingChannel || this.pendingCallback != done) {
-				connectingChannel.close();
-			}
-			else if (future.isSuccess()) {
-				send(method, target, body);
+		Channel openingChannel = opening.channel();
+		this.channel = openingChannel;
+		this.connecting = true;
+		this.used = false;
+		opening.addListener((future) -> {
+			if (this.channel != openingChannel) {
+				openingChannel.close();
+				return;
 			}
-			else {
+			this.connecting = false;
+			if (!future.isSuccess()) {
 				fail(String.valueOf(future.cause().getMessage()));
 			}
+			else if (this.unsentRequest != null) {
+				this.unsentRequest.run();
+			}
 		});
 	}
 
@@ -122,12 +160,15 @@
 			request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
 			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		}
+		this.unsentRequest = null;
+		this.used = true;
 		this.channel.writeAndFlush(request);
 	}
 
 	private void fail(String problem) {
 		Channel closing = this.channel;
 		this.channel = null;
+		this.connecting = false;
 		if (closing != null) {
 			closing.close();
 		}
@@ -144,6 +185,7 @@
 	private Consumer<CallResult> takeCallback() {
 		Consumer<CallResult> done = this.pendingCallback;
 		this.pendingCallback = null;
+		this.unsentRequest = null;
 		if (this.timeout != null) {
 			this.timeout.cancel(false);
 			this.timeout = null;
