Take no answer that continues the head of another one

A caller got a 200 with the receipt and the body of a run that its endpoint had answered with 504: the endpoint began a second answer to an earlier request and broke it off within its head, right before the next answer. The status line of that answer became part of the reason phrase or of a header's value, so that one head had the status of the one answer and the identifier and receipt of the other.

A head with a status line in its reason phrase or in a header is now taken for no answer on a connection that has carried an earlier request; the attempt ends as GARBLED.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -200,6 +200,10 @@
 	}
 
 	private boolean handleHead(HttpResponse response) {
+		if (this.carried.size() > 1 && JoinedHead.isJoined(response)) {
+			fail(AttemptOutcome.GARBLED);
+			return false;
+		}
 		if (response.status().code() < HttpResponseStatus.OK.code()) {
 			this.skippingAnswer = true;
 			this.attempt.answerSkipped(response);
