Send HEAD requests on connections of their own kind

Callers waited until their deadline, got a 502, or a success of a run that had failed: an endpoint wrote its answer to a HEAD request once more, before that to the next request on the connection. Such an answer has a length and no body, but whether an answer has a body was decided by the request that is awaited, so that the next answer was read as the body of the late one. The other way round, the body of a late answer was read as the answer to HEAD.

A connection that has carried HEAD requests now carries only those, and one that has carried others carries no HEAD request.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -86,12 +86,16 @@
 	}
 
 	/**
-	 * Returns whether a further answer to another run of a request may still come.
+	 * Returns whether a further answer to an earlier request could not be taken for the
+	 * answer to a request, or hide it.
 	 * @param request the request
-	 * @return {@code true} if the connection may have carried it
+	 * @return {@code false} if the connection may have carried it, or has carried
+	 * requests whose answers have a body while its answer has none, or the reverse
 	 */
-	boolean mayHaveCarried(BufferedRequest request) {
-		return this.carried.mayContain(request.head().attemptId());
+	boolean mayCarry(BufferedRequest request) {
+		boolean sameFraming = this.carried.size() == 0
+				|| this.decoder.isBodyless() == request.method().equals(HttpMethod.HEAD);
+		return sameFraming && !this.carried.mayContain(request.head().attemptId());
 	}
 
 	void markIdle(long nowMillis) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointPool.java
@@ -33,9 +33,9 @@
  * <p>
  * Not thread-safe; confined to the event loop. Idle connections are kept by endpoint
  * identifier, so that a process that reuses the address of another one gets new
- * connections. No connection carries two requests with the same identifier: an endpoint
- * may answer twice, and the identifier alone would not tell the answers of two runs
- * apart.
+ * connections. An endpoint may answer twice. So no connection carries two requests with
+ * the same identifier, which would not tell the answers of two runs apart, or HEAD
+ * requests beside others, whose answers end elsewhere.
  * </p>
  */
 public final class EndpointPool {
@@ -126,7 +126,7 @@
 				latestFirst.remove();
 				candidate.close();
 			}
-			else if (!candidate.mayHaveCarried(request)) {
+			else if (candidate.mayCarry(request)) {
 				latestFirst.remove();
 				return candidate;
 			}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointResponseDecoder.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointResponseDecoder.java
@@ -35,6 +35,10 @@
 		this.bodyless = bodyless;
 	}
 
+	boolean isBodyless() {
+		return this.bodyless;
+	}
+
 	/**
 	 * Returns whether bytes were received after the latest complete answer, even if they
 	 * are less than a head.
