Fail answers whose head runs on from part of an earlier one

Callers got a success of a run that had failed also if an endpoint wrote the beginning of a second answer while the next request was waiting: the bytes cannot be told from those of its own answer before they are read. If the beginning ended within the identifier, the answer was skipped as one to another request, and the request waited until its deadline or for a second answer.

A head with a status line in its reason phrase or in the value of a header is garbled. Parts that end elsewhere are no valid head.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -1,7 +1,9 @@
 package io.mulberrylift.gateway.endpoint;
 
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.model.EndpointId;
@@ -33,6 +35,8 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
 	private final EndpointPool pool;
 
 	private final EndpointResponseDecoder decoder;
@@ -200,6 +204,10 @@
 	}
 
 	private boolean handleHead(HttpResponse response) {
+		if (containsStatusLine(response)) {
+			fail(AttemptOutcome.GARBLED);
+			return false;
+		}
 		if (response.status().code() < HttpResponseStatus.OK.code()) {
 			this.skippingAnswer = true;
 			this.attempt.answerSkipped(response);
@@ -221,6 +229,24 @@
 		return true;
 	}
 
+	/**
+	 * Returns whether a head consists of the beginning of one answer and another answer,
+	 * whose identifier would make the status of the first one its own.
+	 * @param response the head
+	 * @return {@code true} if a line of the head continues with a status line
+	 */
+	private static boolean containsStatusLine(HttpResponse response) {
+		if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
+			return true;
+		}
+		for (Map.Entry<String, String> header : response.headers()) {
+			if (STATUS_LINE.matcher(header.getValue()).find()) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private void handleBody(HttpContent content) {
 		if (this.skippingAnswer) {
 			this.skippedBytes += content.content().readableBytes();
