Fail calls whose answer runs on from part of an earlier one

A call to an engine or to the store took the status of a cut second answer with the rest of its own: an engine that wrote "HTTP/1.1 200 " after an answer and refused the next reservation with 409 was read as granting it (trial with a raw socket: 200 where 409 was sent). The check of endpoint connections moves to JoinedAnswers and fails the call and its connection.

SequentialHttpClientTests, 3 new cases, before the change: 3 fail, the joined answer is taken; after it: 17 of 17 pass.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -1,13 +1,12 @@
 package io.mulberrylift.gateway.endpoint;
 
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.regex.Pattern;
 
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.caller.BufferedRequest;
+import io.mulberrylift.gateway.http.JoinedAnswers;
 import io.mulberrylift.gateway.pressure.BodyWriter;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -35,8 +34,6 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
-	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
-
 	private final EndpointPool pool;
 
 	private final EndpointResponseDecoder decoder;
@@ -204,7 +201,7 @@
 	}
 
 	private boolean handleHead(HttpResponse response) {
-		if (containsStatusLine(response)) {
+		if (JoinedAnswers.containsStatusLine(response)) {
 			fail(AttemptOutcome.GARBLED);
 			return false;
 		}
@@ -229,24 +226,6 @@
 		return true;
 	}
 
-	/**
-	 * Returns whether a head consists of the beginning of one answer and another answer,
-	 * whose identifier would make the status of the first one its own.
-	 * @param response the head
-	 * @return {@code true} if a line of the head continues with a status line
-	 */
-	private static boolean containsStatusLine(HttpResponse response) {
-		if (STATUS_LINE.matcher(response.status().reasonPhrase()).find()) {
-			return true;
-		}
-		for (Map.Entry<String, String> header : response.headers()) {
-			if (STATUS_LINE.matcher(header.getValue()).find()) {
-				return true;
-			}
-		}
-		return false;
-	}
-
 	private void handleBody(HttpContent content) {
 		if (this.skippingAnswer) {
 			this.skippedBytes += content.content().readableBytes();
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
@@ -160,7 +160,7 @@
 				forget(context.channel());
 				return;
 			}
-			if (response.decoderResult().isFailure()) {
+			if (response.decoderResult().isFailure() || JoinedAnswers.containsStatusLine(response)) {
 				fail("answer is not valid HTTP");
 				return;
 			}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
@@ -46,6 +46,9 @@
 	/** What is written in place of an answer before its connection is closed, or null. */
 	private volatile String cutAnswer;
 
+	/** What is written after each answer. */
+	private volatile String after = "";
+
 	private SequentialHttpClient client;
 
 	@BeforeEach
@@ -94,7 +97,8 @@
 						return;
 					}
 					String answer = "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
-					socket.getOutputStream().write(answer.repeat(this.copies).getBytes(StandardCharsets.US_ASCII));
+					socket.getOutputStream()
+						.write((answer.repeat(this.copies) + this.after).getBytes(StandardCharsets.US_ASCII));
 				}
 				read = input.read();
 			}
@@ -111,18 +115,29 @@
 		return bodies.get(30, TimeUnit.SECONDS);
 	}
 
-	private void callNext(int count, List<String> before, CompletableFuture<List<String>> bodies) {
-		if (before.size() == count) {
-			bodies.complete(before);
+	private void callNext(int count, List<String> earlier, CompletableFuture<List<String>> bodies) {
+		if (earlier.size() == count) {
+			bodies.complete(earlier);
 			return;
 		}
 		this.client.call(HttpMethod.GET, "/", new byte[0], TIMEOUT_MILLIS, (result) -> {
-			List<String> after = new ArrayList<>(before);
-			after.add(new String(result.body(), StandardCharsets.US_ASCII));
-			callNext(count, after, bodies);
+			List<String> results = new ArrayList<>(earlier);
+			results.add(new String(result.body(), StandardCharsets.US_ASCII));
+			callNext(count, results, bodies);
 		});
 	}
 
+	/**
+	 * Failure: the beginning of a further answer was put before the answer to the next
+	 * call, whose status became that of the beginning.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nx-a: ", "HTTP/1.1 200 OK\r\nx-a: b" })
+	void beginningOfAFurtherAnswerFailsTheNextCall(String beginning) throws Exception {
+		this.after = beginning;
+		assertThat(call(2)).containsExactly("answer 1", "");
+	}
+
 	@Test
 	void callsUseOneConnection() throws Exception {
 		assertThat(call(3)).containsExactly("answer 1", "answer 2", "answer 3");
