Skip interim answers in calls to engines and to the store

An answer of status 103 was taken for the answer to the call: a watch of the store counted it as an outage and read everything again, and the answer that followed closed the connection.

SequentialHttpClientTests.interimAnswerIsSkipped, before the change: fails.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -160,6 +161,9 @@
 				forget(context.channel());
 				return;
 			}
+			if (response.status().code() < HttpResponseStatus.OK.code()) {
+				return;
+			}
 			if (response.decoderResult().isFailure() || JoinedAnswers.containsStatusLine(response)) {
 				fail("answer is not valid HTTP");
 				return;
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/SequentialHttpClientTests.java
@@ -46,6 +46,9 @@
 	/** What is written in place of an answer before its connection is closed, or null. */
 	private volatile String cutAnswer;
 
+	/** What is written before each answer. */
+	private volatile String before = "";
+
 	/** What is written after each answer. */
 	private volatile String after = "";
 
@@ -98,7 +101,8 @@
 					}
 					String answer = "HTTP/1.1 200 OK\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
 					socket.getOutputStream()
-						.write((answer.repeat(this.copies) + this.after).getBytes(StandardCharsets.US_ASCII));
+						.write((this.before + answer.repeat(this.copies) + this.after)
+							.getBytes(StandardCharsets.US_ASCII));
 				}
 				read = input.read();
 			}
@@ -138,6 +142,14 @@
 		assertThat(call(2)).containsExactly("answer 1", "");
 	}
 
+	/** Failure: an interim answer was taken for the answer. */
+	@Test
+	void interimAnswerIsSkipped() throws Exception {
+		this.before = "HTTP/1.1 103 Early Hints\r\n\r\n";
+		assertThat(call(3)).containsExactly("answer 1", "answer 2", "answer 3");
+		assertThat(this.connections).hasValue(1);
+	}
+
 	@Test
 	void callsUseOneConnection() throws Exception {
 		assertThat(call(3)).containsExactly("answer 1", "answer 2", "answer 3");
