Merge what the logs tell about second answers

The check of heads that continue in another one was written twice; JoinedHead is kept, for connections to endpoints and for calls to engines and the store.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.caller.BufferedRequest;
+import io.mulberrylift.gateway.http.JoinedHead;
 import io.mulberrylift.gateway.pressure.BodyWriter;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/JoinedHead.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/JoinedHead.java
@@ -1,4 +1,4 @@
-package io.mulberrylift.gateway.endpoint;
+package io.mulberrylift.gateway.http;
 
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -11,7 +11,7 @@
  * status line into the reason phrase or a header of the first one. Stateless and
  * thread-safe.
  */
-final class JoinedHead {
+public final class JoinedHead {
 
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
@@ -23,7 +23,7 @@
 	 * @param head the head
 	 * @return {@code true} if its status and its headers may be those of two answers
 	 */
-	static boolean isJoined(HttpResponse head) {
+	public static boolean isJoined(HttpResponse head) {
 		if (containsStatusLine(head.status().reasonPhrase())) {
 			return true;
 		}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/endpoint/JoinedHeadTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/http/JoinedHeadTests.java
@@ -1,10 +1,11 @@
-package io.mulberrylift.gateway.endpoint;
+package io.mulberrylift.gateway.http;
 
 import java.nio.charset.StandardCharsets;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -18,7 +19,7 @@
 	private static final String NEXT = "HTTP/1.1 504 Gateway Timeout\r\nreceipt: r2\r\ncontent-length: 0\r\n\r\n";
 
 	private static HttpResponse decode(String head) {
-		EmbeddedChannel channel = new EmbeddedChannel(new EndpointResponseDecoder());
+		EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder());
 		channel.writeInbound(Unpooled.copiedBuffer(head, StandardCharsets.ISO_8859_1));
 		HttpResponse response = channel.readInbound();
 		channel.close();
