Keep connections of the daemon only after answers that name their call

Callers of the daemon's own API got the reply to an earlier call, such as a 200 for a call that the service had answered with 500, or the answer of an engine that had refused the attempt, if a service or engine wrote an earlier answer once more before that to the next call on its kept connection.

Cause: connections are pooled and answers name no call. Since connections that brought a refusal were closed; those that brought a success were kept.

A connection is kept only after an answer that returns it. An answer with another name, or without one on a connection that has carried earlier calls, fails the call as lost, so that it may have run. This replaces the list of refusing statuses and covers holds, orders, loads and the platform's services as well. Servers that never return the header get a connection for each call.

The cost of connections for services that do not name calls was not measured.

--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/HopByHopHeaders.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/endpoint/HopByHopHeaders.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.mulberrylift.daemon.outbound.OutboundHttpClient;
+
 /**
  * Removes headers that apply to a single connection only.
  */
@@ -16,7 +18,7 @@
 
 	private static final Set<String> HOP_BY_HOP_NAMES = Set.of(CONNECTION, "keep-alive", "proxy-authenticate",
 			"proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-			"content-length", "host", "expect");
+			"content-length", "host", "expect", OutboundHttpClient.CALL_HEADER.toLowerCase(Locale.ROOT));
 
 	private HopByHopHeaders() {
 	}
--- a/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/outbound/OutboundHttpClient.java
+++ b/mulberrylift-daemon/src/main/java/io/mulberrylift/daemon/outbound/OutboundHttpClient.java
@@ -3,13 +3,11 @@
 import java.net.URISyntaxException;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.Future;
 
 import org.apache.hc.client5.http.config.ConnectionConfig;
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.ChainElement;
-import org.apache.hc.client5.http.impl.DefaultClientConnectionReuseStrategy;
 import org.apache.hc.client5.http.impl.async.CloseableHttpAsyncClient;
 import org.apache.hc.client5.http.impl.async.HttpAsyncClients;
 import org.apache.hc.client5.http.impl.nio.PoolingAsyncClientConnectionManager;
@@ -19,14 +17,12 @@
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.HttpRequest;
-import org.apache.hc.core5.http.HttpResponse;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.message.BasicHeader;
 import org.apache.hc.core5.http.nio.AsyncRequestProducer;
 import org.apache.hc.core5.http.nio.AsyncResponseConsumer;
 import org.apache.hc.core5.http.nio.entity.BasicAsyncEntityProducer;
 import org.apache.hc.core5.http.nio.support.BasicRequestProducer;
-import org.apache.hc.core5.http.protocol.HttpContext;
 import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.PoolConcurrencyPolicy;
 import org.apache.hc.core5.reactor.IOReactorConfig;
@@ -48,13 +44,13 @@
 	/** Name of the header that carries the sender's availability zone. */
 	public static final String ZONE_HEADER = "From-Zone";
 
+	/** Name of the header that names a call; servers return it with their answer. */
+	public static final String CALL_HEADER = "Call-Id";
+
 	private static final Logger LOGGER = LoggerFactory.getLogger(OutboundHttpClient.class);
 
 	private static final int MAX_CONNECTIONS = 65_536;
 
-	/** Statuses of answers by which a request may count as not run. */
-	private static final Set<Integer> REFUSING_STATUSES = Set.of(400, 422, 429, 503);
-
 	private static final TimeValue IDLE_TIMEOUT = TimeValue.ofSeconds(5);
 
 	private final CloseableHttpAsyncClient client;
@@ -69,6 +65,7 @@
 	 */
 	public OutboundHttpClient(HttpClientSettings settings) {
 		this.connectTimeout = Timeout.ofMilliseconds(settings.connectTimeoutMillis());
+		CallNames names = new CallNames();
 		this.client = HttpAsyncClients.custom()
 			.setConnectionManager(connectionManager(settings))
 			.setIOReactorConfig(IOReactorConfig.custom().setIoThreadCount(settings.ioThreads()).build())
@@ -76,7 +73,9 @@
 			.setIoSessionDecorator(WindowedSession::new)
 			.setHttp1Config(Http1Config.custom().setInitialWindowSize(settings.windowBytes()).build())
 			.setDefaultHeaders(List.of(new BasicHeader(ZONE_HEADER, settings.zone().value())))
-			.setConnectionReuseStrategy(OutboundHttpClient::mayReuseConnection)
+			.addRequestInterceptorLast(names)
+			.addResponseInterceptorFirst(names)
+			.setConnectionReuseStrategy(names)
 			.setKeepAliveStrategy((response, context) -> IDLE_TIMEOUT)
 			.evictIdleConnections(IDLE_TIMEOUT)
 			.addExecInterceptorAfter(ChainElement.CONNECT.name(), SendGate.class.getSimpleName(), new SendGateHandler())
@@ -88,12 +87,6 @@
 		this.client.start();
 	}
 
-	private static boolean mayReuseConnection(HttpRequest request, HttpResponse response, HttpContext context) {
-		// Answers name no request: a copy of a refusal must not answer the next one.
-		return !REFUSING_STATUSES.contains(response.getCode())
-				&& DefaultClientConnectionReuseStrategy.INSTANCE.keepAlive(request, response, context);
-	}
-
 	private PoolingAsyncClientConnectionManager connectionManager(HttpClientSettings settings) {
 		return PoolingAsyncClientConnectionManagerBuilder.create()
 			.setMaxConnPerRoute(settings.maxConnectionsPerAddress())
--- a/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ModelAttemptTests.java
+++ b/mulberrylift-daemon/src/test/java/io/mulberrylift/daemon/endpoint/ModelAttemptTests.java
@@ -184,6 +184,36 @@
 		}
 	}
 
+	/**
+	 * Failure: an earlier answer, written once more before that to the next attempt on
+	 * its connection, was the answer to the next attempt, which the engine had refused.
+	 */
+	@Test
+	void answerThatIsRepeatedIsNotTheAnswerToTheNextAttempt() throws Exception {
+		ThreadLocal<Boolean> answered = ThreadLocal.withInitial(() -> false);
+		AtomicInteger attempts = new AtomicInteger();
+		try (RawHttpServer engine = engine((request, out) -> {
+			boolean first = attempts.incrementAndGet() == 1;
+			if (first || answered.get()) {
+				RawHttpServer.startStream(out);
+				RawHttpServer.chunk(out, FIRST + SECOND + END);
+				RawHttpServer.endStream(out);
+				answered.set(true);
+			}
+			if (!first) {
+				RawHttpServer.reply(out, 429, "", "{}");
+			}
+		}); AttemptHandlerFixture fixture = new AttemptHandlerFixture(engine.address())) {
+			fixture.dispatch(this.exchange);
+			fixture.events.next(AttemptEvent.Started.class);
+			fixture.events.next(AttemptEvent.Finished.class);
+			FakeExchange next = FakeExchange.model("next");
+			fixture.dispatch(next);
+			fixture.expectFailure(AttemptFailure.TURNED_AWAY);
+			assertThat(next.text()).isEmpty();
+		}
+	}
+
 	@Test
 	void gapIsReportedWithItsOffsets() throws Exception {
 		try (RawHttpServer engine = streaming(FIRST + "{\"type\":\"tokens\",\"offset\":3,\"text\":[\"d\"]}\n");
--- a/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/http/HttpStandIn.java
+++ b/mulberrylift-testkit/src/main/java/io/mulberrylift/testkit/http/HttpStandIn.java
@@ -24,6 +24,8 @@
 
 	private static final String HOST = "127.0.0.1";
 
+	private static final String CALL_ID = "Call-Id";
+
 	private static final UriCompliance ENCODED_SLASHES = UriCompliance.DEFAULT.with("ENCODED_SLASHES",
 			UriCompliance.Violation.AMBIGUOUS_PATH_SEPARATOR, UriCompliance.Violation.AMBIGUOUS_PATH_ENCODING);
 
@@ -111,6 +113,10 @@
 
 		@Override
 		public boolean handle(Request request, Response response, Callback callback) {
+			String call = request.getHeaders().get(CALL_ID);
+			if (call != null) {
+				response.getHeaders().put(CALL_ID, call);
+			}
 			Exchange exchange = new Exchange(request, response, callback);
 			if (exchange.rawPath().startsWith("/control/")) {
 				HttpStandIn.this.router.route(exchange);
