Fail an attempt whose answer hides in a skipped one

A caller got a 200 of a run whose first answer was a 504. A second answer to an earlier request broke off within its body or a trailer, and the 504 that followed on the connection was skipped as the rest of it; the second answer to the request, a success, was the first one that was seen. Longer parts held the caller up until its deadline.

A skipped body or trailer that contains a status line now ends the attempt as GARBLED, so that a request that may be repeated goes elsewhere at once. A sound body of a skipped answer that quotes a status line does so as well.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -55,6 +55,8 @@
 
 	private boolean skippingAnswer;
 
+	private SkippedBody skippedBody = new SkippedBody();
+
 	/** Bytes of answers to other requests that were received in the attempt. */
 	private long skippedBytes;
 
@@ -116,6 +118,7 @@
 		next.setConnection(this.number, this.carried.size());
 		this.headRead = false;
 		this.skippingAnswer = false;
+		this.skippedBody = new SkippedBody();
 		this.skippedBytes = 0;
 		this.requestWritten = false;
 		byte[] body = next.request().body();
@@ -233,8 +236,12 @@
 	private void handleBody(HttpContent content) {
 		if (this.skippingAnswer) {
 			this.skippedBytes += content.content().readableBytes();
-			if (content instanceof LastHttpContent) {
+			if (this.skippedBody.hidesAnswer(content)) {
+				fail(AttemptOutcome.GARBLED);
+			}
+			else if (content instanceof LastHttpContent) {
 				this.skippingAnswer = false;
+				this.skippedBody = new SkippedBody();
 			}
 			else if (this.skippedBytes > EndpointAttempt.MAX_ANSWER_BYTES) {
 				fail(AttemptOutcome.OVERSIZED);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/JoinedHead.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/JoinedHead.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
@@ -24,10 +25,16 @@
 	 * @return {@code true} if its status and its headers may be those of two answers
 	 */
 	public static boolean isJoined(HttpResponse head) {
-		if (containsStatusLine(head.status().reasonPhrase())) {
-			return true;
-		}
-		for (Map.Entry<String, String> header : head.headers()) {
+		return containsStatusLine(head.status().reasonPhrase()) || containsStatusLine(head.headers());
+	}
+
+	/**
+	 * Returns whether headers or trailers contain a status line.
+	 * @param headers the headers
+	 * @return {@code true} if a name or a value contains one
+	 */
+	public static boolean containsStatusLine(HttpHeaders headers) {
+		for (Map.Entry<String, String> header : headers) {
 			if (containsStatusLine(header.getValue()) || containsStatusLine(header.getKey())) {
 				return true;
 			}
@@ -35,7 +42,12 @@
 		return false;
 	}
 
-	private static boolean containsStatusLine(String text) {
+	/**
+	 * Returns whether a text contains the beginning of a status line.
+	 * @param text the text
+	 * @return {@code true} if it contains a version of HTTP and a status code
+	 */
+	public static boolean containsStatusLine(String text) {
 		return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
 	}
 
