Skip no answer that contains the next one

Callers could get a success of a run that had failed: an endpoint wrote its answer to an earlier request once more and broke it off within its body or before the end of its trailers. The answer to the next request, a failure, was read as the rest of it and skipped with it, and the second answer to the same run, a success, was taken for the first. If the late answer had no length, the caller waited until its deadline.

A body or trailers that are skipped and contain a status line now end the attempt as GARBLED. Parts of the next answer that are too short for that leave bytes that the decoder refuses.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -54,6 +54,8 @@
 
 	private boolean skippingAnswer;
 
+	private SkippedBody skippedBody = new SkippedBody();
+
 	/** Bytes of answers to other requests that were received in the attempt. */
 	private long skippedBytes;
 
@@ -204,6 +206,7 @@
 	}
 
 	private boolean handleHead(HttpResponse response) {
+		this.skippedBody = new SkippedBody();
 		if (this.carried.size() > 1 && JoinedHead.isJoined(response)) {
 			fail(AttemptOutcome.GARBLED);
 			return false;
@@ -232,7 +235,10 @@
 	private void handleBody(HttpContent content) {
 		if (this.skippingAnswer) {
 			this.skippedBytes += content.content().readableBytes();
-			if (content instanceof LastHttpContent) {
+			if (this.skippedBody.append(content)) {
+				fail(AttemptOutcome.GARBLED);
+			}
+			else if (content instanceof LastHttpContent) {
 				this.skippingAnswer = false;
 			}
 			else if (this.skippedBytes > EndpointAttempt.MAX_ANSWER_BYTES) {
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/JoinedHead.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/JoinedHead.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 
 /**
@@ -24,10 +25,16 @@
 	 * @return {@code true} if its status and its headers may be those of two answers
 	 */
 	static boolean isJoined(HttpResponse head) {
-		if (containsStatusLine(head.status().reasonPhrase())) {
-			return true;
-		}
-		for (Map.Entry<String, String> header : head.headers()) {
+		return containsStatusLine(head.status().reasonPhrase()) || isJoined(head.headers());
+	}
+
+	/**
+	 * Returns whether headers or trailers contain a status line.
+	 * @param headers the headers
+	 * @return {@code true} if they may be those of two answers
+	 */
+	static boolean isJoined(HttpHeaders headers) {
+		for (Map.Entry<String, String> header : headers) {
 			if (containsStatusLine(header.getValue()) || containsStatusLine(header.getKey())) {
 				return true;
 			}
@@ -35,7 +42,7 @@
 		return false;
 	}
 
-	private static boolean containsStatusLine(String text) {
+	static boolean containsStatusLine(String text) {
 		return text.contains("HTTP/") && STATUS_LINE.matcher(text).find();
 	}
 
