--- a/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AnswerOrigin.java
+++ b/mulberrylift-core/src/main/java/io/mulberrylift/core/forwarding/AnswerOrigin.java
@@ -8,7 +8,8 @@
  * @param connection number of the connection in this process, 0 if there was none
  * @param requestOnConnection number of the attempt among those that the connection has
  * carried, from 1; 0 if it has carried none
- * @param skippedAnswers number of answers to other requests that were read before
+ * @param skippedAnswers number of answers that were read before and were not its own,
+ * interim ones included
  * @param receipt what the endpoint states about the run that it answers for, empty if it
  * states nothing
  */
