Deliver no success that goes on with the second answer of its run

Callers got a success that was made of two answers of its run: an endpoint broke off its first answer, or wrote one without a length, and wrote the second one after it on the same connection. Within the head, the status of a success stood above the receipt and body of a failure, also on a connection that had carried no other request. Later, the second answer became the end of the body, or an event of a stream that then ended as complete.

Heads with the status line of another one are now refused on each connection. A body that contains a status line and names its own request after it ends the attempt as GARBLED, and an event that begins with a status line as BROKEN_MIDWAY, so that the stream may be resumed.

--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -263,8 +263,9 @@
 	 * Handles part of the body.
 	 * @param bytes the bytes, read to their end
 	 * @return the outcome with which the rest of the answer is given up: the answer, one
-	 * of its events or all buffered answers exceed their maximum size, or it doesn't
-	 * continue the stream that the caller has; empty to read on
+	 * of its events or all buffered answers exceed their maximum size, it doesn't
+	 * continue the stream that the caller has, or it goes on with another answer; empty
+	 * to read on
 	 */
 	Optional<AttemptOutcome> bodyReceived(ByteBuf bytes) {
 		if (this.streamed) {
@@ -281,6 +282,9 @@
 				}
 				ResumedEvents.Place place = this.resumedEvents.map((events) -> events.next(event))
 					.orElse(ResumedEvents.Place.NEW);
+				if (JoinedHead.isEvent(event.bytes())) {
+					return Optional.of(AttemptOutcome.BROKEN_MIDWAY);
+				}
 				if (place == ResumedEvents.Place.UNKNOWN) {
 					return Optional.of(AttemptOutcome.ENDPOINT_ERROR);
 				}
@@ -315,6 +319,10 @@
 
 	private void completeValid(AttemptOutcome completed) {
 		if (!this.streamed) {
+			if (JoinedHead.isContained(this.bufferedBody.toByteArray(), request().head().attemptId())) {
+				end(AttemptOutcome.GARBLED);
+				return;
+			}
 			deliverBuffered();
 			end(completed);
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -207,7 +207,7 @@
 
 	private boolean handleHead(HttpResponse response) {
 		this.skippedBody = new SkippedBody();
-		if (this.carried.size() > 1 && JoinedHead.isJoined(response)) {
+		if (JoinedHead.isJoined(response)) {
 			fail(AttemptOutcome.GARBLED);
 			return false;
 		}
--- a/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/endpoint/JoinedHeadTests.java
+++ b/mulberrylift-gateway/src/test/java/io/mulberrylift/gateway/endpoint/JoinedHeadTests.java
@@ -6,6 +6,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -49,4 +50,19 @@
 		assertThat(JoinedHead.isJoined(decode(head))).isFalse();
 	}
 
+	@ParameterizedTest
+	@CsvSource({ "'wholeHTTP/1.1 504 Status\r\nid: a1\r\n', true", "'HTTP/1.1 200 OK\r\nid: a1', true",
+			"'HTTP/1.1 200 OK\r\nid: b1', false", "'GET / HTTP/1.1\r\nid: a1', false", "'a1 HTTP/1.1 200', false",
+			"'', false" })
+	void bodyThatGoesOnWithAnAnswerToTheSameRequestIsJoined(String body, boolean joined) {
+		assertThat(JoinedHead.isContained(body.getBytes(StandardCharsets.ISO_8859_1), "a1")).isEqualTo(joined);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "'HTTP/1.1 504 Status\r\n\r\n', true", "'data: HTTP/1.1 504\n\n', false", "'HTTP/1.1 x', false",
+			"'Hello\n\n', false", "'', false" })
+	void eventThatBeginsWithAStatusLineIsAHead(String event, boolean head) {
+		assertThat(JoinedHead.isEvent(event.getBytes(StandardCharsets.ISO_8859_1))).isEqualTo(head);
+	}
+
 }
