--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointAttempt.java
@@ -7,6 +7,7 @@
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.forwarding.GatewayEffect;
 import io.mulberrylift.gateway.caller.BufferedRequest;
+import io.mulberrylift.gateway.http.JoinedAnswer;
 import io.mulberrylift.gateway.logging.EventLog;
 import io.mulberrylift.gateway.pressure.BodyBuffer;
 import io.mulberrylift.gateway.pressure.HeldBytes;
@@ -57,6 +58,11 @@
 
 	private final BodyBuffer bufferedBody;
 
+	private final StatusLineSearch statusLineSearch = new StatusLineSearch();
+
+	/** Whether the buffered body contains a status line. */
+	private boolean statusLineRead;
+
 	private AnswerClass answerClass = AnswerClass.INVALID;
 
 	private int status;
@@ -263,13 +269,15 @@
 	 * Handles part of the body.
 	 * @param bytes the bytes, read to their end
 	 * @return the outcome with which the rest of the answer is given up: the answer, one
-	 * of its events or all buffered answers exceed their maximum size, or it doesn't
-	 * continue the stream that the caller has; empty to read on
+	 * of its events or all buffered answers exceed their maximum size, it doesn't
+	 * continue the stream that the caller has, or it goes on with another answer; empty
+	 * to read on
 	 */
 	Optional<AttemptOutcome> bodyReceived(ByteBuf bytes) {
 		if (this.streamed) {
 			return forwardEvents(bytes);
 		}
+		this.statusLineRead |= this.statusLineSearch.finds(bytes);
 		return (this.bufferedBody.append(bytes)) ? Optional.empty() : Optional.of(AttemptOutcome.OVERSIZED);
 	}
 
@@ -281,6 +289,9 @@
 				}
 				ResumedEvents.Place place = this.resumedEvents.map((events) -> events.next(event))
 					.orElse(ResumedEvents.Place.NEW);
+				if (JoinedAnswer.isEvent(event.bytes())) {
+					return Optional.of(AttemptOutcome.BROKEN_MIDWAY);
+				}
 				if (place == ResumedEvents.Place.UNKNOWN) {
 					return Optional.of(AttemptOutcome.ENDPOINT_ERROR);
 				}
@@ -315,6 +326,11 @@
 
 	private void completeValid(AttemptOutcome completed) {
 		if (!this.streamed) {
+			if (this.statusLineRead
+					&& JoinedAnswer.isContained(this.bufferedBody.toByteArray(), request().head().attemptId())) {
+				end(AttemptOutcome.GARBLED);
+				return;
+			}
 			deliverBuffered();
 			end(completed);
 		}
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -6,7 +6,7 @@
 import io.mulberrylift.core.forwarding.AttemptOutcome;
 import io.mulberrylift.core.model.EndpointId;
 import io.mulberrylift.gateway.caller.BufferedRequest;
-import io.mulberrylift.gateway.http.JoinedHead;
+import io.mulberrylift.gateway.http.JoinedAnswer;
 import io.mulberrylift.gateway.pressure.BodyWriter;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,7 +55,7 @@
 
 	private boolean skippingAnswer;
 
-	private SkippedBody skippedBody = new SkippedBody();
+	private StatusLineSearch skippedBody = new StatusLineSearch();
 
 	/** Bytes of answers to other requests that were received in the attempt. */
 	private long skippedBytes;
@@ -118,7 +118,7 @@
 		next.setConnection(this.number, this.carried.size());
 		this.headRead = false;
 		this.skippingAnswer = false;
-		this.skippedBody = new SkippedBody();
+		this.skippedBody = new StatusLineSearch();
 		this.skippedBytes = 0;
 		this.requestWritten = false;
 		byte[] body = next.request().body();
@@ -208,7 +208,8 @@
 	}
 
 	private boolean handleHead(HttpResponse response) {
-		if (this.carried.size() > 1 && JoinedHead.isJoined(response)) {
+		this.skippedBody = new StatusLineSearch();
+		if (JoinedAnswer.isJoined(response)) {
 			fail(AttemptOutcome.GARBLED);
 			return false;
 		}
@@ -236,12 +237,12 @@
 	private void handleBody(HttpContent content) {
 		if (this.skippingAnswer) {
 			this.skippedBytes += content.content().readableBytes();
-			if (this.skippedBody.hidesAnswer(content)) {
+			if (this.skippedBody.finds(content)) {
 				fail(AttemptOutcome.GARBLED);
 			}
 			else if (content instanceof LastHttpContent) {
 				this.skippingAnswer = false;
-				this.skippedBody = new SkippedBody();
+				this.skippedBody = new StatusLineSearch();
 			}
 			else if (this.skippedBytes > EndpointAttempt.MAX_ANSWER_BYTES) {
 				fail(AttemptOutcome.OVERSIZED);
--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/http/SequentialHttpClient.java
@@ -206,7 +206,7 @@
 			if (response.status().code() < HttpResponseStatus.OK.code()) {
 				return;
 			}
-			if (response.decoderResult().isFailure() || JoinedHead.isJoined(response)) {
+			if (response.decoderResult().isFailure() || JoinedAnswer.isJoined(response)) {
 				fail("answer is not valid HTTP");
 				return;
 			}
