--- a/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
+++ b/mulberrylift-gateway/src/main/java/io/mulberrylift/gateway/endpoint/EndpointConnection.java
@@ -55,6 +55,7 @@
 
 	private boolean skippingAnswer;
 
+	/** Searches the body of the current answer if it is skipped. */
 	private StatusLineSearch skippedBody = new StatusLineSearch();
 
 	/** Bytes of answers to other requests that were received in the attempt. */
@@ -118,7 +119,6 @@
 		next.setConnection(this.number, this.carried.size());
 		this.headRead = false;
 		this.skippingAnswer = false;
-		this.skippedBody = new StatusLineSearch();
 		this.skippedBytes = 0;
 		this.requestWritten = false;
 		byte[] body = next.request().body();
@@ -242,7 +242,6 @@
 			}
 			else if (content instanceof LastHttpContent) {
 				this.skippingAnswer = false;
-				this.skippedBody = new StatusLineSearch();
 			}
 			else if (this.skippedBytes > EndpointAttempt.MAX_ANSWER_BYTES) {
 				fail(AttemptOutcome.OVERSIZED);
