Give each stream of review case 7 a prompt of its own

Cause: streams with equal bodies and a shared part were refused after three of them had been broken off, which is case 8. Change: the stand-in's prompts share nothing.

--- a/review/kit2/JoinedStream.java
+++ b/review/kit2/JoinedStream.java
@@ -114,9 +114,9 @@
 
 	private void call(Caller channel, String id, AtomicInteger served, AtomicInteger failed, List<String> broken) {
 		Wire.Message answer = channel.call("POST /brief/x HTTP/1.1\r\nHost: fcst.example\r\nX-Mulberrylift-Attempt-Id: " + id
-				+ "\r\nX-Mulberrylift-Model: m\r\nX-Mulberrylift-Token-Usage: 5000,600\r\nX-Mulberrylift-Prompt-Prefix: "
-				+ "5c1e07a2:40," + id + ":4960\r\nX-Mulberrylift-Deadline-Ms: 10000\r\nAuthorization: Bearer key1\r\n",
-				new byte[1200], 10_000);
+				+ "\r\nX-Mulberrylift-Model: m\r\nX-Mulberrylift-Token-Usage: 5000,600\r\nX-Mulberrylift-Prompt-Prefix: " + id
+				+ ":5000\r\nX-Mulberrylift-Deadline-Ms: 10000\r\nAuthorization: Bearer key1\r\n",
+				Wire.bytes(("prompt " + id + " ").repeat(40)), 10_000);
 		boolean complete = answer != null && answer.status() == 200 && answer.whole;
 		this.journal.line("request " + id + " gets " + ((answer == null) ? "no answer"
 				: answer.status() + ", " + answer.body.length + " bytes" + ((answer.whole) ? "" : ", ends early")));
