--- a/review/kit2/HeaderLimit.java
+++ b/review/kit2/HeaderLimit.java
@@ -27,7 +27,7 @@
 		try (Journal journal = new Journal(arguments[0])) {
 			result = new HeaderLimit(journal).play();
 		}
-		catch (Exception ex) {
+		catch (Exception | Error ex) {
 			// The case couldn't run.
 			ex.printStackTrace();
 		}
--- a/review/kit2/IsolatedPart.java
+++ b/review/kit2/IsolatedPart.java
@@ -74,7 +74,7 @@
 		try (Journal journal = new Journal(arguments[0])) {
 			result = new IsolatedPart(journal).play();
 		}
-		catch (Exception ex) {
+		catch (Exception | Error ex) {
 			// The case couldn't run.
 			ex.printStackTrace();
 		}
--- a/review/kit2/JoinedBody.java
+++ b/review/kit2/JoinedBody.java
@@ -38,7 +38,7 @@
 		try (Journal journal = new Journal(arguments[0])) {
 			result = new JoinedBody(journal).play();
 		}
-		catch (Exception ex) {
+		catch (Exception | Error ex) {
 			// The case couldn't run.
 			ex.printStackTrace();
 		}
--- a/review/kit2/JoinedStream.java
+++ b/review/kit2/JoinedStream.java
@@ -41,7 +41,7 @@
 		try (Journal journal = new Journal(arguments[0])) {
 			result = new JoinedStream(journal).play();
 		}
-		catch (Exception ex) {
+		catch (Exception | Error ex) {
 			// The case couldn't run.
 			ex.printStackTrace();
 		}
